Have one host assign engines for all

Cause: on the grown deployments each of 27 or 32 hosts sees a small part of the load. Ruled out: more frequent reports of engines (priced as probes, and late by 0.9 s); gossip of loads (bytes between zones, stale at two requests a second and host). Now a host per service, chosen by rendezvous hashing among the largest announced ones, assigns decode and prefill engines and orders the queue. It is advice: reservations decide, and a host out of its reach chooses alone.

--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -19,7 +19,7 @@
 ];
 
 /// The schema files, by the name of the module that each becomes.
-const FAMILIES: &[&str] = &["message", "record", "setting"];
+const FAMILIES: &[&str] = &["message", "record", "schedule", "setting"];
 
 fn main() -> Result<()> {
     let mut options = getopts::Options::new();
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 use cranberryridge::clock::Tokio;
-use cranberryridge::gateway::{follow, serve, steer, Parts, Shared};
+use cranberryridge::gateway::{follow, schedule, serve, steer, Parts, Shared};
 use cranberryridge::logger;
 use cranberryridge::metrics::Metrics;
 use cranberryridge::net::{Net, Tcp};
@@ -59,12 +59,24 @@
         .name("control".into())
         .spawn(move || {
             let steering = steer::run(following.clone(), store.clone());
-            control.block_on(async { tokio::join!(follow::run(following, store), steering) })
+            control.block_on(async {
+                tokio::spawn(scheduler(following.clone()));
+                tokio::join!(follow::run(following, store), steering)
+            })
         })?;
     let whole = runtime()?.block_on(traffic(shared, logger, file))?;
     Ok(if whole { 0 } else { daemon::CUT_OFF })
 }
 
+/// Assigns endpoints for hosts that ask.
+async fn scheduler(shared: Arc<Gateway>) {
+    match Tcp.bind(shared.settings.scheduler).await {
+        Ok(listener) => schedule::serve(shared, listener).await,
+        Err(error) => slog::warn!(shared.logger, "gateway: hosts cannot ask for endpoints";
+            "error" => %error),
+    }
+}
+
 /// Carries traffic until a signal ends it. Returns whether nothing was cut
 /// off.
 async fn traffic(shared: Arc<Gateway>, logger: Logger, file: String) -> Result<bool> {
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -102,8 +102,9 @@
         let ip = format!("127.0.{}.{host}", self.subnet);
         let text = format!(
             "nodeName = \"front-{host}\"\nzone = \"a\"\nheartbeatMs = 1200\n\
+             ip = \"{ip}\"\nportRange = [7003, 7010]\n\
              [listen]\nfront = \"{ip}:7001\"\nready = \"{ip}:7002\"\n\
-             [limits]\nmemoryMb = 110\n[contractParams]\nbudgetExtra = 50\n\
+             [limits]\nmemoryMb = 110\ncpuShare = 0.2\ncores = 1\n[contractParams]\nbudgetExtra = 50\n\
              [platform]\naddress = \"127.0.{}.1:7001\"\n",
             self.subnet
         );
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -17,9 +17,9 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget};
-use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::place::Need;
-use cranberryridge_policy::gateway::pool::{self, EndpointKey, Pool};
+use cranberryridge_policy::gateway::pool::{self, EndpointKey, Pool, Trouble};
 use cranberryridge_policy::gateway::queue::Queue;
 use cranberryridge_policy::gateway::route::{Engine, Table};
 use cranberryridge_wire::Map;
@@ -29,11 +29,13 @@
 use crate::tally::Tally;
 
 use self::follow::Hosts;
+use self::schedule::Links;
 use self::store::Host;
 
 pub mod dialect;
 pub mod events;
 pub mod follow;
+pub mod schedule;
 pub mod serve;
 pub mod steer;
 pub mod store;
@@ -57,6 +59,11 @@
     pub ready: SocketAddr,
     /// Where scrapers read metrics.
     pub metrics: SocketAddr,
+    /// Where other hosts ask this one for endpoints.
+    pub scheduler: SocketAddr,
+    /// The processor time that the host has, in cores. Those that have most
+    /// schedule.
+    pub cores: f64,
     /// Most bytes of requests that are held at once.
     pub held: usize,
     /// Time between two readings of the list of endpoints. A leaving endpoint
@@ -92,6 +99,8 @@
             callers: nowhere,
             ready: nowhere,
             metrics: nowhere,
+            scheduler: nowhere,
+            cores: 1.0,
             held: 32 * 1024 * 1024,
             list_pace: Duration::from_millis(800),
             configuration_wait: Duration::from_millis(1500),
@@ -143,8 +152,13 @@
     queues: Mutex<Map<CompactString, Queue>>,
     /// Whether the host is terminating.
     draining: watch::Sender<bool>,
-    /// Whether the endpoints were listed.
-    listed: watch::Sender<bool>,
+    /// The endpoints as listed, once they were.
+    listed: watch::Sender<Option<Vec<Endpoint>>>,
+    /// Engines that are being moved: to which stage, and until when that
+    /// counts.
+    moving: watch::Sender<Map<CompactString, (Phase, Instant)>>,
+    /// Links to schedulers.
+    links: Links,
     /// Bytes of requests that are held.
     held: AtomicUsize,
     /// Open connections of callers.
@@ -189,7 +203,9 @@
             announce: Notify::new(),
             queues: Mutex::default(),
             draining: watch::Sender::new(false),
-            listed: watch::Sender::new(false),
+            listed: watch::Sender::new(None),
+            moving: watch::Sender::default(),
+            links: Links::default(),
             held: AtomicUsize::new(0),
             connections: Tally::default(),
         })
@@ -197,7 +213,9 @@
 
     /// Whether the balancer may send connections.
     pub fn ready(&self) -> bool {
-        self.table.load().version() > 0 && *self.listed.borrow() && !*self.draining.borrow()
+        self.table.load().version() > 0
+            && self.listed.borrow().is_some()
+            && !*self.draining.borrow()
     }
 
     /// The endpoints.
@@ -213,6 +231,32 @@
         (!state.endpoint.draining).then(|| state.endpoint.clone())
     }
 
+    /// Notes that an endpoint did not serve, here and at its scheduler.
+    fn trouble(&self, now: Instant, key: EndpointKey, trouble: Trouble) {
+        let mut pool = self.pool();
+        pool.trouble(now, key, trouble);
+        let Some(state) = pool.get(key) else { return };
+        let endpoint = &state.endpoint;
+        let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
+        drop(pool);
+        self.links.trouble(&service, &id, trouble);
+    }
+
+    /// Notes that an endpoint is being moved to another stage.
+    fn moves(&self, until: Instant, id: &CompactString, phase: Phase) {
+        self.pool().moving(until, id, phase);
+        self.moving.send_modify(|moving| {
+            moving.insert(id.clone(), (phase, until));
+        });
+    }
+
+    /// Takes the endpoints as listed.
+    fn list(&self, endpoints: Vec<Endpoint>) {
+        self.pool().update(endpoints.clone());
+        self.listed.send_replace(Some(endpoints));
+        self.room.notify_waiters();
+    }
+
     /// Entry hosts that are known, this one included.
     fn hosts(&self) -> usize {
         let known = lock(&self.hosts).count();
@@ -273,6 +317,8 @@
         let demands = demands.map(|(service, meter)| (service.clone(), meter.read(now)));
         Host {
             name: self.settings.name.clone(),
+            scheduler: (!*self.draining.borrow()).then_some(self.settings.scheduler),
+            cores: self.settings.cores,
             demands: demands.collect(),
             moves: lock(&self.moves).pending(now),
         }
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
+use cranberryridge_policy::gateway::pool::{EndpointKey, Trouble, Work};
 
 use super::dialect::{Dialect, Errand, Stage, Verdict};
 use super::Shared;
@@ -116,7 +116,7 @@
             shared.metrics.count("endpoint.unreachable");
             slog::debug!(shared.logger, "gateway: attempt broken";
                 "request" => %input.attempt, "endpoint" => %endpoint.id, "error" => %error);
-            shared.pool().broke(shared.clock.now(), key);
+            shared.trouble(shared.clock.now(), key, Trouble::Broken);
             return match error {
                 Error::Connect(_) => Outcome::NotSent,
                 Error::Broken(_) | Error::Unreadable(_) => Outcome::Lost,
@@ -137,9 +137,9 @@
     let now = shared.clock.now();
     let (head, body) = answer.into_parts();
     let verdict = shared.dialect.verdict(&head, &input.attempt, stage);
-    let mut pool = shared.pool();
     match verdict {
         Verdict::Ran => {
+            let mut pool = shared.pool();
             pool.answered(now, key, !head.status.is_server_error());
             if let Some(load) = shared.dialect.load(&head) {
                 pool.report(now, key, load);
@@ -148,17 +148,17 @@
         }
         Verdict::NotRun => {
             shared.metrics.count("endpoint.full");
-            pool.full(now, key);
+            shared.trouble(now, key, Trouble::Full);
             Outcome::NotRun
         }
         Verdict::Misdirected => {
             shared.metrics.count("endpoint.misdirected");
-            pool.misdirected(now, key);
+            shared.trouble(now, key, Trouble::Misdirected);
             Outcome::NotRun
         }
         Verdict::Foreign => {
             shared.metrics.count("endpoint.foreign_answer");
-            pool.broke(now, key);
+            shared.trouble(now, key, Trouble::Broken);
             Outcome::Lost
         }
     }
@@ -176,7 +176,7 @@
         Err(error) => {
             shared.metrics.count("endpoint.answer_cut");
             slog::debug!(shared.logger, "gateway: answer cut off"; "error" => %error);
-            shared.pool().broke(shared.clock.now(), key);
+            shared.trouble(shared.clock.now(), key, Trouble::Broken);
             None
         }
     }
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 //! read stands.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use cranberryridge_policy::gateway::balance::Demand;
 use cranberryridge_policy::gateway::member::{Endpoint, List};
 use cranberryridge_policy::gateway::route::{Configuration, Table};
+use cranberryridge_policy::subset::{self, Member};
 use cranberryridge_wire::Map;
 
 use super::store::{Error, Host, Page, Record, Store, Topic};
@@ -35,6 +37,14 @@
 /// announcements that were lost.
 const HOST_GONE: Duration = Duration::from_secs(10);
 
+/// Hosts that are asked for a service's endpoints, one after the other, should
+/// one be out of reach.
+const SCHEDULERS: usize = 3;
+
+/// Part of the largest host's processor time that a scheduler must have: one in
+/// so much.
+const LARGE: f64 = 1.5;
+
 /// Follows all topics, for ever.
 pub async fn run<N, C: Clock, D, S: Store>(shared: Arc<Shared<N, C, D>>, store: S) {
     tokio::join!(
@@ -199,17 +209,16 @@
             Ok(read) => {
                 list.read(now);
                 take(shared, &mut list, now, read);
-                shared.listed.send_replace(true);
             }
             Err(Error::Trimmed) => continue,
             Err(Error::Down(_)) => {}
         }
         let standing = list.standing(now);
-        if changed(&known, &standing) {
+        let first = reader.next.is_some() && shared.listed.borrow().is_none();
+        if first || changed(&known, &standing) {
             log(shared, &known, &standing);
             known.clone_from(&standing);
-            shared.pool().update(standing);
-            shared.room.notify_waiters();
+            shared.list(standing);
         }
         if reader.failures > 0 {
             reader.pause(shared).await;
@@ -300,11 +309,10 @@
 
 /// Keeps requests from engines that a host is moving.
 fn avoid<N, C: Clock, D>(shared: &Shared<N, C, D>, now: Instant, host: &Host) {
-    let mut pool = shared.pool();
     let mut moves = lock(&shared.moves);
     for pending in &host.moves {
         let until = now + moves.left(pending);
-        pool.moving(until, &pending.order.endpoint, pending.order.phase);
+        shared.moves(until, &pending.order.endpoint, pending.order.phase);
         if host.name != shared.settings.name {
             moves.heard(now, pending);
         }
@@ -340,6 +348,26 @@
         self.rows.keys().next()
     }
 
+    /// Addresses of the hosts to ask for a service's endpoints, the first one
+    /// first. All hosts that know the same hosts agree, and each change of them
+    /// moves few services.
+    pub fn schedulers(&self, service: &str) -> Vec<SocketAddr> {
+        let hosts = || self.rows.values().map(|(_, host)| host);
+        let most = hosts().map(|host| host.cores).fold(0.0, f64::max);
+        let large = hosts().filter(|host| host.cores * LARGE >= most);
+        let members = large.filter_map(|host| Some((host.name.as_str(), host.scheduler?)));
+        let members = members.map(|key| Member { key, domain: "" });
+        let members = members.collect::<Vec<_>>();
+        let chosen = subset::choose(service, "", &members, SCHEDULERS);
+        chosen.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Whether a host takes questions at an address.
+    pub fn has_scheduler(&self, address: SocketAddr) -> bool {
+        let mut hosts = self.rows.values().map(|(_, host)| host);
+        hosts.any(|host| host.scheduler == Some(address))
+    }
+
     /// What all of them measure, by service.
     pub fn demands(&self) -> Map<CompactString, Demand> {
         let mut sums = Map::<CompactString, Demand>::default();
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::place::{Need, Reader};
-use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
+use cranberryridge_policy::gateway::pool::{EndpointKey, Trouble, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
 use cranberryridge_wire::code::Code;
 
@@ -129,9 +129,12 @@
     }
     loop {
         let room = room::take(call, engine, need, progress).await?;
-        let cache = match reader(call, engine, need, progress, room.key) {
+        let reader = room
+            .reader
+            .or_else(|| reader(call, engine, need, progress, room.key));
+        let cache = match reader {
             Some(Reader::Other { prefill, ready }) => {
-                let cache = read(call, need, progress, prefill, ready).await?;
+                let cache = read(call, need, progress, &room, prefill, ready).await?;
                 if cache.is_none() {
                     continue;
                 }
@@ -158,7 +161,7 @@
 }
 
 /// Until when a first event is of use.
-fn patience<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Instant {
+pub(super) fn patience<N, C: Clock, D>(call: &Call<N, C, D>) -> Instant {
     let targets = call.route.target * TARGETS;
     let patience = PATIENCE.max(targets).max(call.route.pause * PAUSES);
     call.expiry.min(call.record.arrival + patience)
@@ -183,6 +186,7 @@
     call: &mut Call<N, C, D>,
     need: Need,
     progress: &mut Progress,
+    room: &Room<N, C, D>,
     key: EndpointKey,
     expected: Duration,
 ) -> Result<Option<Cache<N, C, D>>, Refusal> {
@@ -223,6 +227,7 @@
         return Ok(None);
     };
     flight.read(expected, took);
+    room.read(took);
     call.record.call("prefill", &endpoint.id, "read");
     Ok(Some(Cache::new(flight, endpoint.address, handle)))
 }
@@ -292,7 +297,7 @@
         Next::End => None,
         Next::Broken => {
             call.record.call(stage, &endpoint.id, "broken");
-            shared.pool().broke(shared.clock.now(), key);
+            shared.trouble(shared.clock.now(), key, Trouble::Broken);
             return broken(call, progress, key).map(|()| None);
         }
     };
--- a/crates/lib/src/gateway/generate/room.rs
+++ b/crates/lib/src/gateway/generate/room.rs
@@ -6,9 +6,9 @@
 use compact_str::CompactString;
 
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::place::Need;
-use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
-use cranberryridge_policy::gateway::queue::{Entry, Ticket};
+use cranberryridge_policy::gateway::place::{Need, Reader};
+use cranberryridge_policy::gateway::pool::{EndpointKey, Trouble, Work};
+use cranberryridge_policy::gateway::queue::{Entry, Ticket, LEAD};
 use cranberryridge_policy::gateway::route::Engine;
 use cranberryridge_wire::code::Code;
 
@@ -18,6 +18,7 @@
 use crate::gateway::dialect::Dialect;
 use crate::gateway::exchange::{self, Flight};
 use crate::gateway::refusal::Refusal;
+use crate::gateway::schedule::{self, Assigned, Lease};
 use crate::gateway::serve::Call;
 use crate::gateway::Shared;
 use crate::net::Net;
@@ -29,10 +30,6 @@
 /// failure domains.
 const RESERVE: Duration = Duration::from_millis(250);
 
-/// Predicted time from room to the first event, within which a request counts
-/// as late already.
-const LEAD: Duration = Duration::from_millis(200);
-
 /// Room at a decode endpoint. Its reservation is given back when dropped,
 /// unless the request has used it.
 #[derive(Debug)]
@@ -47,6 +44,12 @@
     flight: Flight<N, C, D>,
     /// When the run began.
     begun: Option<Instant>,
+    /// Who reads the prompt, if a scheduler chose.
+    pub reader: Option<Reader>,
+    /// The request's place at the scheduler.
+    lease: Option<Lease<N, C, D>>,
+    /// Events but the first, and the time since that.
+    stream: (u32, Duration),
 }
 
 impl<N: Net, C: Clock, D: Dialect> Room<N, C, D> {
@@ -65,23 +68,38 @@
         self.flight.reads(prompt);
     }
 
+    /// Notes that the prompt was read for it at another endpoint.
+    pub fn read(&self, took: Duration) {
+        if let Some(lease) = &self.lease {
+            lease.read(took);
+        }
+    }
+
     /// Notes that the first event came `took` after the request was sent.
     pub fn began(&mut self, expected: Duration, took: Duration) {
         if self.flight.work.unread > 0 {
             self.flight.read(expected, took);
         }
         self.begun = Some(self.flight.shared.clock.now());
+        if let Some(lease) = &self.lease {
+            lease.began();
+        }
     }
 
     /// Notes the time between two events.
-    pub fn streamed(&self, between: Duration) {
+    pub fn streamed(&mut self, between: Duration) {
+        self.stream = (self.stream.0 + 1, self.stream.1 + between);
         let shared = &self.flight.shared;
         let now = shared.clock.now();
         shared.pool().streamed(now, self.key, between);
     }
 
     /// Notes that the run ended well.
-    pub fn ended(&self) {
+    pub fn ended(&mut self) {
+        let (events, lasted) = self.stream;
+        if let Some(lease) = self.lease.as_mut().filter(|_| events > 0) {
+            lease.ended(lasted / events);
+        }
         let shared = &self.flight.shared;
         let Some(begun) = self.begun else { return };
         let took = shared.clock.now().saturating_duration_since(begun);
@@ -100,7 +118,8 @@
     }
 }
 
-/// Takes room, waiting for it while that makes sense.
+/// Takes room, waiting for it while that makes sense. The service's scheduler
+/// chooses where; while none is in reach, this host does.
 ///
 /// # Errors
 ///
@@ -110,6 +129,55 @@
     engine: Engine,
     need: Need,
     progress: &Progress,
+) -> Result<Room<N, C, D>, Refusal> {
+    let patience = patience(call);
+    let mut avoid = progress.avoid.clone();
+    loop {
+        let (lease, grant) = match schedule::ask(call, need, &avoid).await {
+            Assigned::Granted(lease, grant) => (lease, grant),
+            Assigned::Refused(wait) => return Err(Refusal::later(Code::Full, wait)),
+            Assigned::Alone => return alone(call, engine, need, progress).await,
+        };
+        let Some((key, reader)) = known(call, &grant) else {
+            // The scheduler has read a newer list than this host.
+            return alone(call, engine, need, progress).await;
+        };
+        if let Some(mut room) = reserve(call, engine, need, key).await {
+            room.reader = Some(reader);
+            room.lease = Some(lease);
+            return Ok(room);
+        }
+        if call.shared.clock.now() >= patience {
+            return Err(Refusal::new(Code::Full));
+        }
+        avoid.push(key);
+    }
+}
+
+/// The endpoints that a scheduler chose, if this host knows them.
+fn known<N, C: Clock, D>(
+    call: &Call<N, C, D>,
+    grant: &schedule::Grant,
+) -> Option<(EndpointKey, Reader)> {
+    let pool = call.shared.pool();
+    let key = pool.key(&grant.decode)?;
+    let ready = grant.ready.into();
+    let reader = match &grant.prefill {
+        Some(prefill) => Reader::Other {
+            prefill: pool.key(prefill)?,
+            ready,
+        },
+        None => Reader::Itself { ready },
+    };
+    Some((key, reader))
+}
+
+/// Takes room by this host's own choice.
+async fn alone<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
+    engine: Engine,
+    need: Need,
+    progress: &Progress,
 ) -> Result<Room<N, C, D>, Refusal> {
     let shared = Arc::clone(&call.shared);
     let place = Place::enter(call, need);
@@ -172,6 +240,9 @@
         reservation: None,
         flight: Flight::new(&shared, work),
         begun: None,
+        reader: None,
+        lease: None,
+        stream: (0, Duration::ZERO),
         endpoint,
     };
     if engine.reservation.is_zero() {
@@ -191,24 +262,19 @@
         Ok(Ok(_)) => {
             call.record.call("reserve", &room.endpoint.id, "full");
             shared.metrics.count("endpoint.no_room");
-            shared.pool().full(now, key);
+            shared.trouble(now, key, Trouble::Full);
             None
         }
         Ok(Err(_)) | Err(_) => {
             call.record.call("reserve", &room.endpoint.id, "no answer");
             shared.metrics.count("endpoint.unreachable");
-            let mut pool = shared.pool();
-            pool.full(now, key);
-            pool.broke(now, key);
+            shared.trouble(now, key, Trouble::Full);
+            shared.trouble(now, key, Trouble::Broken);
             None
         }
     }
 }
 
-/// How much more a token of an answer weighs than one of a prompt: it keeps the
-/// memory of all of them for a step.
-const ANSWER: u32 = 10;
-
 /// A request's place in the queue, until dropped.
 struct Place<N, C, D> {
     /// The gateway.
@@ -223,7 +289,7 @@
     /// Enters the queue.
     fn enter(call: &Call<N, C, D>, need: Need) -> Self {
         let entry = Entry {
-            size: need.prompt + need.output * ANSWER,
+            size: need.size(),
             target: call.record.arrival + call.route.target,
             patience: patience(call),
         };
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -19,7 +19,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use cranberryridge_policy::gateway::place::Scope;
-use cranberryridge_policy::gateway::pool::EndpointKey;
+use cranberryridge_policy::gateway::pool::{EndpointKey, Trouble};
 use cranberryridge_policy::gateway::route::{Limits, Route};
 use cranberryridge_wire::code::Code;
 
@@ -79,7 +79,7 @@
         let waited = now.saturating_duration_since(self.record.arrival);
         if waited >= self.route.target * OVERDUE {
             self.shared.metrics.count("endpoint.overdue");
-            self.shared.pool().broke(now, key);
+            self.shared.trouble(now, key, Trouble::Broken);
         }
     }
 
@@ -187,6 +187,7 @@
 /// Returns whether nothing was cut off.
 pub async fn drain<N, C, D>(shared: &Shared<N, C, D>) -> bool {
     shared.draining.send_replace(true);
+    shared.announce.notify_one();
     slog::info!(shared.logger, "gateway: stopping"; "connections" => shared.connections.count());
     let grace = shared.settings.grace.saturating_sub(LAST);
     let ended = tokio::time::timeout(grace, async {
--- a/crates/lib/src/gateway/steer.rs
+++ b/crates/lib/src/gateway/steer.rs
@@ -68,7 +68,7 @@
     if matches!(outcome, Outcome::Accepted | Outcome::NoAnswer) {
         lock(&shared.moves).note(now, order.clone());
         let until = now + shared.settings.balance.pending;
-        shared.pool().moving(until, &order.endpoint, order.phase);
+        shared.moves(until, &order.endpoint, order.phase);
         shared.announce.notify_one();
         shared.metrics.count("engine.moved");
     }
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store as the gateway uses it.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -66,6 +67,12 @@
 pub struct Host {
     /// Its name.
     pub name: CompactString,
+    /// Where it takes questions of other hosts, unless it is leaving.
+    #[serde(default)]
+    pub scheduler: Option<SocketAddr>,
+    /// The processor time that it has, in cores.
+    #[serde(default)]
+    pub cores: f64,
     /// What its callers ask for, by service.
     pub demands: Vec<(CompactString, Demand)>,
     /// Engines that it ordered to another stage lately.
--- a/crates/lib/src/lib.rs
+++ b/crates/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod entry;
+pub mod frame;
 pub mod gateway;
 pub mod logger;
 pub mod metrics;
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -7,3 +7,4 @@
 pub mod pool;
 pub mod queue;
 pub mod route;
+pub mod schedule;
--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -25,6 +25,17 @@
     pub pause: Duration,
 }
 
+/// How much more a token of an answer weighs than one of a prompt: it keeps the
+/// memory of all of them for a step.
+const ANSWER: u32 = 10;
+
+impl Need {
+    /// Memory and time that it takes, as tokens.
+    pub fn size(self) -> u32 {
+        self.prompt + self.output * ANSWER
+    }
+}
+
 /// Where a request may go, seen from the chooser.
 #[derive(Clone, Copy, Debug)]
 pub struct Scope<'a> {
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -162,6 +162,17 @@
     pub waiting: u32,
 }
 
+/// Why an endpoint did not serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// It had no room.
+    Full,
+    /// It broke off, was out of reach or answered nonsense.
+    Broken,
+    /// Another endpoint has its address.
+    Misdirected,
+}
+
 /// Slowest and fastest pace that is believed.
 const PACE: (f64, f64) = (0.3, 20.0);
 
@@ -227,6 +238,11 @@
         key.map_or(&[], |key| &self.services[*key].endpoints)
     }
 
+    /// The key of an endpoint by its id.
+    pub fn key(&self, id: &str) -> Option<EndpointKey> {
+        self.ids.get(id).copied()
+    }
+
     /// An endpoint by its id, as it is listed.
     pub fn by_id(&self, id: &str) -> Option<Endpoint> {
         let key = self.ids.get(id)?;
@@ -321,29 +337,17 @@
         state.failing.learn(now, if good { 0.0 } else { 1.0 });
     }
 
-    /// Notes that an endpoint broke off, was out of reach or answered nonsense.
-    pub fn broke(&mut self, now: Instant, key: EndpointKey) {
-        let settings = self.settings;
-        let Some(state) = self.states.get_mut(key) else {
-            return;
-        };
-        let pause = settings.pause * 2u32.saturating_pow(state.failures.min(8));
-        state.failures += 1;
-        state.paused = Some(now + pause.min(settings.longest_pause));
-        state.failing.learn(now, 1.0);
-    }
-
-    /// Notes that an endpoint had no room.
-    pub fn full(&mut self, now: Instant, key: EndpointKey) {
+    /// Notes that an endpoint did not serve.
+    pub fn trouble(&mut self, now: Instant, key: EndpointKey, trouble: Trouble) {
         let settings = self.settings;
         let Some(state) = self.states.get_mut(key) else {
             return;
         };
-        let denial = settings.denial * 2u32.saturating_pow(state.denials.min(8));
-        let denial = denial.min(settings.longest_denial);
-        state.denials += 1;
-        state.paused = Some(now + settings.pause.max(denial));
-        state.denying = Some(now + denial);
+        match trouble {
+            Trouble::Broken => state.broke(now, settings),
+            Trouble::Full => state.full(now, settings),
+            Trouble::Misdirected => state.paused = Some(now + settings.longest_pause),
+        }
     }
 
     /// Notes that an endpoint is being moved to another stage.
@@ -365,14 +369,6 @@
         service.tokens += (f64::from(tokens) - service.tokens) * SLOW;
     }
 
-    /// Notes that another endpoint has the address now.
-    pub fn misdirected(&mut self, now: Instant, key: EndpointKey) {
-        let pause = self.settings.longest_pause;
-        if let Some(state) = self.states.get_mut(key) {
-            state.paused = Some(now + pause);
-        }
-    }
-
     /// What other hosts are likely to have at each endpoint of a service, if
     /// they have as much as this one.
     pub(super) fn crowd(&self, service: &str) -> Crowd {
@@ -489,6 +485,23 @@
         self.failing.off(now)
     }
 
+    /// Notes that it broke.
+    fn broke(&mut self, now: Instant, settings: Settings) {
+        let pause = settings.pause * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.paused = Some(now + pause.min(settings.longest_pause));
+        self.failing.learn(now, 1.0);
+    }
+
+    /// Notes that it had no room.
+    fn full(&mut self, now: Instant, settings: Settings) {
+        let denial = settings.denial * 2u32.saturating_pow(self.denials.min(8));
+        let denial = denial.min(settings.longest_denial);
+        self.denials += 1;
+        self.paused = Some(now + settings.pause.max(denial));
+        self.denying = Some(now + denial);
+    }
+
     /// Learns how long work took.
     fn keep_pace(&mut self, now: Instant, expected: Duration, took: Duration) {
         if expected.is_zero() {
--- a/crates/policy/src/gateway/queue.rs
+++ b/crates/policy/src/gateway/queue.rs
@@ -6,6 +6,10 @@
 
 use std::time::{Duration, Instant};
 
+/// Predicted time from room to the first event, within which a request counts
+/// as late already.
+pub const LEAD: Duration = Duration::from_millis(200);
+
 /// Requests that wait, by ticket.
 ///
 /// # Examples
@@ -30,7 +34,7 @@
 }
 
 /// A request's place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket(u64);
 
 /// A request that waits.
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -10,7 +10,7 @@
 use cranberryridge_policy::gateway::budget::{self, Budget};
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase, RETURN};
 use cranberryridge_policy::gateway::place::{Need, Reader, Scope};
-use cranberryridge_policy::gateway::pool::{self, EndpointKey, Load, Pool, Work};
+use cranberryridge_policy::gateway::pool::{self, EndpointKey, Load, Pool, Trouble, Work};
 use cranberryridge_policy::gateway::queue::{Entry, Queue};
 use cranberryridge_policy::gateway::route::{
     Configuration, Engine, Kind, Route, Service, Table, Target,
@@ -253,7 +253,7 @@
     let mut random = StdRng::seed_from_u64(3);
     let mut pool = Pool::new(pool::Settings::default());
     pool.update(vec![endpoint("i-1", "orders", None)]);
-    pool.broke(now, key(&pool, "i-1"));
+    pool.trouble(now, key(&pool, "i-1"), Trouble::Broken);
     assert!(pool.plain(now, scope("orders"), &mut random).is_some());
     pool.update(vec![
         endpoint("i-1", "orders", None),
@@ -270,7 +270,7 @@
     let now = Instant::now();
     let mut random = StdRng::seed_from_u64(4);
     let mut pool = engines(1, 2);
-    pool.full(now, key(&pool, "d0"));
+    pool.trouble(now, key(&pool, "d0"), Trouble::Full);
     let chosen = pool.decode(now, scope("model"), ENGINE, NEED, &mut random);
     assert_eq!(chosen, Some(key(&pool, "d1")));
     pool.moving(now + SECOND, "d1", Phase::Prefill);
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -32,6 +32,8 @@
     reservations: Arc<Mutex<Map<String, usize>>>,
     /// Reservations so far.
     reserved: Arc<AtomicUsize>,
+    /// Reservations that there was no room for.
+    refused: Arc<AtomicUsize>,
     /// KV caches that wait to be taken.
     caches: Arc<AtomicUsize>,
     /// Orders accepted.
@@ -106,6 +108,28 @@
     pub ran: bool,
 }
 
+/// A run under way.
+struct Running {
+    /// Counts it.
+    _count: Count,
+    /// Its memory.
+    _memory: Option<Memory>,
+}
+
+/// Memory of a run, given back when dropped.
+struct Memory {
+    /// Where.
+    runner: Runner,
+    /// Its name there.
+    name: String,
+}
+
+impl Drop for Memory {
+    fn drop(&mut self) {
+        self.runner.give_back(&self.name);
+    }
+}
+
 /// Counts something down when dropped.
 struct Count(Arc<AtomicUsize>, usize);
 
@@ -133,6 +157,7 @@
             running: Arc::default(),
             reservations: Arc::default(),
             reserved: Arc::default(),
+            refused: Arc::default(),
             caches: Arc::default(),
             orders: Arc::default(),
         }
@@ -163,6 +188,11 @@
         lock(&self.seen).clone()
     }
 
+    /// Reservations that it had no room for.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Ordering::SeqCst)
+    }
+
     /// Requests that it ran.
     pub fn ran(&self) -> usize {
         lock(&self.seen).iter().filter(|seen| seen.ran).count()
@@ -222,6 +252,7 @@
         let number = |name: &str| body[name].as_u64().unwrap_or_default();
         let tokens = number("tokens") as usize;
         if self.reserved() + tokens > self.settings.memory {
+            self.refused.fetch_add(1, Ordering::SeqCst);
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let name = self.reserved.fetch_add(1, Ordering::SeqCst).to_string();
@@ -235,6 +266,17 @@
         json(&json!({ "hold": name }))
     }
 
+    /// Keeps a reservation's memory for a run.
+    fn keep(&self, name: &str) -> Memory {
+        let kept = format!("run-{name}");
+        let mut reservations = lock(&self.reservations);
+        if let Some(tokens) = reservations.remove(name) {
+            reservations.insert(kept.clone(), tokens);
+        }
+        let runner = self.clone();
+        Memory { runner, name: kept }
+    }
+
     /// Gives a reservation back.
     fn give_back(&self, name: &str) {
         lock(&self.reservations).remove(name);
@@ -271,10 +313,10 @@
             insert(headers, "attempt-id", attempt);
             return response;
         }
-        if let Some(reservation) = text("kv-hold") {
-            self.give_back(reservation);
-        }
-        let count = Count::up(&self.running, 1);
+        let count = Running {
+            _count: Count::up(&self.running, 1),
+            _memory: text("kv-hold").map(|name| self.keep(name)),
+        };
         if fault == Some(Fault::Hang) {
             return std::future::pending().await;
         }
@@ -322,7 +364,7 @@
         &self,
         head: &http::request::Parts,
         fault: Option<Fault>,
-        count: Count,
+        count: Running,
     ) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(1);
         let settings = self.settings.clone();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages, settings, codec, ids and result codes of cranberryridge.
 //!
-//! The types of [`message`], [`record`] and [`setting`] are generated from
+//! The types of [`message`], [`record`], [`schedule`] and [`setting`] are generated from
 //! the schema files of the repository; the rest is written by hand.
 
 pub mod blob;
@@ -23,6 +23,12 @@
 #[allow(missing_docs, dead_code, unreachable_pub, clippy::all)]
 pub mod record;
 
+/// Messages between an entry host and a scheduler.
+#[path = "generated/schedule.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, dead_code, unreachable_pub, clippy::all)]
+pub mod schedule;
+
 /// Settings of the daemons.
 #[path = "generated/setting.rs"]
 #[rustfmt::skip]
