--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -76,7 +76,7 @@
             denial: Duration::from_millis(150),
             longest_denial: Duration::from_millis(1200),
             longest_pause: Duration::from_secs(4),
-            memory_share: 0.9,
+            memory_share: 0.95,
         }
     }
 }
