Let one host read the platform for the others

Ruled out: reading less often (a leaving endpoint has to be left within 3 s); pushing changes without their age (a reader that is cut off looks like one without news). A host tells those linked to it what changed and how old its reading is; they read for themselves when that is older than their own would be.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -61,6 +61,7 @@
             let steering = steer::run(following.clone(), store.clone());
             control.block_on(async {
                 tokio::spawn(scheduler(following.clone()));
+                tokio::spawn(schedule::follow(following.clone()));
                 tokio::join!(follow::run(following, store), steering)
             })
         })?;
--- a/crates/lib/src/frame.rs
+++ b/crates/lib/src/frame.rs
@@ -55,7 +55,7 @@
 /// When it did not end by itself.
 pub async fn carry<S, I, O>(
     stream: S,
-    beat: &O,
+    beat: impl Fn() -> O + Send,
     outbox: &mut mpsc::Receiver<O>,
     mut to: impl Take<I>,
 ) -> Result<(), Error>
@@ -92,7 +92,7 @@
                 }
                 bytes
             }
-            _ = beats.tick() => codec::encode(beat)?,
+            _ = beats.tick() => codec::encode(&beat())?,
             () = tokio::time::sleep_until(heard + SILENCE) => return Err(Error::Silent),
         };
         let written = tokio::time::timeout(SILENCE, writer.write_all(&bytes)).await;
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -29,12 +29,14 @@
 use crate::tally::Tally;
 
 use self::follow::Hosts;
+use self::news::{News, Seen};
 use self::schedule::Links;
 use self::store::Host;
 
 pub mod dialect;
 pub mod events;
 pub mod follow;
+pub mod news;
 pub mod schedule;
 pub mod serve;
 pub mod steer;
@@ -159,6 +161,12 @@
     moving: watch::Sender<Map<CompactString, (Phase, Instant)>>,
     /// Links to schedulers.
     links: Links,
+    /// What another host has read of the platform.
+    news: watch::Sender<News>,
+    /// When this host was last told what the platform has.
+    seen: watch::Sender<Seen>,
+    /// Hosts that follow what this one reads.
+    followers: Tally,
     /// Bytes of requests that are held.
     held: AtomicUsize,
     /// Open connections of callers.
@@ -206,6 +214,9 @@
             listed: watch::Sender::new(None),
             moving: watch::Sender::default(),
             links: Links::default(),
+            news: watch::Sender::default(),
+            seen: watch::Sender::default(),
+            followers: Tally::default(),
             held: AtomicUsize::new(0),
             connections: Tally::default(),
         })
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -16,6 +16,7 @@
 use cranberryridge_policy::subset::{self, Member};
 use cranberryridge_wire::Map;
 
+use super::news::News;
 use super::store::{Error, Host, Page, Record, Store, Topic};
 use super::{lock, Shared};
 use crate::clock::Clock;
@@ -164,8 +165,24 @@
 /// Follows the configuration.
 async fn configuration<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
     let mut reader = Reader::new(store, Topic::Configuration);
+    let mut news = shared.news.subscribe();
+    let pace = shared.settings.list_pace;
     loop {
-        let wait = shared.settings.configuration_wait;
+        let now = shared.clock.now();
+        let version = shared.table.load().version();
+        let told = news.borrow_and_update().clone();
+        let (configured, holds) = (told.configured, told.configuration_holds(version, pace));
+        if let Some(until) = holds.filter(|until| *until > now) {
+            shared.seen.send_modify(|seen| seen.configured = configured);
+            let _ = tokio::time::timeout(until - now, news.changed()).await;
+            continue;
+        }
+        // Hosts that follow this one rely on each answer.
+        let wait = if shared.followers.count() > 0 {
+            pace
+        } else {
+            shared.settings.configuration_wait
+        };
         let Ok(read) = reader.read(shared, wait).await else {
             reader.pause(shared).await;
             continue;
@@ -177,6 +194,8 @@
                 _ => {}
             }
         }
+        let now = shared.clock.now();
+        shared.seen.send_modify(|seen| seen.configured = Some(now));
         if shared.table.load().version() == 0 {
             tokio::time::sleep(PAUSE).await;
         }
@@ -202,34 +221,71 @@
     let mut reader = Reader::new(store, Topic::Endpoints);
     let mut list = List::new(shared.settings.lapse);
     let mut known = Vec::new();
+    let mut news = shared.news.subscribe();
+    let pace = shared.settings.list_pace;
+    let mut own = None;
     loop {
+        let now = shared.clock.now();
+        let told = news.borrow_and_update().clone();
+        let holds = told.list_holds(own, pace);
+        if let Some(until) = holds.filter(|until| *until > now) {
+            list.read(now);
+            if let Some(endpoints) = told.endpoints {
+                list.replace(now, endpoints.to_vec());
+            }
+            shared.seen.send_modify(|seen| seen.listed = told.listed);
+            // What was read before is too long ago to go on from.
+            reader.next = None;
+            put(shared, &mut list, now, &mut known);
+            let _ = tokio::time::timeout(until - now, news.changed()).await;
+            continue;
+        }
+        let asked = now;
         let read = reader.read(shared, Duration::ZERO).await;
         let now = shared.clock.now();
         match read {
             Ok(read) => {
                 list.read(now);
                 take(shared, &mut list, now, read);
+                own = Some(asked);
+                shared.seen.send_modify(|seen| seen.listed = own);
             }
             Err(Error::Trimmed) => continue,
             Err(Error::Down(_)) => {}
         }
-        let standing = list.standing(now);
-        let first = reader.next.is_some() && shared.listed.borrow().is_none();
-        if first || changed(&known, &standing) {
-            log(shared, &known, &standing);
-            known.clone_from(&standing);
-            shared.list(standing);
+        if own.is_some() {
+            put(shared, &mut list, now, &mut known);
         }
         if reader.failures > 0 {
             reader.pause(shared).await;
         } else {
             let due = list.due().map(|due| due.saturating_duration_since(now));
-            let pace = shared.settings.list_pace;
-            tokio::time::sleep(due.map_or(pace, |due| due.min(pace))).await;
+            let pause = due.map_or(pace, |due| due.min(pace));
+            let holds = |told: &News| {
+                let holds = told.list_holds(own, pace);
+                holds.is_some_and(|until| until > shared.clock.now())
+            };
+            // A timeout is the next reading.
+            let _ = tokio::time::timeout(pause, news.wait_for(holds)).await;
         }
     }
 }
 
+/// Puts what stands of the list in force.
+fn put<N, C: Clock, D>(
+    shared: &Shared<N, C, D>,
+    list: &mut List,
+    now: Instant,
+    known: &mut Vec<Endpoint>,
+) {
+    let standing = list.standing(now);
+    if shared.listed.borrow().is_none() || changed(known, &standing) {
+        log(shared, known, &standing);
+        known.clone_from(&standing);
+        shared.list(standing);
+    }
+}
+
 /// Takes records of the list.
 fn take<N, C: Clock, D>(shared: &Shared<N, C, D>, list: &mut List, now: Instant, read: Read) {
     if read.whole {
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -15,15 +15,15 @@
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::Map;
 
-use super::Shared;
+use super::{news, Shared};
 use crate::clock::Clock;
 use crate::frame;
 use crate::net::Listen;
-use crate::tally::Tally;
+use crate::tally::{self, Tally};
 
 pub use cranberryridge_wire::schedule::Grant;
 
-pub use self::link::{Assigned, Lease, Links};
+pub use self::link::{follow, Assigned, Lease, Links};
 
 pub(super) use self::link::ask;
 
@@ -56,6 +56,14 @@
     Gone(u64),
 }
 
+/// A host that is linked.
+struct Peer {
+    /// Messages to it.
+    out: mpsc::Sender<Down>,
+    /// Whether it follows the endpoints.
+    follows: Option<tally::Guard>,
+}
+
 /// Assigns endpoints for hosts that ask, for ever.
 pub async fn serve<N, C, D, P>(shared: Arc<Shared<N, C, D>>, listener: P)
 where
@@ -106,7 +114,7 @@
             // The scheduler lives as long as the process.
             let _ = events.send(Event::Open(number, out)).await;
             let to = Inbox(number, events.clone());
-            let ended = frame::carry(stream, &Down::Beat, &mut outbox, to).await;
+            let ended = frame::carry(stream, || beat(&shared), &mut outbox, to).await;
             if let Err(error) = ended {
                 slog::debug!(shared.logger, "scheduler: link lost"; "error" => %error);
             }
@@ -130,30 +138,41 @@
     let mut schedule = Schedule::new(shared.settings.pool);
     let mut links = Map::default();
     let mut listed = shared.listed.subscribe();
+    let mut seen = shared.seen.subscribe();
+    let mut endpoints = Vec::new();
     let mut moving = shared.moving.subscribe();
     loop {
         let waiting = !schedule.waiting().is_empty();
         let mut asked = None;
         tokio::select! {
-            event = inbox.recv() => {
-                let Some(event) = event else { return };
-                asked = take(shared, &mut schedule, &mut links, event);
-            }
+            // Hosts must not take an old list for a new one.
+            biased;
             // The senders live as long as the process.
             _ = listed.changed() => {
-                let endpoints = listed.borrow_and_update().clone();
-                schedule.update(endpoints.unwrap_or_default());
+                let after = listed.borrow_and_update().clone().unwrap_or_default();
+                let changes = news::changes(&endpoints, &after);
+                schedule.update(after.clone());
+                endpoints = after;
+                publish(&mut links, &Down::Listing(changes));
+            }
+            _ = seen.changed() => {
+                seen.mark_unchanged();
+                publish(&mut links, &beat(shared));
             }
             _ = moving.changed() => {
                 for (endpoint, (phase, until)) in &*moving.borrow_and_update() {
                     schedule.moving(*until, endpoint, *phase);
                 }
             }
+            event = inbox.recv() => {
+                let Some(event) = event else { return };
+                asked = take(shared, &mut schedule, &mut links, event);
+            }
             () = tokio::time::sleep(LOOK), if waiting => {}
         }
-        answer(shared, &mut schedule, &links);
+        answer(shared, &mut schedule, &mut links);
         if let Some(id) = asked.filter(|id| schedule.waits(*id)) {
-            tell(&links, id.link, Down::Queued(id.number));
+            tell(&mut links, id.link, Down::Queued(id.number));
         }
     }
 }
@@ -162,13 +181,14 @@
 fn take<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     schedule: &mut Schedule,
-    links: &mut Map<u64, mpsc::Sender<Down>>,
+    links: &mut Map<u64, Peer>,
     event: Event,
 ) -> Option<Id> {
     let now = shared.clock.now();
     let (link, message) = match event {
         Event::Open(link, out) => {
-            links.insert(link, out);
+            let follows = None;
+            links.insert(link, Peer { out, follows });
             return None;
         }
         Event::Gone(link) => {
@@ -184,6 +204,14 @@
         Up::Greet(greeting) => {
             slog::debug!(shared.logger, "scheduler: host linked"; "host" => %greeting.host);
         }
+        Up::Follow => {
+            let endpoints = shared.listed.borrow().clone().unwrap_or_default();
+            if let Some(peer) = links.get_mut(&link) {
+                peer.follows = Some(shared.followers.enter());
+                tell(links, link, Down::Listing(news::whole(&endpoints)));
+                tell(links, link, beat(shared));
+            }
+        }
         Up::Ask(ask) => {
             let number = ask.number;
             if !schedule.serves(&ask.service) {
@@ -210,7 +238,7 @@
 fn answer<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     schedule: &mut Schedule,
-    links: &Map<u64, mpsc::Sender<Down>>,
+    links: &mut Map<u64, Peer>,
 ) {
     let now = shared.clock.now();
     let table = shared.table.load();
@@ -238,11 +266,30 @@
     }
 }
 
-/// Sends a message on a link.
-fn tell(links: &Map<u64, mpsc::Sender<Down>>, link: u64, message: Down) {
-    let Some(out) = links.get(&link) else { return };
-    // A host that takes nothing asks no longer, and its link goes silent.
-    let _ = out.try_send(message);
+/// Sends a message on a link. One whose host takes nothing is closed: what is
+/// lost on it would be missing for as long as it lasts.
+fn tell(links: &mut Map<u64, Peer>, link: u64, message: Down) {
+    let Some(peer) = links.get(&link) else { return };
+    if peer.out.try_send(message).is_err() {
+        links.remove(&link);
+    }
+}
+
+/// Sends a message to all that follow the endpoints.
+fn publish(links: &mut Map<u64, Peer>, message: &Down) {
+    links.retain(|_, peer| peer.follows.is_none() || peer.out.try_send(message.clone()).is_ok());
+}
+
+/// A sign of life, with how old is what this host knows.
+fn beat<N, C: Clock, D>(shared: &Shared<N, C, D>) -> Down {
+    let now = shared.clock.now();
+    let age = |at: Instant| now.saturating_duration_since(at).into();
+    let seen = *shared.seen.borrow();
+    Down::Beat(wire::Beat {
+        list: seen.listed.map(age),
+        configuration: seen.configured.map(age),
+        version: shared.table.load().version(),
+    })
 }
 
 /// A request as the scheduler sees it.
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -16,10 +16,17 @@
 use crate::clock::Clock;
 use crate::frame;
 use crate::gateway::generate::patience;
+use crate::gateway::news::News;
 use crate::gateway::serve::Call;
 use crate::gateway::{lock, Shared};
 use crate::net::Net;
 
+/// What stands for the news in place of a service.
+const NEWS: &str = "";
+
+/// Time between two looks for a host that tells the news.
+const LOOK: Duration = Duration::from_millis(300);
+
 /// Longest time to open a link. Several round trips between failure domains.
 const CONNECT: Duration = Duration::from_millis(250);
 
@@ -194,7 +201,9 @@
                 return Assigned::Granted(lease, grant);
             }
             Ok(Some(Down::Refusal(refusal))) => return Assigned::Refused(refusal.wait.into()),
-            Ok(Some(Down::Unknown(_) | Down::Beat) | None) => return Assigned::Alone,
+            Ok(Some(Down::Unknown(_) | Down::Beat(_) | Down::Listing(_)) | None) => {
+                return Assigned::Alone;
+            }
             Err(_) => {
                 shared.metrics.count("scheduler.no_answer");
                 lock(&link.state).hangs = true;
@@ -236,6 +245,10 @@
     let now = shared.clock.now();
     let schedulers = lock(&shared.hosts).schedulers(service);
     for address in schedulers {
+        // This host reads the platform for others.
+        if service == NEWS && address == shared.settings.scheduler {
+            return None;
+        }
         let link = shared.links.get(shared, address);
         let mut state = lock(&link.state);
         if state.hangs {
@@ -249,7 +262,11 @@
         state.used = now;
         let new = state.services.insert(service.into());
         drop(state);
-        if new {
+        if new && service == NEWS {
+            shared.news.send_replace(News::default());
+            // Followed again after the next look, should it be lost.
+            let _ = link.out.try_send(Up::Follow);
+        } else if new {
             shared.links.register(&link, service);
         }
         return Some(link);
@@ -257,6 +274,22 @@
     None
 }
 
+/// Follows what another host reads of the platform, for ever.
+pub async fn follow<N: Net, C: Clock, D: Send + Sync + 'static>(shared: Arc<Shared<N, C, D>>) {
+    let mut before = None;
+    loop {
+        let link = link(&shared, NEWS);
+        let address = link.map(|link| link.address);
+        if address != before {
+            if let Some(before) = before {
+                shared.links.leave(before);
+            }
+            before = address;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 impl Links {
     /// The link to a scheduler, which is opened if there is none.
     fn get<N: Net, C: Clock, D: Send + Sync + 'static>(
@@ -286,6 +319,13 @@
         link
     }
 
+    /// Takes no more news from a host.
+    fn leave(&self, address: SocketAddr) {
+        if let Some(link) = lock(&self.rows).get(&address) {
+            lock(&link.state).services.remove(NEWS);
+        }
+    }
+
     /// Tells the service's scheduler, and those that were it before.
     fn tell(&self, service: &str, message: &Up) {
         for link in lock(&self.rows).values() {
@@ -358,7 +398,7 @@
 }
 
 /// One connection's life.
-async fn session<N: Net, C: Clock, D>(
+async fn session<N: Net, C: Clock, D: Send + Sync>(
     shared: &Shared<N, C, D>,
     link: &Link,
     outbox: &mut mpsc::Receiver<Up>,
@@ -387,8 +427,9 @@
     }
     lock(&link.state).phase = Phase::Up;
     slog::info!(shared.logger, "scheduler: linked"; "address" => %address);
+    let to = Delivery { shared, link };
     let ended = tokio::select! {
-        ended = frame::carry(stream, &Up::Beat, outbox, link) => ended,
+        ended = frame::carry(stream, || Up::Beat, outbox, to) => ended,
         () = link.reset.notified() => Ok(()),
         () = unused(shared, link) => Ok(()),
     };
@@ -399,13 +440,39 @@
     }
 }
 
-impl frame::Take<Down> for &Link {
-    /// Hands a message to the request that waits for it.
+/// Hands messages to those who wait for them.
+struct Delivery<'a, N, C, D> {
+    /// The gateway.
+    shared: &'a Shared<N, C, D>,
+    /// The link.
+    link: &'a Link,
+}
+
+impl<N, C, D> frame::Take<Down> for Delivery<'_, N, C, D>
+where
+    N: Send + Sync,
+    C: Clock,
+    D: Send + Sync,
+{
     async fn take(&mut self, message: Down) {
-        let mut state = lock(&self.state);
+        let shared = self.shared;
+        let mut state = lock(&self.link.state);
         state.hangs = false;
+        let follows = state.services.contains(NEWS);
         let number = match &message {
-            Down::Beat => return,
+            Down::Beat(_) | Down::Listing(_) if !follows => return,
+            Down::Beat(beat) => {
+                let now = shared.clock.now();
+                shared.news.send_modify(|news| news.beat(now, beat));
+                return;
+            }
+            Down::Listing(_) => {
+                drop(state);
+                if let Down::Listing(listing) = message {
+                    shared.news.send_modify(|news| news.list(listing));
+                }
+                return;
+            }
             Down::Queued(number) | Down::Unknown(number) => *number,
             Down::Grant(grant) => grant.number,
             Down::Refusal(refusal) => refusal.number,
