Measure demand where endpoints are assigned

The scheduler sees all requests as they come, so it measures, decides on moves at once, and announcements are every 10 s, and after the first 2 s.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -15,13 +15,12 @@
 use slog::Logger;
 use tokio::sync::{watch, Notify};
 
-use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Moves};
+use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget};
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
-use cranberryridge_policy::gateway::place::Need;
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Pool, Trouble};
 use cranberryridge_policy::gateway::queue::Queue;
-use cranberryridge_policy::gateway::route::{Engine, Table};
+use cranberryridge_policy::gateway::route::Table;
 use cranberryridge_wire::Map;
 
 use crate::clock::Clock;
@@ -142,8 +141,8 @@
     hosts: Mutex<Hosts>,
     /// Moves of engines that this host ordered.
     moves: Mutex<Moves>,
-    /// Work that callers ask for, by service.
-    meters: Mutex<Map<CompactString, Meter>>,
+    /// Work that callers of hosts that ask this one ask for, by service.
+    demands: watch::Sender<Vec<(CompactString, Demand)>>,
     /// Told when an endpoint may have room again.
     room: Notify,
     /// Told when the store is reached again.
@@ -205,7 +204,7 @@
             table: ArcSwap::default(),
             budgets: Mutex::default(),
             hosts: Mutex::default(),
-            meters: Mutex::default(),
+            demands: watch::Sender::default(),
             room: Notify::new(),
             reached: Notify::new(),
             announce: Notify::new(),
@@ -278,16 +277,6 @@
         }
     }
 
-    /// Whether this host decides on moves of engines.
-    fn decides(&self) -> bool {
-        lock(&self.hosts).first() == Some(&self.settings.name)
-    }
-
-    /// What all hosts' callers ask for, by service.
-    fn demands(&self) -> Map<CompactString, Demand> {
-        lock(&self.hosts).demands()
-    }
-
     /// Counts a request of a service towards its budget.
     fn earn(&self, now: Instant, service: &str) {
         self.with_budget(service, |budget| budget.earn(now));
@@ -323,26 +312,13 @@
     /// This host, as it announces itself.
     fn host(&self) -> Host {
         let now = self.clock.now();
-        let meters = lock(&self.meters);
-        let demands = meters.iter();
-        let demands = demands.map(|(service, meter)| (service.clone(), meter.read(now)));
         Host {
             name: self.settings.name.clone(),
             scheduler: (!*self.draining.borrow()).then_some(self.settings.scheduler),
             cores: self.settings.cores,
-            demands: demands.collect(),
             moves: lock(&self.moves).pending(now),
         }
     }
-
-    /// Counts a model request towards its service's demand.
-    fn measure(&self, service: &str, engine: Engine, need: Need) {
-        let now = self.clock.now();
-        let pool = self.pool();
-        let mut meters = lock(&self.meters);
-        let new = || Meter::new(self.settings.balance, now);
-        entry(&mut meters, service, new).add(now, &pool, engine, need);
-    }
 }
 
 /// Locks a mutex. A thread that panicked left no half-made change that matters:
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -10,11 +10,9 @@
 
 use compact_str::CompactString;
 
-use cranberryridge_policy::gateway::balance::Demand;
 use cranberryridge_policy::gateway::member::{Endpoint, List};
 use cranberryridge_policy::gateway::route::{Configuration, Table};
 use cranberryridge_policy::subset::{self, Member};
-use cranberryridge_wire::Map;
 
 use super::news::News;
 use super::store::{Error, Host, Page, Record, Store, Topic};
@@ -31,12 +29,17 @@
 /// under the time in which a configuration must be in force.
 const LONGEST_CALL: Duration = Duration::from_secs(1);
 
-/// Time between two announcements of this host.
-const ANNOUNCE: Duration = Duration::from_secs(3);
+/// Time between two announcements of this host. Until it has announced itself,
+/// a host is asked nothing; one that is gone is not reached.
+const ANNOUNCE: Duration = Duration::from_secs(10);
+
+/// Time from the first announcement to the second: hosts that start together
+/// find each other soon.
+const SECOND: Duration = Duration::from_secs(2);
 
 /// Time after which an entry host that announced nothing is gone: three
 /// announcements that were lost.
-const HOST_GONE: Duration = Duration::from_secs(10);
+const HOST_GONE: Duration = Duration::from_secs(35);
 
 /// Hosts that are asked for a service's endpoints, one after the other, should
 /// one be out of reach.
@@ -334,6 +337,7 @@
 /// Announces this host, and follows the others.
 async fn hosts<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
     let mut reader = Reader::new(store, Topic::Hosts);
+    let mut pause = SECOND;
     loop {
         let host = shared.host();
         let announced = store.announce(&host);
@@ -359,7 +363,8 @@
             shared.pool().count_hosts(hosts.count());
         }
         // A timeout is the next announcement of its own accord.
-        let _ = tokio::time::timeout(ANNOUNCE, shared.announce.notified()).await;
+        let _ = tokio::time::timeout(pause, shared.announce.notified()).await;
+        pause = ANNOUNCE;
     }
 }
 
@@ -399,11 +404,6 @@
         self.rows.len()
     }
 
-    /// The first by name.
-    pub fn first(&self) -> Option<&CompactString> {
-        self.rows.keys().next()
-    }
-
     /// Addresses of the hosts to ask for a service's endpoints, the first one
     /// first. All hosts that know the same hosts agree, and each change of them
     /// moves few services.
@@ -423,15 +423,4 @@
         let mut hosts = self.rows.values().map(|(_, host)| host);
         hosts.any(|host| host.scheduler == Some(address))
     }
-
-    /// What all of them measure, by service.
-    pub fn demands(&self) -> Map<CompactString, Demand> {
-        let mut sums = Map::<CompactString, Demand>::default();
-        let rows = self.rows.values().flat_map(|(_, host)| &host.demands);
-        for (service, demand) in rows {
-            let sum = sums.entry(service.clone()).or_default();
-            *sum = sum.plus(*demand);
-        }
-        sums
-    }
 }
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -95,8 +95,6 @@
     engine: Engine,
 ) -> Result<Response<Body>, (Call<N, C, D>, Refusal)> {
     let mut progress = Progress::default();
-    let need = need(&call);
-    call.shared.measure(&call.service, engine, need);
     let deadline = tokio::time::Instant::from_std(call.expiry);
     let begun = timeout_at(deadline, begin(&mut call, engine, &mut progress)).await;
     let begun = begun.unwrap_or_else(|_| {
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -33,6 +33,10 @@
 /// endpoint that had no room is tried again after some time.
 const LOOK: Duration = Duration::from_millis(25);
 
+/// Time between two measures of what callers ask for. Half the time between
+/// two looks at the balance.
+const DEMAND: Duration = Duration::from_millis(500);
+
 /// Messages of all links that wait for the scheduler.
 const INBOX: usize = 4096;
 
@@ -140,6 +144,7 @@
     let mut listed = shared.listed.subscribe();
     let mut seen = shared.seen.subscribe();
     let mut endpoints = Vec::new();
+    let mut tell_demand = tokio::time::interval(DEMAND);
     let mut moving = shared.moving.subscribe();
     loop {
         let waiting = !schedule.waiting().is_empty();
@@ -168,6 +173,10 @@
                 let Some(event) = event else { return };
                 asked = take(shared, &mut schedule, &mut links, event);
             }
+            _ = tell_demand.tick() => {
+                let demands = schedule.demands(shared.clock.now());
+                shared.demands.send_replace(demands);
+            }
             () = tokio::time::sleep(LOOK), if waiting => {}
         }
         answer(shared, &mut schedule, &mut links);
@@ -218,7 +227,16 @@
                 tell(links, link, Down::Unknown(number));
                 return None;
             }
-            schedule.ask(id(number), question(now, ask));
+            let service = ask.service.clone();
+            let table = shared.table.load();
+            let engine = table.service(&service).and_then(|service| service.engine);
+            let ask = question(now, ask);
+            // One that failed at an endpoint was counted when it came first.
+            if let Some(engine) = engine.filter(|_| ask.avoid.is_empty()) {
+                let settings = shared.settings.balance;
+                schedule.measure(now, &service, engine, ask.need, settings);
+            }
+            schedule.ask(id(number), ask);
             shared.metrics.count("scheduler.asked");
             return Some(id(number));
         }
--- a/crates/lib/src/gateway/steer.rs
+++ b/crates/lib/src/gateway/steer.rs
@@ -1,7 +1,7 @@
 //! Moves engines between stages.
 //!
-//! Of the entry hosts that announced themselves, the one whose name is first
-//! decides. A move is first recorded in the store, on condition that nobody
+//! The scheduler that hosts ask knows what all their callers want, and decides.
+//! A move is first recorded in the store, on condition that nobody
 //! recorded another since the record was read; the record's offset is the
 //! order's fencing token. An engine is left alone for some time after each
 //! record, so that two hosts never order one engine in turn.
@@ -34,10 +34,8 @@
 pub async fn run<N: Net, C: Clock, D: Dialect, S: Store>(shared: Arc<Shared<N, C, D>>, store: S) {
     loop {
         tokio::time::sleep(LOOK).await;
-        if !shared.decides() {
-            continue;
-        }
-        for (service, demand) in shared.demands() {
+        let demands = shared.demands.borrow().clone();
+        for (service, demand) in demands {
             let engines = shared.pool().of(&service).len();
             for _ in 0..(engines / ENGINES_A_MOVE).max(1) {
                 look(&shared, &store, &service, demand).await;
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use cranberryridge_policy::gateway::balance::{Demand, Move, Pending};
+use cranberryridge_policy::gateway::balance::{Move, Pending};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::route::Configuration;
 
@@ -33,8 +33,7 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Page, Error>> + Send;
 
-    /// Tells the other entry hosts that this one is here, and what its callers
-    /// ask for.
+    /// Tells the other entry hosts that this one is here.
     ///
     /// # Errors
     ///
@@ -73,8 +72,6 @@
     /// The processor time that it has, in cores.
     #[serde(default)]
     pub cores: f64,
-    /// What its callers ask for, by service.
-    pub demands: Vec<(CompactString, Demand)>,
     /// Engines that it ordered to another stage lately.
     pub moves: Vec<Pending>,
 }
--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -1,8 +1,7 @@
 //! How many engines read prompts, and how many generate.
 //!
-//! Each entry host measures the work that its callers ask for. One host adds
-//! the measures up and moves one engine at a time to the stage that is short.
-//! This answers traffic whose share of long prompts or long answers is not
+//! A service's scheduler measures the work that callers ask for, and moves one
+//! engine at a time to the stage that is short. This answers traffic whose share of long prompts or long answers is not
 //! what the engines were started for; bursts are shorter than a move.
 
 use std::time::{Duration, Instant};
@@ -51,8 +50,7 @@
 }
 
 /// Work that callers ask for, in engines that it keeps busy.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
     /// Engines busy with reading prompts.
     pub reading: f64,
@@ -60,17 +58,7 @@
     pub generating: f64,
 }
 
-impl Demand {
-    /// The sum of two.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            reading: self.reading + other.reading,
-            generating: self.generating + other.generating,
-        }
-    }
-}
-
-/// Averages the work of one service at one host.
+/// Averages the work of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct Meter {
     /// Rules.
@@ -101,10 +89,8 @@
         let lasts = f64::from(need.output) * self.settings.token.as_secs_f64();
         let memory = f64::from(need.prompt) + f64::from(need.output) / 2.0;
         let generating = lasts * memory / f64::from(engine.memory.max(1));
-        self.demand = self.demand.plus(Demand {
-            reading: reading / average,
-            generating: generating / average,
-        });
+        self.demand.reading += reading / average;
+        self.demand.generating += generating / average;
     }
 
     /// The average now.
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -14,6 +14,7 @@
 
 use cranberryridge_wire::Map;
 
+use super::balance::{self, Demand, Meter};
 use super::member::{Endpoint, Phase};
 use super::place::{Need, Reader, Scope};
 use super::pool::{self, EndpointKey, Pool, Trouble, Work};
@@ -77,6 +78,8 @@
     tickets: Map<Id, (CompactString, Ticket)>,
     /// Requests that have endpoints.
     leases: Map<Id, Lease>,
+    /// Work that callers ask for, by service.
+    meters: Map<CompactString, Meter>,
 }
 
 /// Requests of one service that wait.
@@ -138,6 +141,27 @@
         waiting.rows.insert(ticket, (id, ask));
     }
 
+    /// Counts a request that arrived towards its service's demand.
+    pub fn measure(
+        &mut self,
+        now: Instant,
+        service: &CompactString,
+        engine: Engine,
+        need: Need,
+        settings: balance::Settings,
+    ) {
+        let meter = self.meters.entry(service.clone());
+        let meter = meter.or_insert_with(|| Meter::new(settings, now));
+        meter.add(now, &self.pool, engine, need);
+    }
+
+    /// Work that callers ask for, by service.
+    pub fn demands(&self, now: Instant) -> Vec<(CompactString, Demand)> {
+        let demands = self.meters.iter();
+        let demands = demands.map(|(service, meter)| (service.clone(), meter.read(now)));
+        demands.collect()
+    }
+
     /// Whether a request waits.
     pub fn waits(&self, id: Id) -> bool {
         self.tickets.contains_key(&id)
