Prefer engines of the caller's failure domain

With loads known exactly, a near engine can be preferred by a few requests, and the prompt's reader by where its KV cache goes. Conclusion: kept at 300 ms, for the bytes.

--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -126,7 +126,7 @@
             let reading = self.reading(now, state, crowd, self.mixed_rate());
             let steps = f64::from(need.output) * self.settings.step.as_secs_f64();
             let stream = steps * (1.0 + requests * CROWD) * state.event_pace(now);
-            let wait = reading + self.away(state, scope);
+            let wait = reading + away(state, scope.domain, self.settings.remote);
             (stream + wait.as_secs_f64()) * self.penalty(now, state)
         };
         self.least(now, scope, fits, rank, random)
@@ -143,7 +143,7 @@
         decode: EndpointKey,
         random: &mut R,
     ) -> Option<Reader> {
-        let other = self.prefill(now, scope, engine, need, random);
+        let other = self.prefill(now, scope, engine, need, decode, random);
         let itself = self.own(now, engine, need, decode);
         match (other, itself) {
             (Some((_, ready)), Some(own)) if own + IN_PLACE < ready + self.settings.transfer => {
@@ -197,8 +197,11 @@
         scope: Scope<'_>,
         engine: Engine,
         need: Need,
+        decode: EndpointKey,
         random: &mut R,
     ) -> Option<(EndpointKey, Duration)> {
+        let distance = self.settings.distance;
+        let beside = self.get(decode)?.endpoint.domain.as_str();
         let crowd = self.crowd(scope.service);
         let fits = |state: &State| {
             state.endpoint.phase == Some(Phase::Prefill) && self.has_room(now, state, engine, need)
@@ -207,7 +210,8 @@
             let own = f64::from(need.prompt) / self.settings.read_rate;
             let ready = self.reading(now, state, crowd, self.settings.read_rate) + millis(own);
             let ready = ready.mul_f64(state.pace(now) * self.penalty(now, state));
-            (ready + self.away(state, scope)).as_secs_f64()
+            let way = away(state, scope.domain, distance) + away(state, beside, distance);
+            (ready + way).as_secs_f64()
         };
         let key = self.least(now, scope, fits, rank, random)?;
         Some((key, self.expected(now, key, need)))
@@ -265,14 +269,6 @@
         1.0 + FAILING * state.failing(now)
     }
 
-    /// What the way to an endpoint costs.
-    fn away(&self, state: &State, scope: Scope<'_>) -> Duration {
-        if state.endpoint.domain == scope.domain {
-            return Duration::ZERO;
-        }
-        self.settings.distance
-    }
-
     /// The endpoint of least rank, in seconds or any other unit, among those
     /// that fit; a paused one only when there is no other.
     fn least<R: Rng>(
@@ -303,6 +299,14 @@
     }
 }
 
+/// What the way between a failure domain and an endpoint costs.
+fn away(state: &State, domain: &str, cost: Duration) -> Duration {
+    if state.endpoint.domain == domain {
+        return Duration::ZERO;
+    }
+    cost
+}
+
 /// A duration of so many milliseconds.
 fn millis(milliseconds: f64) -> Duration {
     Duration::from_secs_f64((milliseconds / 1000.0).max(0.0))
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -45,6 +45,10 @@
     /// What another failure domain costs against an own one, as time. One
     /// round trip between domains of today's deployments.
     pub distance: Duration,
+    /// What a stream from another failure domain costs against one from the own,
+    /// as time. Its events cross between domains, which is dear; about what one
+    /// more request at an engine costs.
+    pub remote: Duration,
     /// Time after which a load report says nothing any more. The platform's
     /// engines report up to a second late.
     pub fade: Duration,
@@ -71,6 +75,7 @@
             step: Duration::from_millis(5),
             transfer: Duration::from_millis(10),
             distance: Duration::from_millis(9),
+            remote: Duration::from_millis(300),
             fade: Duration::from_secs(1),
             pause: Duration::from_millis(250),
             denial: Duration::from_millis(150),
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -105,6 +105,34 @@
     assert_ne!(prefill(), prefill());
 }
 
+/// Events that cross between failure domains are dear, and so are KV caches.
+#[test]
+fn work_stays_in_the_callers_failure_domain_while_that_has_room() {
+    let (mut schedule, now, mut random) = scheduler(0);
+    let domains = ["a", "b", "c"];
+    let engines = engines(3, 6).into_iter().enumerate();
+    let engines = engines.map(|(n, engine)| Endpoint {
+        domain: domains[n % 3].into(),
+        ..engine
+    });
+    let engines = engines.collect::<Vec<_>>();
+    schedule.update(engines.clone());
+    let domain = |id: &str| {
+        let engine = engines.iter().find(|engine| engine.id == id);
+        engine.unwrap().domain.clone()
+    };
+    // Two engines of domain `a` have room for two requests each.
+    for number in 0..4 {
+        let grant = grant(&mut schedule, now, id(number), &mut random).unwrap();
+        assert_eq!(domain(&grant.decode), "a", "request {number}");
+        if number == 0 {
+            assert_eq!(domain(&grant.prefill.unwrap()), "a");
+        }
+    }
+    let grant = grant(&mut schedule, now, id(4), &mut random).unwrap();
+    assert_ne!(domain(&grant.decode), "a", "there is room elsewhere");
+}
+
 #[test]
 fn what_a_host_has_ends_with_its_link_and_counts_at_the_next_scheduler() {
     let (mut schedule, now, mut random) = scheduler(1);
