Tell requests without a chance at once to come back

The wait is now predicted from work: what is before a request and what will overtake it at the present rate, against the engines' memory. One without a chance is refused at once and told to come back when surges are over; one that comes back is not sent away again, but waits its time. Test: a surge in policy/tests/schedule.rs.

--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -230,13 +230,18 @@
             let service = ask.service.clone();
             let table = shared.table.load();
             let engine = table.service(&service).and_then(|service| service.engine);
+            let Some(engine) = engine else {
+                // Hosts whose configuration is newer know of it.
+                tell(links, link, Down::Unknown(number));
+                return None;
+            };
             let ask = question(now, ask);
             // One that failed at an endpoint was counted when it came first.
-            if let Some(engine) = engine.filter(|_| ask.avoid.is_empty()) {
+            if ask.avoid.is_empty() {
                 let settings = shared.settings.balance;
                 schedule.measure(now, &service, engine, ask.need, settings);
             }
-            schedule.ask(id(number), ask);
+            schedule.ask(now, id(number), ask, engine);
             shared.metrics.count("scheduler.asked");
             return Some(id(number));
         }
@@ -262,7 +267,7 @@
     let table = shared.table.load();
     for service in schedule.waiting() {
         let engine = table.service(&service).and_then(|service| service.engine);
-        // Hosts whose configuration is newer look at it again.
+        // Those that wait are refused when their time is over.
         let Some(engine) = engine else { continue };
         while let Some((id, answer)) = schedule.next(now, &service, engine, &mut rand::rng()) {
             let number = id.number;
@@ -322,6 +327,7 @@
         },
         target: now + Duration::from(ask.target).min(LONGEST),
         patience: now + Duration::from(ask.patience).min(LONGEST),
+        returns: ask.returns,
         avoid: ask.avoid,
     }
 }
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -34,6 +34,10 @@
 /// trips between failure domains; choosing alone is better than a longer wait.
 const FIRST: Duration = Duration::from_millis(120);
 
+/// Part of a route's time that a caller has left who was refused before and
+/// waited as told.
+const RETURNS: f64 = 0.85;
+
 /// Time that a scheduler's refusal may take beyond a request's patience.
 const SLACK: Duration = Duration::from_millis(250);
 
@@ -233,6 +237,7 @@
         pause: need.pause.into(),
         target: target.saturating_duration_since(now).into(),
         patience: patience(call).saturating_duration_since(now).into(),
+        returns: call.left() < call.route.timeout.mul_f64(RETURNS),
         avoid: avoid.map(|state| state.endpoint.id.clone()).collect(),
     }
 }
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -8,3 +8,4 @@
 pub mod queue;
 pub mod route;
 pub mod schedule;
+pub mod surge;
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -12,6 +12,7 @@
 use cranberryridge_wire::Map;
 
 use super::member::{Endpoint, Phase};
+use super::route::Engine;
 
 use self::usual::{Service, Smooth, RUN, SLOW};
 
@@ -430,6 +431,24 @@
         state.others * prompt * self.fresh(now, state)
     }
 
+    /// Memory for running requests of a service in tokens, and the time of one
+    /// token of an answer.
+    pub(super) fn capacity(&self, now: Instant, service: &str, engine: Engine) -> (f64, Duration) {
+        let states = self.of(service).iter().filter_map(|key| self.get(*key));
+        let engines = states.filter(|state| {
+            let decode = state.endpoint.phase != Some(Phase::Prefill);
+            let sound = state.failures == 0 && !state.endpoint.draining;
+            decode && sound && !state.is_moving(now)
+        });
+        let memory = engines.count() as f64 * f64::from(engine.memory);
+        let service = self.names.get(service).map(|key| &self.services[*key]);
+        let event = service.and_then(|service| service.event);
+        let step = self.settings.step.as_secs_f64();
+        let token = event.map_or(step, |event| event / f64::from(engine.stride.max(1)));
+        let memory = memory * self.settings.memory_share;
+        (memory, Duration::from_secs_f64(token))
+    }
+
     /// Mean KV cache of a service's runs in tokens, and their mean time.
     pub(super) fn turnover(&self, service: &str) -> Option<(f64, Duration)> {
         let service = &self.services[*self.names.get(service)?];
--- a/crates/policy/src/gateway/queue.rs
+++ b/crates/policy/src/gateway/queue.rs
@@ -73,6 +73,17 @@
         last.map(|(ticket, _)| *ticket)
     }
 
+    /// Requests that wait, in the order in which they get room.
+    pub fn order(&self, now: Instant, lead: Duration) -> Vec<(Ticket, Entry)> {
+        let mut rows = self.rows.clone();
+        rows.sort_by_key(|(_, entry)| {
+            let late = now + lead > entry.target;
+            let size = if late { 0 } else { entry.size };
+            (late, size, entry.patience)
+        });
+        rows
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -20,6 +20,7 @@
 use super::pool::{self, EndpointKey, Pool, Trouble, Work};
 use super::queue::{Entry, Queue, Ticket, LEAD};
 use super::route::Engine;
+use super::surge::{self, Arrivals, SURGE};
 
 /// A request, as its host numbers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -43,6 +44,8 @@
     pub target: Instant,
     /// Until when its first event is of use.
     pub patience: Instant,
+    /// Whether its caller was refused before, as far as can be told.
+    pub returns: bool,
     /// Ids of endpoints that it failed at.
     pub avoid: Vec<CompactString>,
 }
@@ -89,6 +92,8 @@
     queue: Queue,
     /// The requests.
     rows: Map<Ticket, (Id, Ask)>,
+    /// Work that has arrived lately.
+    arrivals: Option<Arrivals>,
 }
 
 /// Endpoints that a request has.
@@ -129,9 +134,13 @@
     }
 
     /// Has a request wait for its turn.
-    pub fn ask(&mut self, id: Id, ask: Ask) {
+    pub fn ask(&mut self, now: Instant, id: Id, ask: Ask, engine: Engine) {
         self.finish(id, None);
         let waiting = self.queues.entry(ask.service.clone()).or_default();
+        let arrivals = &mut waiting.arrivals;
+        let arrivals = arrivals.get_or_insert_with(|| Arrivals::new(now));
+        let token = self.pool.capacity(now, &ask.service, engine).1;
+        arrivals.add(now, ask.need.size(), work(ask.need, token));
         let ticket = waiting.queue.enter(Entry {
             target: ask.target,
             patience: ask.patience,
@@ -195,13 +204,41 @@
             self.leases.insert(id, lease);
             return Some((id, Answer::Grant(grant)));
         }
-        let ahead = waiting.queue.len();
-        let clear = self.pool.backlog(service, engine, ahead, 1);
-        let hopeless = waiting.rows.values();
-        let mut hopeless = hopeless.filter(|(_, ask)| now + clear >= ask.patience);
-        let (id, _) = *hopeless.next()?;
+        let (id, wait) = self.hopeless(now, waiting, service, engine)?;
         self.leave_queue(id);
-        Some((id, Answer::Refusal(clear)))
+        Some((id, Answer::Refusal(wait)))
+    }
+
+    /// A request that will not have room in time, and when there will be some.
+    fn hopeless(
+        &self,
+        now: Instant,
+        waiting: &Waiting,
+        service: &str,
+        engine: Engine,
+    ) -> Option<(Id, Duration)> {
+        let (capacity, token) = self.pool.capacity(now, service, engine);
+        let arrivals = waiting.arrivals.as_ref();
+        let all = arrivals.map_or(0.0, |arrivals| arrivals.all(now));
+        let mut ahead = 0.0;
+        let mut found = None;
+        for (ticket, entry) in waiting.queue.order(now, LEAD) {
+            let (id, ask) = waiting.rows.get(&ticket)?;
+            let late = now + LEAD > entry.target;
+            let overtaking = match arrivals {
+                Some(arrivals) if !late => arrivals.below(now, entry.size),
+                _ => all,
+            };
+            // One that was told to come back has no other chance.
+            let overtaking = if ask.returns { 0.0 } else { overtaking };
+            let wait = surge::wait(ahead, overtaking, capacity);
+            if found.is_none() && wait.is_none_or(|wait| now + wait >= entry.patience) {
+                found = Some(*id);
+            }
+            ahead += work(ask.need, token);
+        }
+        let clear = surge::wait(ahead, all, capacity).unwrap_or(SURGE);
+        Some((found?, clear.max(SURGE)))
     }
 
     /// Takes memory that another scheduler assigned.
@@ -371,3 +408,12 @@
         }
     }
 }
+
+/// Memory that a request takes, for as long as it takes it, in token seconds.
+fn work(need: Need, token: Duration) -> f64 {
+    let lasts = START.as_secs_f64() + f64::from(need.output) * token.as_secs_f64();
+    f64::from(need.prompt + need.output) * lasts
+}
+
+/// Time from room to the first event: a prompt's reading and the way to it.
+const START: Duration = Duration::from_millis(250);
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -57,6 +57,7 @@
         need: NEED,
         target: now + SECOND,
         patience: now + 4 * SECOND,
+        returns: false,
         avoid: Vec::new(),
     }
 }
@@ -71,7 +72,7 @@
 
 /// Asks for one request, and returns the endpoints it gets at once.
 fn grant(schedule: &mut Schedule, now: Instant, id: Id, random: &mut StdRng) -> Option<Grant> {
-    schedule.ask(id, ask(now));
+    schedule.ask(now, id, ask(now), ENGINE);
     match schedule.next(now, "model", ENGINE, random)? {
         (granted, Answer::Grant(grant)) if granted == id => Some(grant),
         other => panic!("not for {id:?}: {other:?}"),
@@ -157,7 +158,7 @@
     }
     let mut refused = 0;
     for number in 2..40 {
-        schedule.ask(id(number), ask(now));
+        schedule.ask(now, id(number), ask(now), ENGINE);
         let next = schedule.next(now, "model", ENGINE, &mut random);
         if let Some((_, Answer::Refusal(wait))) = next {
             assert!(wait >= 4 * SECOND, "{wait:?}");
@@ -168,6 +169,64 @@
     assert!(refused < 38, "some can still be served");
 }
 
+/// This answers surges, in which small requests take all room as it comes.
+#[test]
+fn in_a_surge_large_requests_are_told_at_once_to_come_back() {
+    let (mut schedule, begin, mut random) = scheduler(2);
+    let small = Need {
+        prompt: 1000,
+        output: 400,
+        ..NEED
+    };
+    let large = Need {
+        prompt: 6000,
+        output: 2000,
+        ..NEED
+    };
+    // Two engines do five small ones in a second; ten come.
+    let mut refused = Vec::new();
+    let mut granted = 0;
+    let mut ends = std::collections::VecDeque::new();
+    for step in 0..40u32 {
+        let now = begin + SECOND * step / 10;
+        while ends.front().is_some_and(|(end, _)| *end <= now) {
+            let (_, number) = ends.pop_front().unwrap();
+            schedule.finish(id(number), None);
+        }
+        let number = u64::from(step);
+        let need = if step % 10 == 9 { large } else { small };
+        let ask = Ask { need, ..ask(now) };
+        schedule.ask(now, id(number), ask, ENGINE);
+        while let Some((of, answer)) = schedule.next(now, "model", ENGINE, &mut random) {
+            match answer {
+                Answer::Grant(_) => {
+                    granted += 1;
+                    schedule.began(now, of);
+                    ends.push_back((now + 2 * SECOND, of.number));
+                }
+                Answer::Refusal(wait) => refused.push((step, of.number, wait)),
+            }
+        }
+    }
+    assert!(granted >= 20, "{granted}");
+    // The first large one comes before much is known of the surge.
+    for number in [19, 29, 39] {
+        let row = refused.iter().find(|row| row.1 == number);
+        let (step, _, wait) = row.unwrap_or_else(|| panic!("{number}: {refused:?}"));
+        assert!(*step <= number as u32 + 1, "held until {step}");
+        assert!((2 * SECOND..20 * SECOND).contains(wait), "{wait:?}");
+    }
+    let returns = Ask {
+        need: large,
+        returns: true,
+        ..ask(begin + 4 * SECOND)
+    };
+    schedule.ask(begin + 4 * SECOND, id(50), returns, ENGINE);
+    let next = schedule.next(begin + 4 * SECOND, "model", ENGINE, &mut random);
+    let other = !matches!(next, Some((of, Answer::Refusal(_))) if of == id(50));
+    assert!(other, "one that came back is not sent away again");
+}
+
 #[test]
 fn an_endpoint_without_room_is_left_alone_for_a_while() {
     let (mut schedule, now, mut random) = scheduler(1);
@@ -310,7 +369,7 @@
             schedule.finish(id(number), None);
         }
         if !placed.contains(&number) && !schedule.waits(id(number)) {
-            schedule.ask(id(number), ask(now(at)));
+            schedule.ask(now(at), id(number), ask(now(at)), ENGINE);
         }
         while let Some((granted, answer)) = schedule.next(now(at), "model", ENGINE, &mut random) {
             let Answer::Grant(grant) = answer else {
