Tell other hosts the list as it was read

Cause: a host keeps endpoints for 2.2 s that it finds gone after an outage of the store, as they may have lapsed. Ruled out: a late reading; all hosts had dropped the endpoint in 0.3 s. Now hosts are told the list as read; each applies its own delay.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -153,8 +153,10 @@
     queues: Mutex<Map<CompactString, Queue>>,
     /// Whether the host is terminating.
     draining: watch::Sender<bool>,
-    /// The endpoints as listed, once they were.
+    /// The endpoints that stand, once they were listed.
     listed: watch::Sender<Option<Vec<Endpoint>>>,
+    /// The endpoints as last read, which is what other hosts are told.
+    read: watch::Sender<Vec<Endpoint>>,
     /// Engines that are being moved: to which stage, and until when that
     /// counts.
     moving: watch::Sender<Map<CompactString, (Phase, Instant)>>,
@@ -211,6 +213,7 @@
             queues: Mutex::default(),
             draining: watch::Sender::new(false),
             listed: watch::Sender::new(None),
+            read: watch::Sender::default(),
             moving: watch::Sender::default(),
             links: Links::default(),
             news: watch::Sender::default(),
@@ -260,7 +263,7 @@
         });
     }
 
-    /// Takes the endpoints as listed.
+    /// Takes the endpoints that stand.
     fn list(&self, endpoints: Vec<Endpoint>) {
         self.pool().update(endpoints.clone());
         self.listed.send_replace(Some(endpoints));
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -281,6 +281,10 @@
     now: Instant,
     known: &mut Vec<Endpoint>,
 ) {
+    let read = list.listed();
+    if changed(&shared.read.borrow(), &read) {
+        shared.read.send_replace(read);
+    }
     let standing = list.standing(now);
     if shared.listed.borrow().is_none() || changed(known, &standing) {
         log(shared, known, &standing);
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -142,6 +142,7 @@
     let mut schedule = Schedule::new(shared.settings.pool);
     let mut links = Map::default();
     let mut listed = shared.listed.subscribe();
+    let mut read = shared.read.subscribe();
     let mut seen = shared.seen.subscribe();
     let mut endpoints = Vec::new();
     let mut tell_demand = tokio::time::interval(DEMAND);
@@ -154,9 +155,12 @@
             biased;
             // The senders live as long as the process.
             _ = listed.changed() => {
-                let after = listed.borrow_and_update().clone().unwrap_or_default();
+                let endpoints = listed.borrow_and_update().clone();
+                schedule.update(endpoints.unwrap_or_default());
+            }
+            _ = read.changed() => {
+                let after = read.borrow_and_update().clone();
                 let changes = news::changes(&endpoints, &after);
-                schedule.update(after.clone());
                 endpoints = after;
                 publish(&mut links, &Down::Listing(changes));
             }
@@ -214,7 +218,7 @@
             slog::debug!(shared.logger, "scheduler: host linked"; "host" => %greeting.host);
         }
         Up::Follow => {
-            let endpoints = shared.listed.borrow().clone().unwrap_or_default();
+            let endpoints = shared.read.borrow().clone();
             if let Some(peer) = links.get_mut(&link) {
                 peer.follows = Some(shared.followers.enter());
                 tell(links, link, Down::Listing(news::whole(&endpoints)));
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -136,6 +136,12 @@
         rows.map(|row| row.endpoint.clone()).collect()
     }
 
+    /// The endpoints as they were last read, those whose removal waits left out.
+    pub fn listed(&self) -> Vec<Endpoint> {
+        let rows = self.rows.values().filter(|row| row.removed.is_none());
+        rows.map(|row| row.endpoint.clone()).collect()
+    }
+
     /// When removals that wait are carried out.
     pub fn due(&self) -> Option<Instant> {
         self.wait
