Tell long lists in parts, and look at them when they change

Each follower also cloned the list on every heartbeat (28 % of a core). Lists are told in parts of 100 endpoints; beyond 64 hosts each failure domain has a reader of its own; lists are compared by id, when they are others.

--- a/crates/lib/src/frame.rs
+++ b/crates/lib/src/frame.rs
@@ -21,7 +21,7 @@
 /// Most bytes that are written at once.
 const BATCH: usize = 32 * 1024;
 
-/// Most bytes of a message that is not whole.
+/// Most bytes of a message.
 const LARGEST: usize = 64 * 1024;
 
 /// Why a connection is of no more use.
@@ -69,13 +69,10 @@
     let mut beats = tokio::time::interval(BEAT);
     let mut heard = Instant::now();
     loop {
-        while let Some(message) = codec::decode::<I>(&mut buffer)? {
+        while let Some(message) = codec::decode_within::<I>(&mut buffer, LARGEST)? {
             heard = Instant::now();
             to.take(message).await;
         }
-        if buffer.len() > LARGEST {
-            return Err(codec::Error::TooLarge(buffer.len()).into());
-        }
         let bytes = tokio::select! {
             read = reader.read_buf(&mut buffer) => {
                 if read? == 0 {
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -316,6 +316,7 @@
     fn host(&self) -> Host {
         Host {
             name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
             scheduler: (!*self.draining.borrow()).then_some(self.settings.scheduler),
             cores: self.settings.cores,
         }
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -14,7 +14,7 @@
 use cranberryridge_policy::gateway::route::{Configuration, Table};
 use cranberryridge_policy::subset::{self, Member};
 
-use super::news::News;
+use super::news::{self, News};
 use super::store::{Error, Host, Page, Record, Store, Topic};
 use super::{lock, Shared};
 use crate::clock::Clock;
@@ -45,6 +45,10 @@
 /// one be out of reach.
 const SCHEDULERS: usize = 3;
 
+/// Most hosts of which one reads for all. Beyond, each failure domain has a
+/// reader of its own, so that news do not cross between domains.
+const FOLLOWERS: usize = 64;
+
 /// Part of the largest host's processor time that a scheduler must have: one in
 /// so much.
 const LARGE: f64 = 1.5;
@@ -173,8 +177,10 @@
     loop {
         let now = shared.clock.now();
         let version = shared.table.load().version();
-        let told = news.borrow_and_update().clone();
-        let (configured, holds) = (told.configured, told.configuration_holds(version, pace));
+        let (configured, holds) = {
+            let told = news.borrow_and_update();
+            (told.configured, told.configuration_holds(version, pace))
+        };
         if let Some(until) = holds.filter(|until| *until > now) {
             shared.seen.send_modify(|seen| seen.configured = configured);
             let _ = tokio::time::timeout(until - now, news.changed()).await;
@@ -227,22 +233,38 @@
     let mut news = shared.news.subscribe();
     let pace = shared.settings.list_pace;
     let mut own = None;
+    let mut taken = None;
     loop {
         let now = shared.clock.now();
-        let told = news.borrow_and_update().clone();
-        let holds = told.list_holds(own, pace);
+        let (listed, endpoints, holds) = {
+            let told = news.borrow_and_update();
+            (
+                told.listed,
+                told.endpoints.clone(),
+                told.list_holds(own, pace),
+            )
+        };
         if let Some(until) = holds.filter(|until| *until > now) {
             list.read(now);
-            if let Some(endpoints) = told.endpoints {
-                list.replace(now, endpoints.to_vec());
+            let due = list.due().is_some_and(|due| due <= now);
+            // Mostly, the news are that there are none.
+            if due || !same(&endpoints, &taken) {
+                if let Some(endpoints) = &endpoints {
+                    list.replace(now, endpoints.to_vec());
+                }
+                put(shared, &mut list, now, &mut known);
+                taken = endpoints;
             }
-            shared.seen.send_modify(|seen| seen.listed = told.listed);
+            shared.seen.send_modify(|seen| seen.listed = listed);
             // What was read before is too long ago to go on from.
             reader.next = None;
-            put(shared, &mut list, now, &mut known);
-            let _ = tokio::time::timeout(until - now, news.changed()).await;
+            let until = list.due().map_or(until, |due| due.min(until));
+            // A timeout is the next look.
+            let pause = until.saturating_duration_since(now);
+            let _ = tokio::time::timeout(pause, news.changed()).await;
             continue;
         }
+        taken = None;
         let asked = now;
         let read = reader.read(shared, Duration::ZERO).await;
         let now = shared.clock.now();
@@ -319,20 +341,35 @@
     }
 }
 
+/// Whether two lists are the same one.
+fn same(one: &Option<Arc<Vec<Endpoint>>>, other: &Option<Arc<Vec<Endpoint>>>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => Arc::ptr_eq(one, other),
+        _ => false,
+    }
+}
+
 /// Whether two lists differ.
 fn changed(before: &[Endpoint], after: &[Endpoint]) -> bool {
-    before.len() != after.len() || after.iter().any(|endpoint| !before.contains(endpoint))
+    if before.len() != after.len() {
+        return true;
+    }
+    let known = news::by_id(before);
+    let mut after = after.iter();
+    after.any(|endpoint| known.get(endpoint.id.as_str()) != Some(&endpoint))
 }
 
 /// Logs what changed between two lists.
 fn log<N, C: Clock, D>(shared: &Shared<N, C, D>, before: &[Endpoint], after: &[Endpoint]) {
-    for endpoint in after.iter().filter(|endpoint| !before.contains(endpoint)) {
+    let (known, now) = (news::by_id(before), news::by_id(after));
+    let new = |endpoint: &&Endpoint| known.get(endpoint.id.as_str()) != Some(endpoint);
+    for endpoint in after.iter().filter(new) {
         slog::info!(shared.logger, "endpoints: listed";
             "endpoint" => %endpoint.id, "service" => %endpoint.service,
             "address" => %endpoint.address, "phase" => ?endpoint.phase,
             "draining" => endpoint.draining);
     }
-    let gone = |endpoint: &&Endpoint| after.iter().all(|other| other.id != endpoint.id);
+    let gone = |endpoint: &&Endpoint| !now.contains_key(endpoint.id.as_str());
     for endpoint in before.iter().filter(gone) {
         slog::info!(shared.logger, "endpoints: gone"; "endpoint" => %endpoint.id);
     }
@@ -397,13 +434,31 @@
     /// first. All hosts that know the same hosts agree, and each change of them
     /// moves few services.
     pub fn schedulers(&self, service: &str) -> Vec<SocketAddr> {
-        let hosts = || self.rows.values().map(|(_, host)| host);
+        self.choose(service, |_| true)
+    }
+
+    /// Addresses of the hosts that read the platform for a failure domain, the
+    /// first one first. While there are few hosts, one reads for all.
+    pub fn readers(&self, domain: &str) -> Vec<SocketAddr> {
+        if self.rows.len() <= FOLLOWERS {
+            return self.choose("", |_| true);
+        }
+        self.choose(domain, |host| host.domain == domain)
+    }
+
+    /// The addresses that stand first for a key among the largest of some
+    /// hosts.
+    fn choose(&self, key: &str, of: impl Fn(&Host) -> bool) -> Vec<SocketAddr> {
+        let hosts = || {
+            let hosts = self.rows.values().map(|(_, host)| host);
+            hosts.filter(|host| of(host))
+        };
         let most = hosts().map(|host| host.cores).fold(0.0, f64::max);
         let large = hosts().filter(|host| host.cores * LARGE >= most);
         let members = large.filter_map(|host| Some((host.name.as_str(), host.scheduler?)));
         let members = members.map(|key| Member { key, domain: "" });
         let members = members.collect::<Vec<_>>();
-        let chosen = subset::choose(service, "", &members, SCHEDULERS);
+        let chosen = subset::choose(key, "", &members, SCHEDULERS);
         chosen.into_iter().map(|(_, address)| address).collect()
     }
 
--- a/crates/lib/src/gateway/news.rs
+++ b/crates/lib/src/gateway/news.rs
@@ -22,6 +22,10 @@
 /// may be older than it says by this.
 const WAY: Duration = Duration::from_millis(300);
 
+/// Endpoints in one message. With names as long as the platform's, it is under
+/// a tenth of the largest message.
+const PART: usize = 100;
+
 /// What another host has told.
 #[derive(Clone, Debug, Default)]
 pub struct News {
@@ -29,6 +33,8 @@
     pub listed: Option<Instant>,
     /// The endpoints, once it has told them whole.
     pub endpoints: Option<Arc<Vec<Endpoint>>>,
+    /// The endpoints by id, as far as they were told.
+    parts: Option<Map<CompactString, Endpoint>>,
     /// When it asked for the configuration.
     pub configured: Option<Instant>,
     /// The configuration in force there.
@@ -68,24 +74,23 @@
         self.version = beat.version;
     }
 
-    /// Takes endpoints, or how they changed.
-    pub fn list(&mut self, listing: wire::Listing) {
-        let before = match &self.endpoints {
-            _ if listing.whole => &[],
-            Some(endpoints) => endpoints.as_slice(),
-            None => return,
-        };
-        let rows = before.iter().cloned();
-        let mut rows = rows
-            .map(|endpoint| (endpoint.id.clone(), endpoint))
-            .collect::<Map<CompactString, Endpoint>>();
-        for id in &listing.removed {
+    /// Takes a part of the endpoints, or of how they changed.
+    pub fn list(&mut self, part: wire::Listing) {
+        if part.first {
+            self.endpoints = None;
+            self.parts = Some(Map::default());
+        }
+        let Some(rows) = &mut self.parts else { return };
+        for id in &part.removed {
             rows.remove(id);
         }
-        for endpoint in listing.put.into_iter().filter_map(decode) {
+        for endpoint in part.put.into_iter().filter_map(decode) {
             rows.insert(endpoint.id.clone(), endpoint);
         }
-        self.endpoints = Some(Arc::new(rows.into_values().collect()));
+        if part.last {
+            let endpoints = rows.values().cloned().collect();
+            self.endpoints = Some(Arc::new(endpoints));
+        }
     }
 }
 
@@ -96,25 +101,42 @@
     newer.then(|| read + pace.mul_f64(GOOD))
 }
 
-/// How a list changed.
-pub fn changes(before: &[Endpoint], after: &[Endpoint]) -> wire::Listing {
-    let put = after.iter().filter(|endpoint| !before.contains(endpoint));
-    let gone = |endpoint: &&Endpoint| after.iter().all(|other| other.id != endpoint.id);
+/// How a list changed, in parts.
+pub fn changes(before: &[Endpoint], after: &[Endpoint]) -> Vec<wire::Listing> {
+    let known = by_id(before);
+    let now = by_id(after);
+    let put = after
+        .iter()
+        .filter(|endpoint| known.get(endpoint.id.as_str()) != Some(endpoint));
+    let gone = |endpoint: &&Endpoint| !now.contains_key(endpoint.id.as_str());
     let removed = before.iter().filter(gone);
-    wire::Listing {
-        whole: false,
-        put: put.map(encode).collect(),
-        removed: removed.map(|endpoint| endpoint.id.clone()).collect(),
-    }
+    let removed = removed.map(|endpoint| endpoint.id.clone()).collect();
+    parts(false, put.map(encode).collect(), removed)
 }
 
-/// A whole list.
-pub fn whole(endpoints: &[Endpoint]) -> wire::Listing {
-    wire::Listing {
-        whole: true,
-        put: endpoints.iter().map(encode).collect(),
-        removed: Vec::new(),
-    }
+/// A whole list, in parts.
+pub fn whole(endpoints: &[Endpoint]) -> Vec<wire::Listing> {
+    parts(true, endpoints.iter().map(encode).collect(), Vec::new())
+}
+
+/// Endpoints by their ids.
+pub(super) fn by_id(endpoints: &[Endpoint]) -> Map<&str, &Endpoint> {
+    let rows = endpoints.iter();
+    rows.map(|endpoint| (endpoint.id.as_str(), endpoint))
+        .collect()
+}
+
+/// Splits what is told into parts that fit a message.
+fn parts(whole: bool, put: Vec<wire::Endpoint>, removed: Vec<CompactString>) -> Vec<wire::Listing> {
+    let number = put.len().max(removed.len()).div_ceil(PART).max(1);
+    let (mut put, mut removed) = (put.into_iter(), removed.into_iter());
+    let parts = (0..number).map(|part| wire::Listing {
+        first: whole && part == 0,
+        last: part + 1 == number,
+        put: put.by_ref().take(PART).collect(),
+        removed: removed.by_ref().take(PART).collect(),
+    });
+    parts.collect()
 }
 
 /// An endpoint as it is sent.
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -162,7 +162,9 @@
                 let after = read.borrow_and_update().clone();
                 let changes = news::changes(&endpoints, &after);
                 endpoints = after;
-                publish(&mut links, &Down::Listing(changes));
+                for part in changes {
+                    publish(&mut links, &Down::Listing(part));
+                }
             }
             _ = seen.changed() => {
                 seen.mark_unchanged();
@@ -221,7 +223,9 @@
             let endpoints = shared.read.borrow().clone();
             if let Some(peer) = links.get_mut(&link) {
                 peer.follows = Some(shared.followers.enter());
-                tell(links, link, Down::Listing(news::whole(&endpoints)));
+                for part in news::whole(&endpoints) {
+                    tell(links, link, Down::Listing(part));
+                }
                 tell(links, link, beat(shared));
             }
         }
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -248,7 +248,11 @@
     service: &str,
 ) -> Option<Arc<Link>> {
     let now = shared.clock.now();
-    let schedulers = lock(&shared.hosts).schedulers(service);
+    let schedulers = if service == NEWS {
+        lock(&shared.hosts).readers(&shared.settings.domain)
+    } else {
+        lock(&shared.hosts).schedulers(service)
+    };
     for address in schedulers {
         // This host reads the platform for others.
         if service == NEWS && address == shared.settings.scheduler {
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -66,6 +66,9 @@
 pub struct Host {
     /// Its name.
     pub name: CompactString,
+    /// Its failure domain.
+    #[serde(default)]
+    pub domain: CompactString,
     /// Where it takes questions of other hosts, unless it is leaving.
     #[serde(default)]
     pub scheduler: Option<SocketAddr>,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The frame is larger than [`MAX_FRAME`].
-    #[error("frame of {0} bytes is over the limit of {MAX_FRAME}")]
+    #[error("frame of {0} bytes is over the limit")]
     TooLarge(usize),
     /// The frame does not hold the message that was expected.
     #[error("frame not understood: {0}")]
@@ -70,11 +70,33 @@
 /// When the frame is too large or not understood; the stream it came on is
 /// of no more use then.
 pub fn decode<T: DeserializeOwned>(buffer: &mut BytesMut) -> Result<Option<T>, Error> {
+    decode_within(buffer, MAX_FRAME)
+}
+
+/// Takes one message of at most `limit` bytes off a buffer, or `None` while it
+/// is not whole.
+///
+/// # Errors
+///
+/// As [`decode`].
+///
+/// # Examples
+///
+/// ```
+/// use bytes::BytesMut;
+/// use cranberryridge_wire::codec;
+/// let mut buffer = BytesMut::from(&codec::encode("a long text").unwrap()[..]);
+/// assert!(codec::decode_within::<String>(&mut buffer, 5).is_err());
+/// ```
+pub fn decode_within<T: DeserializeOwned>(
+    buffer: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<T>, Error> {
     let Some(prefix) = buffer.first_chunk::<PREFIX>() else {
         return Ok(None);
     };
     let length = u32::from_le_bytes(*prefix) as usize;
-    if length > MAX_FRAME {
+    if length > limit {
         return Err(Error::TooLarge(length));
     }
     if buffer.len() < PREFIX + length {
