--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -154,5 +154,65 @@
     view
 }
 
-criterion_group!(costs, admission, queue, placement, subset, token);
+/// One request at a scheduler, from its question to its end, by the number of
+/// engines, a third of which read.
+fn schedule(criterion: &mut Criterion) {
+    use cranberryridge_policy::gateway::{member, place, pool, route, schedule};
+    let now = Instant::now();
+    let engine = route::Engine {
+        slots: 64,
+        memory: 28_000,
+        stride: 11,
+        reservation: Duration::from_secs(2),
+    };
+    for count in [58, 290, 1_000] {
+        let mut schedule = schedule::Schedule::new(pool::Settings::default());
+        let endpoints = (0..count).map(|n| member::Endpoint {
+            id: format!("i-{n:010}").into(),
+            born: 1,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
+            service: "model".into(),
+            domain: format!("zone-{}", n % 4).into(),
+            phase: Some(if n % 3 == 0 {
+                member::Phase::Prefill
+            } else {
+                member::Phase::Decode
+            }),
+            slots: 64,
+            draining: false,
+        });
+        schedule.update(endpoints.collect());
+        let mut random = StdRng::seed_from_u64(1);
+        let mut number = 0;
+        criterion.bench_function(
+            &format!("schedule/one request, {count} engines"),
+            |bencher| {
+                bencher.iter(|| {
+                    number += 1;
+                    let id = schedule::Id { link: 1, number };
+                    let ask = schedule::Ask {
+                        service: "model".into(),
+                        domain: "zone-1".into(),
+                        need: place::Need {
+                            prompt: 3000,
+                            output: 700,
+                            pause: Duration::from_millis(300),
+                        },
+                        target: now + Duration::from_secs(1),
+                        patience: now + Duration::from_secs(4),
+                        returns: false,
+                        avoid: Vec::new(),
+                    };
+                    schedule.ask(now, id, ask, engine);
+                    let answer = schedule.next(now, "model", engine, &mut random);
+                    schedule.began(now, id);
+                    schedule.finish(id, Some((now, Duration::from_millis(40))));
+                    answer
+                });
+            },
+        );
+    }
+}
+
+criterion_group!(costs, admission, queue, placement, subset, token, schedule);
 criterion_main!(costs);
