Ask engines again that had no room, and split what grew large

Cause: a request left out every engine that had refused its reservation for as long as it waited; where there are two, it was refused after four seconds although both had room again. The scheduler hears of the refusal and leaves the engine out for a while, which is enough. Besides, as a newcomer would: a scheduler's questions have a file of their own, and so has what is known of one endpoint; the scheduler takes its settings at its start.

--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -157,7 +157,7 @@
 /// One request at a scheduler, from its question to its end, by the number of
 /// engines, a third of which read.
 fn schedule(criterion: &mut Criterion) {
-    use cranberryridge_policy::gateway::{member, place, pool, route, schedule};
+    use cranberryridge_policy::gateway::{balance, member, place, pool, route, schedule};
     let now = Instant::now();
     let engine = route::Engine {
         slots: 64,
@@ -166,7 +166,8 @@
         reservation: Duration::from_secs(2),
     };
     for count in [58, 290, 1_000] {
-        let mut schedule = schedule::Schedule::new(pool::Settings::default());
+        let mut schedule =
+            schedule::Schedule::new(pool::Settings::default(), balance::Settings::default());
         let endpoints = (0..count).map(|n| member::Endpoint {
             id: format!("i-{n:010}").into(),
             born: 1,
--- a/crates/lib/src/gateway/generate/room.rs
+++ b/crates/lib/src/gateway/generate/room.rs
@@ -131,9 +131,10 @@
     progress: &Progress,
 ) -> Result<Room<N, C, D>, Refusal> {
     let patience = patience(call);
-    let mut avoid = progress.avoid.clone();
+    let mut again = !progress.avoid.is_empty();
     loop {
-        let (lease, grant) = match schedule::ask(call, need, &avoid).await {
+        let assigned = schedule::ask(call, need, &progress.avoid, again).await;
+        let (lease, grant) = match assigned {
             Assigned::Granted(lease, grant) => (lease, grant),
             Assigned::Refused(wait) => return Err(Refusal::later(Code::Full, wait)),
             Assigned::Alone => return alone(call, engine, need, progress).await,
@@ -150,7 +151,8 @@
         if call.shared.clock.now() >= patience {
             return Err(Refusal::new(Code::Full));
         }
-        avoid.push(key);
+        // The scheduler was told, and leaves that endpoint out for a while.
+        again = true;
     }
 }
 
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -15,18 +15,21 @@
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::Map;
 
+use super::dialect::Dialect;
 use super::{news, Shared};
 use crate::clock::Clock;
 use crate::frame;
-use crate::net::Listen;
+use crate::net::{Listen, Net};
 use crate::tally::{self, Tally};
 
 pub use cranberryridge_wire::schedule::Grant;
 
-pub use self::link::{follow, Assigned, Lease, Links};
+pub use self::ask::{Assigned, Lease};
+pub use self::link::{follow, Links};
 
-pub(super) use self::link::ask;
+pub(super) use self::ask::ask;
 
+mod ask;
 mod link;
 
 /// Time between two looks at requests that wait, should nothing happen: an
@@ -69,14 +72,10 @@
 }
 
 /// Assigns endpoints for hosts that ask, for ever.
-pub async fn serve<N, C, D, P>(shared: Arc<Shared<N, C, D>>, listener: P)
-where
-    N: Send + Sync + 'static,
-    C: Clock,
-    D: Send + Sync + 'static,
-    P: Listen,
-    P::Stream: tokio::io::AsyncRead + tokio::io::AsyncWrite + Send + 'static,
-{
+pub async fn serve<N: Net, C: Clock, D: Dialect, P: Listen<Stream = N::Stream>>(
+    shared: Arc<Shared<N, C, D>>,
+    listener: P,
+) {
     let (events, inbox) = mpsc::channel(INBOX);
     tokio::join!(
         accept(shared.clone(), listener, events),
@@ -85,17 +84,11 @@
 }
 
 /// Takes links.
-async fn accept<N, C, D, P>(
+async fn accept<N: Net, C: Clock, D: Dialect, P: Listen<Stream = N::Stream>>(
     shared: Arc<Shared<N, C, D>>,
     mut listener: P,
     events: mpsc::Sender<Event>,
-) where
-    N: Send + Sync + 'static,
-    C: Clock,
-    D: Send + Sync + 'static,
-    P: Listen,
-    P::Stream: tokio::io::AsyncRead + tokio::io::AsyncWrite + Send + 'static,
-{
+) {
     let open = Tally::default();
     for number in 0.. {
         let stream = match listener.accept().await {
@@ -139,7 +132,7 @@
 
 /// Takes what happens, and answers.
 async fn decide<N, C: Clock, D>(shared: &Shared<N, C, D>, mut inbox: mpsc::Receiver<Event>) {
-    let mut schedule = Schedule::new(shared.settings.pool);
+    let mut schedule = Schedule::new(shared.settings.pool, shared.settings.balance);
     let mut links = Map::default();
     let mut listed = shared.listed.subscribe();
     let mut read = shared.read.subscribe();
@@ -243,11 +236,10 @@
                 tell(links, link, Down::Unknown(number));
                 return None;
             };
+            let again = ask.again;
             let ask = question(now, ask);
-            // One that failed at an endpoint was counted when it came first.
-            if ask.avoid.is_empty() {
-                let settings = shared.settings.balance;
-                schedule.measure(now, &service, engine, ask.need, settings);
+            if !again {
+                schedule.measure(now, &service, engine, ask.need);
             }
             schedule.ask(now, id(number), ask, engine);
             shared.metrics.count("scheduler.asked");
@@ -275,7 +267,8 @@
     let table = shared.table.load();
     for service in schedule.waiting() {
         let engine = table.service(&service).and_then(|service| service.engine);
-        // Those that wait are refused when their time is over.
+        // The service is gone from the configuration. Hosts whose own still
+        // has it choose alone once their requests' time is over.
         let Some(engine) = engine else { continue };
         while let Some((id, answer)) = schedule.next(now, &service, engine, &mut rand::rng()) {
             let number = id.number;
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -1,23 +1,20 @@
 //! Links of this host to the schedulers that it asks.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use tokio::sync::{mpsc, Notify};
 
-use cranberryridge_policy::gateway::place::Need;
-use cranberryridge_policy::gateway::pool::{EndpointKey, Trouble};
-use cranberryridge_wire::schedule::{self as wire, Down, Grant, Kind, Up};
+use cranberryridge_policy::gateway::pool::Trouble;
+use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::{Map, Set};
 
 use crate::clock::Clock;
 use crate::frame;
-use crate::gateway::generate::patience;
 use crate::gateway::news::News;
-use crate::gateway::serve::Call;
 use crate::gateway::{lock, Shared};
 use crate::net::Net;
 
@@ -30,17 +27,6 @@
 /// Longest time to open a link. Several round trips between failure domains.
 const CONNECT: Duration = Duration::from_millis(250);
 
-/// Longest time until a scheduler says that it has a request. Several round
-/// trips between failure domains; choosing alone is better than a longer wait.
-const FIRST: Duration = Duration::from_millis(120);
-
-/// Part of a route's time that a caller has left who was refused before and
-/// waited as told.
-const RETURNS: f64 = 0.85;
-
-/// Time that a scheduler's refusal may take beyond a request's patience.
-const SLACK: Duration = Duration::from_millis(250);
-
 /// Pause before a link is opened again; until then another scheduler is asked.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -50,46 +36,43 @@
 /// Messages that wait for a link.
 const OUTBOX: usize = 1024;
 
-/// Messages about one request: queued, and what comes of it.
-const REPLIES: usize = 2;
-
 /// The links, and what this host was given.
 #[derive(Debug, Default)]
 pub struct Links {
     /// Links by the scheduler's address.
     rows: Mutex<Map<SocketAddr, Arc<Link>>>,
     /// Number of the last request.
-    last: AtomicU64,
+    pub(super) last: AtomicU64,
     /// What this host has, by the request's number.
-    leases: Mutex<Map<u64, wire::Lease>>,
+    pub(super) leases: Mutex<Map<u64, wire::Lease>>,
 }
 
 /// A link to a scheduler.
 #[derive(Debug)]
-struct Link {
+pub(super) struct Link {
     /// Where the scheduler listens.
     address: SocketAddr,
     /// Messages to it.
-    out: mpsc::Sender<Up>,
+    pub(super) out: mpsc::Sender<Up>,
     /// What is known of it.
-    state: Mutex<State>,
+    pub(super) state: Mutex<State>,
     /// Ends the connection.
     reset: Notify,
 }
 
 /// What is known of a link.
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     /// How it is.
     phase: Phase,
     /// Services that this host asks for here.
     services: Set<CompactString>,
     /// Requests that wait for an answer, by number.
-    waiting: Map<u64, mpsc::Sender<Down>>,
+    pub(super) waiting: Map<u64, mpsc::Sender<Down>>,
     /// When it was last asked on.
     used: Instant,
     /// Whether a request got no answer since the scheduler was last heard of.
-    hangs: bool,
+    pub(super) hangs: bool,
 }
 
 /// How a link is.
@@ -103,147 +86,8 @@
     Down,
 }
 
-/// What a scheduler says to a request.
-#[derive(Debug)]
-pub enum Assigned<N, C, D> {
-    /// The request has endpoints.
-    Granted(Lease<N, C, D>, Grant),
-    /// There is no room in time, but after this.
-    Refused(Duration),
-    /// No scheduler is in reach, so this host chooses alone.
-    Alone,
-}
-
-/// A request's place at the scheduler, given up when dropped.
-#[derive(Debug)]
-pub struct Lease<N, C, D> {
-    /// The gateway.
-    shared: Arc<Shared<N, C, D>>,
-    /// The request's number.
-    number: u64,
-    /// Its service.
-    service: CompactString,
-    /// Mean time between two events of its run.
-    between: Option<Duration>,
-}
-
-impl<N, C, D> Lease<N, C, D> {
-    /// Tells that the prompt was read at its prefill endpoint.
-    pub fn read(&self, took: Duration) {
-        let reading = wire::Reading {
-            number: self.number,
-            took: took.into(),
-        };
-        self.shared.links.tell(&self.service, &Up::Read(reading));
-    }
-
-    /// Tells that the run has made its first event.
-    pub fn began(&self) {
-        let links = &self.shared.links;
-        links.tell(&self.service, &Up::Began(self.number));
-    }
-
-    /// Notes that the run ended well, with such a mean time between events.
-    pub fn ended(&mut self, between: Duration) {
-        self.between = Some(between);
-    }
-}
-
-impl<N, C, D> Drop for Lease<N, C, D> {
-    fn drop(&mut self) {
-        let links = &self.shared.links;
-        lock(&links.leases).remove(&self.number);
-        let between = self.between.map(|between| between.as_micros());
-        let finish = wire::Finish {
-            number: self.number,
-            between: between.map(|micros| u32::try_from(micros).unwrap_or(u32::MAX)),
-        };
-        links.forget(self.number);
-        links.tell(&self.service, &Up::Finish(finish));
-    }
-}
-
-/// Asks the service's scheduler for endpoints, and waits for them.
-pub(in crate::gateway) async fn ask<N: Net, C: Clock, D: Send + Sync + 'static>(
-    call: &Call<N, C, D>,
-    need: Need,
-    avoid: &[EndpointKey],
-) -> Assigned<N, C, D> {
-    let shared = &call.shared;
-    let Some(link) = link(shared, &call.service) else {
-        shared.metrics.count("scheduler.none");
-        return Assigned::Alone;
-    };
-    let number = shared.links.last.fetch_add(1, Ordering::Relaxed);
-    let lease = Lease {
-        shared: shared.clone(),
-        number,
-        service: call.service.clone(),
-        between: None,
-    };
-    let (sender, mut replies) = mpsc::channel(REPLIES);
-    lock(&link.state).waiting.insert(number, sender);
-    let ask = question(call, number, need, avoid);
-    let patience = ask.patience;
-    let tokens = need.prompt + need.output;
-    if link.out.try_send(Up::Ask(ask)).is_err() {
-        return Assigned::Alone;
-    }
-    let mut limit = FIRST;
-    loop {
-        let reply = tokio::time::timeout(limit, replies.recv()).await;
-        match reply {
-            Ok(Some(Down::Queued(_))) => limit = Duration::from(patience) + SLACK,
-            Ok(Some(Down::Grant(grant))) => {
-                let held = wire::Lease {
-                    number,
-                    service: call.service.clone(),
-                    endpoint: grant.decode.clone(),
-                    tokens,
-                };
-                lock(&shared.links.leases).insert(number, held);
-                return Assigned::Granted(lease, grant);
-            }
-            Ok(Some(Down::Refusal(refusal))) => return Assigned::Refused(refusal.wait.into()),
-            Ok(Some(Down::Unknown(_) | Down::Beat(_) | Down::Listing(_)) | None) => {
-                return Assigned::Alone;
-            }
-            Err(_) => {
-                shared.metrics.count("scheduler.no_answer");
-                lock(&link.state).hangs = true;
-                return Assigned::Alone;
-            }
-        }
-    }
-}
-
-/// The request as the scheduler gets it.
-fn question<N, C: Clock, D>(
-    call: &Call<N, C, D>,
-    number: u64,
-    need: Need,
-    avoid: &[EndpointKey],
-) -> wire::Ask {
-    let now = call.shared.clock.now();
-    let target = call.record.arrival + call.route.target;
-    let pool = call.shared.pool();
-    let avoid = avoid.iter().filter_map(|key| pool.get(*key));
-    wire::Ask {
-        number,
-        service: call.service.clone(),
-        domain: call.shared.settings.domain.clone(),
-        prompt: need.prompt,
-        output: need.output,
-        pause: need.pause.into(),
-        target: target.saturating_duration_since(now).into(),
-        patience: patience(call).saturating_duration_since(now).into(),
-        returns: call.left() < call.route.timeout.mul_f64(RETURNS),
-        avoid: avoid.map(|state| state.endpoint.id.clone()).collect(),
-    }
-}
-
 /// The link to ask for a service on, if one is up.
-fn link<N: Net, C: Clock, D: Send + Sync + 'static>(
+pub(super) fn link<N: Net, C: Clock, D: Send + Sync + 'static>(
     shared: &Arc<Shared<N, C, D>>,
     service: &str,
 ) -> Option<Arc<Link>> {
@@ -336,7 +180,7 @@
     }
 
     /// Tells the service's scheduler, and those that were it before.
-    fn tell(&self, service: &str, message: &Up) {
+    pub(super) fn tell(&self, service: &str, message: &Up) {
         for link in lock(&self.rows).values() {
             let asked = lock(&link.state).services.contains(service);
             // A message that is lost would leave the scheduler's count wrong
@@ -370,7 +214,7 @@
     }
 
     /// Forgets a request that waits no longer.
-    fn forget(&self, number: u64) {
+    pub(super) fn forget(&self, number: u64) {
         for link in lock(&self.rows).values() {
             lock(&link.state).waiting.remove(&number);
         }
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -14,8 +14,12 @@
 use super::member::{Endpoint, Phase};
 use super::route::Engine;
 
-use self::usual::{Service, Smooth, RUN, SLOW};
+use self::state::PACE;
+use self::usual::{Service, RUN, SLOW};
 
+pub use self::state::{State, Trouble};
+
+mod state;
 mod usual;
 
 new_key_type! {
@@ -104,41 +108,6 @@
     hosts: usize,
 }
 
-/// One endpoint.
-#[derive(Debug)]
-pub struct State {
-    /// As it is listed.
-    pub endpoint: Endpoint,
-    /// Own attempts in flight.
-    pub running: u32,
-    /// Prompt tokens of own attempts that are not read yet.
-    pub unread: u64,
-    /// KV cache of own attempts in tokens.
-    pub tokens: u64,
-    /// Other hosts' requests, when last reported.
-    others: f64,
-    /// When that was.
-    reported: Option<Instant>,
-    /// Its service.
-    service: ServiceKey,
-    /// Time that reading or answering takes against what is usual.
-    pace: Smooth,
-    /// Time between two events against what is usual.
-    event_pace: Smooth,
-    /// Share of answers that were failures.
-    failing: Smooth,
-    /// Failures without an answer between them.
-    failures: u32,
-    /// Until when it gets nothing if others can.
-    paused: Option<Instant>,
-    /// Until when it is taken to have no room.
-    denying: Option<Instant>,
-    /// Denials without an answer between them.
-    denials: u32,
-    /// The stage that it is being moved to, and until when that counts.
-    moving: Option<(Phase, Instant)>,
-}
-
 /// What other hosts are likely to have at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Crowd {
@@ -168,20 +137,6 @@
     pub waiting: u32,
 }
 
-/// Why an endpoint did not serve.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Trouble {
-    /// It had no room.
-    Full,
-    /// It broke off, was out of reach or answered nonsense.
-    Broken,
-    /// Another endpoint has its address.
-    Misdirected,
-}
-
-/// Slowest and fastest pace that is believed.
-const PACE: (f64, f64) = (0.3, 20.0);
-
 impl Pool {
     /// A pool without endpoints.
     pub fn new(settings: Settings) -> Self {
@@ -455,83 +410,3 @@
         Some((service.tokens, Duration::from_secs_f64(service.run(RUN))))
     }
 }
-
-impl State {
-    /// An endpoint that nothing is known of.
-    fn new(endpoint: Endpoint, service: ServiceKey) -> Self {
-        Self {
-            endpoint,
-            service,
-            running: 0,
-            unread: 0,
-            tokens: 0,
-            others: 0.0,
-            reported: None,
-            pace: Smooth::default(),
-            event_pace: Smooth::default(),
-            failing: Smooth::default(),
-            failures: 0,
-            paused: None,
-            denying: None,
-            denials: 0,
-            moving: None,
-        }
-    }
-
-    /// Whether it is being moved to another stage and takes nothing.
-    pub fn is_moving(&self, now: Instant) -> bool {
-        let moving = self.moving.filter(|(_, until)| *until > now);
-        moving.is_some_and(|(phase, _)| self.endpoint.phase != Some(phase))
-    }
-
-    /// Whether it said lately that it has no room.
-    pub(super) fn is_denying(&self, now: Instant) -> bool {
-        self.denying.is_some_and(|until| until > now)
-    }
-
-    /// Whether it may get work while others can take it.
-    pub fn is_open(&self, now: Instant) -> bool {
-        !self.endpoint.draining && self.paused.is_none_or(|until| until <= now)
-    }
-
-    /// Time that reading or answering takes against what is usual.
-    pub fn pace(&self, now: Instant) -> f64 {
-        1.0 + self.pace.off(now)
-    }
-
-    /// Time between two events against what is usual.
-    pub fn event_pace(&self, now: Instant) -> f64 {
-        1.0 + self.event_pace.off(now)
-    }
-
-    /// Share of answers that were failures.
-    pub fn failing(&self, now: Instant) -> f64 {
-        self.failing.off(now)
-    }
-
-    /// Notes that it broke.
-    fn broke(&mut self, now: Instant, settings: Settings) {
-        let pause = settings.pause * 2u32.saturating_pow(self.failures.min(8));
-        self.failures += 1;
-        self.paused = Some(now + pause.min(settings.longest_pause));
-        self.failing.learn(now, 1.0);
-    }
-
-    /// Notes that it had no room.
-    fn full(&mut self, now: Instant, settings: Settings) {
-        let denial = settings.denial * 2u32.saturating_pow(self.denials.min(8));
-        let denial = denial.min(settings.longest_denial);
-        self.denials += 1;
-        self.paused = Some(now + settings.pause.max(denial));
-        self.denying = Some(now + denial);
-    }
-
-    /// Learns how long work took.
-    fn keep_pace(&mut self, now: Instant, expected: Duration, took: Duration) {
-        if expected.is_zero() {
-            return;
-        }
-        let seen = took.as_secs_f64() / expected.as_secs_f64();
-        self.pace.learn(now, seen.clamp(PACE.0, PACE.1) - 1.0);
-    }
-}
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -96,6 +96,8 @@
     leases: Map<Id, Lease>,
     /// Work that callers ask for, by service.
     meters: Map<CompactString, Meter>,
+    /// How that is averaged.
+    balance: balance::Settings,
 }
 
 /// Requests of one service that wait.
@@ -124,9 +126,10 @@
 
 impl Schedule {
     /// A scheduler that knows no endpoint.
-    pub fn new(settings: pool::Settings) -> Self {
+    pub fn new(pool: pool::Settings, balance: balance::Settings) -> Self {
         Self {
-            pool: Pool::new(settings),
+            pool: Pool::new(pool),
+            balance,
             ..Self::default()
         }
     }
@@ -164,16 +167,9 @@
     }
 
     /// Counts a request that arrived towards its service's demand.
-    pub fn measure(
-        &mut self,
-        now: Instant,
-        service: &CompactString,
-        engine: Engine,
-        need: Need,
-        settings: balance::Settings,
-    ) {
+    pub fn measure(&mut self, now: Instant, service: &CompactString, engine: Engine, need: Need) {
         let meter = self.meters.entry(service.clone());
-        let meter = meter.or_insert_with(|| Meter::new(settings, now));
+        let meter = meter.or_insert_with(|| Meter::new(self.balance, now));
         meter.add(now, &self.pool, engine, need);
     }
 
@@ -366,53 +362,33 @@
         let need = ask.need;
         let key = self.pool.decode(now, scope, engine, need, random)?;
         let reader = self.pool.reader(now, scope, engine, need, key, random)?;
-        let decode = Work {
-            endpoint: key,
-            unread: 0,
-            tokens: need.prompt + need.output,
-        };
         let id = |key| Some(self.pool.get(key)?.endpoint.id.clone());
-        let (lease, ready) = match reader {
-            Reader::Other { prefill, ready } => {
-                let work = Work {
-                    endpoint: prefill,
-                    unread: need.prompt,
-                    tokens: need.prompt,
-                };
-                let prefill = Some(work);
-                let lease = Lease {
-                    decode,
-                    prefill,
-                    ready,
-                    begun: None,
-                };
-                (lease, ready)
-            }
-            Reader::Itself { ready } => {
-                let decode = Work {
-                    unread: need.prompt,
-                    ..decode
-                };
-                let prefill = None;
-                let lease = Lease {
-                    decode,
-                    prefill,
-                    ready,
-                    begun: None,
-                };
-                (lease, ready)
-            }
-        };
-        let prefill = match lease.prefill {
-            Some(work) => Some(id(work.endpoint)?),
-            None => None,
+        let (prefill, ready) = match reader {
+            Reader::Other { prefill, ready } => (Some(prefill), ready),
+            Reader::Itself { ready } => (None, ready),
         };
-        let decode = id(key)?;
         let grant = Grant {
-            decode,
-            prefill,
+            decode: id(key)?,
+            prefill: match prefill {
+                Some(prefill) => Some(id(prefill)?),
+                None => None,
+            },
             ready,
         };
+        let lease = Lease {
+            decode: Work {
+                endpoint: key,
+                unread: prefill.map_or(need.prompt, |_| 0),
+                tokens: need.prompt + need.output,
+            },
+            prefill: prefill.map(|endpoint| Work {
+                endpoint,
+                unread: need.prompt,
+                tokens: need.prompt,
+            }),
+            ready,
+            begun: None,
+        };
         Some((grant, lease))
     }
 
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use cranberryridge_policy::gateway::balance;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::place::{Need, Scope};
 use cranberryridge_policy::gateway::pool::{self, Pool, Trouble, Work};
@@ -65,7 +66,7 @@
 /// A scheduler of two prefill engines and some decode engines, each with room
 /// for two requests.
 fn scheduler(decode: usize) -> (Schedule, Instant, StdRng) {
-    let mut schedule = Schedule::new(pool::Settings::default());
+    let mut schedule = Schedule::new(pool::Settings::default(), balance::Settings::default());
     schedule.update(engines(2, decode));
     (schedule, Instant::now(), StdRng::seed_from_u64(7))
 }
