--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -85,7 +85,7 @@
 /// ```
 /// use bytes::BytesMut;
 /// use cranberryridge_wire::codec;
-/// let mut buffer = BytesMut::from(&codec::encode("a long text").unwrap()[..]);
+/// let mut buffer = BytesMut::from(&codec::encode(&"a long text").unwrap()[..]);
 /// assert!(codec::decode_within::<String>(&mut buffer, 5).is_err());
 /// ```
 pub fn decode_within<T: DeserializeOwned>(
