Count tokens of a request in one place, without overflow

A request whose token counts exceed 32 bits together looked small and was passed on; debug builds panicked. Need::tokens and Need::size saturate, so such a request is refused as larger than any engine. All other requests are counted as before.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -122,7 +122,7 @@
     progress: &mut Progress,
 ) -> Result<Answer<N, C, D>, Refusal> {
     let need = need(call);
-    if need.prompt + need.output > engine.memory {
+    if need.tokens() > engine.memory {
         return Err(Refusal::new(Code::Full));
     }
     loop {
--- a/crates/lib/src/gateway/generate/room.rs
+++ b/crates/lib/src/gateway/generate/room.rs
@@ -231,7 +231,7 @@
 ) -> Option<Room<N, C, D>> {
     let shared = Arc::clone(&call.shared);
     let endpoint = shared.endpoint(key)?;
-    let tokens = need.prompt + need.output;
+    let tokens = need.tokens();
     let work = Work {
         endpoint: key,
         unread: 0,
--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -30,9 +30,15 @@
 const ANSWER: u32 = 10;
 
 impl Need {
+    /// KV cache that it takes in the end, in tokens.
+    pub fn tokens(self) -> u32 {
+        self.prompt.saturating_add(self.output)
+    }
+
     /// Memory and time that it takes, as tokens.
     pub fn size(self) -> u32 {
-        self.prompt + self.output * ANSWER
+        let answer = self.output.saturating_mul(ANSWER);
+        self.prompt.saturating_add(answer)
     }
 }
 
@@ -246,7 +252,7 @@
         // What others have at a decode endpoint is left to the reservation to
         // find out.
         let used = state.tokens as f64 + self.reported_unread(now, state);
-        let wanted = f64::from(need.prompt + need.output);
+        let wanted = f64::from(need.tokens());
         let memory = f64::from(engine.memory);
         // An engine without work takes whatever fits it at all.
         let idle = used < 1.0 && wanted <= memory;
