Remove what stood twice around the scheduler

From reading the whole change again; behaviour stays. - The queue's order stood in next() and order(): one rank serves both. - The scheduler learned how long runs take for a forecast it no longer makes; its table of beginnings went with it. - Heartbeats woke the scheduler and had it look at the queue; they end at the link.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -256,9 +256,11 @@
     }
 
     /// Notes that an endpoint is being moved to another stage.
-    fn moves(&self, until: Instant, id: &CompactString, phase: Phase) {
+    fn moves(&self, now: Instant, id: &CompactString, phase: Phase) {
+        let until = now + self.settings.balance.pending;
         self.pool().moving(until, id, phase);
         self.moving.send_modify(|moving| {
+            moving.retain(|_, (_, until)| *until > now);
             moving.insert(id.clone(), (phase, until));
         });
     }
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -16,6 +16,7 @@
 use cranberryridge_wire::Map;
 
 use super::dialect::Dialect;
+use super::serve::ACCEPT_PAUSE;
 use super::{news, Shared};
 use crate::clock::Clock;
 use crate::frame;
@@ -50,9 +51,6 @@
 /// they reconnect.
 const LINKS: usize = 4096;
 
-/// Pause after an accept that failed, mostly for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// What happens on links.
 enum Event {
     /// A link is there.
@@ -125,6 +123,10 @@
 
 impl frame::Take<Up> for Inbox {
     async fn take(&mut self, message: Up) {
+        // A heartbeat has done its work: the link was heard of.
+        if matches!(message, Up::Beat) {
+            return;
+        }
         // The scheduler lives as long as the process.
         let _ = self.1.send(Event::Message(self.0, message)).await;
     }
@@ -141,7 +143,7 @@
     let mut tell_demand = tokio::time::interval(DEMAND);
     let mut moving = shared.moving.subscribe();
     loop {
-        let waiting = !schedule.waiting().is_empty();
+        let waiting = schedule.is_waiting();
         let mut asked = None;
         tokio::select! {
             // Hosts must not take an old list for a new one.
@@ -230,8 +232,7 @@
             }
             let service = ask.service.clone();
             let table = shared.table.load();
-            let engine = table.service(&service).and_then(|service| service.engine);
-            let Some(engine) = engine else {
+            let Some(engine) = table.engine(&service) else {
                 // Hosts whose configuration is newer know of it.
                 tell(links, link, Down::Unknown(number));
                 return None;
@@ -266,10 +267,11 @@
     let now = shared.clock.now();
     let table = shared.table.load();
     for service in schedule.waiting() {
-        let engine = table.service(&service).and_then(|service| service.engine);
         // The service is gone from the configuration. Hosts whose own still
         // has it choose alone once their requests' time is over.
-        let Some(engine) = engine else { continue };
+        let Some(engine) = table.engine(&service) else {
+            continue;
+        };
         while let Some((id, answer)) = schedule.next(now, &service, engine, &mut rand::rng()) {
             let number = id.number;
             let message = match answer {
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -114,12 +114,9 @@
     };
     let (sender, mut replies) = mpsc::channel(REPLIES);
     lock(&link.state).waiting.insert(number, sender);
-    let ask = wire::Ask {
-        again,
-        ..question(call, number, need, avoid)
-    };
+    let ask = question(call, number, need, avoid, again);
     let patience = ask.patience;
-    let tokens = need.prompt + need.output;
+    let tokens = need.tokens();
     if link.out.try_send(Up::Ask(ask)).is_err() {
         return Assigned::Alone;
     }
@@ -157,6 +154,7 @@
     number: u64,
     need: Need,
     avoid: &[EndpointKey],
+    again: bool,
 ) -> wire::Ask {
     let now = call.shared.clock.now();
     let target = call.record.arrival + call.route.target;
@@ -171,7 +169,7 @@
         pause: need.pause.into(),
         target: target.saturating_duration_since(now).into(),
         patience: patience(call).saturating_duration_since(now).into(),
-        again: false,
+        again,
         returns: call.left() < call.route.timeout.mul_f64(RETURNS),
         avoid: avoid.map(|state| state.endpoint.id.clone()).collect(),
     }
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -1,5 +1,6 @@
 //! Links of this host to the schedulers that it asks.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
@@ -258,16 +259,12 @@
 ) {
     let address = link.address;
     let connect = tokio::time::timeout(CONNECT, shared.net.connect(address));
-    let stream = match connect.await {
-        Ok(Ok(stream)) => stream,
-        failed => {
-            let error = failed.map_or("no answer".to_owned(), |failed| {
-                failed
-                    .err()
-                    .map_or(String::new(), |error| error.to_string())
-            });
+    let connected = connect.await;
+    let stream = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+        Ok(stream) => stream,
+        Err(error) => {
             slog::debug!(shared.logger, "scheduler: not reached";
-                "address" => %address, "error" => error);
+                "address" => %address, "error" => %error);
             return;
         }
     };
@@ -312,23 +309,18 @@
         let mut state = lock(&self.link.state);
         state.hangs = false;
         let follows = state.services.contains(NEWS);
-        let number = match &message {
+        let number = match message {
             Down::Beat(_) | Down::Listing(_) if !follows => return,
             Down::Beat(beat) => {
                 let now = shared.clock.now();
-                shared.news.send_modify(|news| news.beat(now, beat));
-                return;
+                return shared.news.send_modify(|news| news.beat(now, &beat));
             }
-            Down::Listing(_) => {
-                drop(state);
-                if let Down::Listing(listing) = message {
-                    shared.news.send_modify(|news| news.list(listing));
-                }
-                return;
+            Down::Listing(part) => {
+                return shared.news.send_modify(|news| news.list(part));
             }
-            Down::Queued(number) | Down::Unknown(number) => *number,
-            Down::Grant(grant) => grant.number,
-            Down::Refusal(refusal) => refusal.number,
+            Down::Queued(number) | Down::Unknown(number) => number,
+            Down::Grant(ref grant) => grant.number,
+            Down::Refusal(ref refusal) => refusal.number,
         };
         // A request that waits no longer has told the scheduler so.
         if let Some(waiting) = state.waiting.get(&number) {
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -38,7 +38,7 @@
 mod activity;
 
 /// Pause after an accept that failed, mostly for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
@@ -309,11 +309,7 @@
     };
     let service = record.service.clone();
     shared.earn(now, &service);
-    let engine = shared
-        .table
-        .load()
-        .service(&service)
-        .and_then(|service| service.engine);
+    let engine = shared.table.load().engine(&service);
     let mut call = Call {
         input: input(&shared, head, body, &record.description),
         shared: shared.clone(),
--- a/crates/lib/src/gateway/steer.rs
+++ b/crates/lib/src/gateway/steer.rs
@@ -65,8 +65,7 @@
     // An order without an answer may be carried out.
     if matches!(outcome, Outcome::Accepted | Outcome::NoAnswer) {
         lock(&shared.moves).note(now, order.clone());
-        let until = now + shared.settings.balance.pending;
-        shared.moves(until, &order.endpoint, order.phase);
+        shared.moves(now, &order.endpoint, order.phase);
         shared.metrics.count("engine.moved");
     }
     slog::info!(shared.logger, "engines: move ordered";
--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -1,13 +1,13 @@
 //! How many engines read prompts, and how many generate.
 //!
 //! A service's scheduler measures the work that callers ask for, and moves one
-//! engine at a time to the stage that is short. This answers traffic whose share of long prompts or long answers is not
-//! what the engines were started for; bursts are shorter than a move.
+//! engine at a time to the stage that is short. This answers traffic whose share
+//! of long prompts or long answers is not what the engines were started for;
+//! bursts are shorter than a move.
 
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 
 use cranberryridge_wire::Map;
 
@@ -105,8 +105,7 @@
 }
 
 /// An engine to move to another stage.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
     /// The engine's id.
     pub endpoint: CompactString,
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 
 use cranberryridge_wire::Map;
 
@@ -40,7 +39,7 @@
 }
 
 /// Which stage of a model request an engine takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// Reads prompts.
     Prefill,
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -67,7 +67,8 @@
     pub longest_denial: Duration,
     /// Longest pause after failures.
     pub longest_pause: Duration,
-    /// Share of an engine's memory that is given out, as others give too.
+    /// Share of an engine's memory that is given out: runs outgrow what their
+    /// callers estimated, and hosts that choose alone give too.
     pub memory_share: f64,
 }
 
--- a/crates/policy/src/gateway/queue.rs
+++ b/crates/policy/src/gateway/queue.rs
@@ -48,6 +48,31 @@
     pub size: u32,
 }
 
+impl Entry {
+    /// Whether it cannot be on time any more, when a first event takes `lead`.
+    pub fn is_late(&self, now: Instant, lead: Duration) -> bool {
+        now + lead > self.target
+    }
+
+    /// What the requests are ordered by, the least first.
+    fn rank(&self, now: Instant, lead: Duration) -> Rank {
+        if self.is_late(now, lead) {
+            Rank::Late(self.patience)
+        } else {
+            Rank::OnTime(self.size)
+        }
+    }
+}
+
+/// A request's rank in the order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// It can be on time, and has this size.
+    OnTime(u32),
+    /// It is late, and of use until then.
+    Late(Instant),
+}
+
 impl Queue {
     /// Adds a request.
     pub fn enter(&mut self, entry: Entry) -> Ticket {
@@ -65,22 +90,14 @@
     /// The request that gets the next room, when a first event takes `lead`.
     pub fn next(&self, now: Instant, lead: Duration) -> Option<Ticket> {
         let rows = self.rows.iter();
-        let on_time = rows.filter(|(_, entry)| now + lead <= entry.target);
-        if let Some((ticket, _)) = on_time.min_by_key(|(_, entry)| entry.size) {
-            return Some(*ticket);
-        }
-        let last = self.rows.iter().min_by_key(|(_, entry)| entry.patience);
-        last.map(|(ticket, _)| *ticket)
+        let first = rows.min_by_key(|(_, entry)| entry.rank(now, lead));
+        first.map(|(ticket, _)| *ticket)
     }
 
     /// Requests that wait, in the order in which they get room.
     pub fn order(&self, now: Instant, lead: Duration) -> Vec<(Ticket, Entry)> {
         let mut rows = self.rows.clone();
-        rows.sort_by_key(|(_, entry)| {
-            let late = now + lead > entry.target;
-            let size = if late { 0 } else { entry.size };
-            (late, size, entry.patience)
-        });
+        rows.sort_by_key(|(_, entry)| entry.rank(now, lead));
         rows
     }
 
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -182,6 +182,11 @@
         let at = self.services.get(name)?;
         Some(&self.configuration.services[*at])
     }
+
+    /// The engines of a service, if it is a model's.
+    pub fn engine(&self, name: &str) -> Option<Engine> {
+        self.service(name)?.engine
+    }
 }
 
 impl Route {
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -120,8 +120,6 @@
     prefill: Option<Work>,
     /// Predicted time until the prompt is read.
     ready: Duration,
-    /// When the run made its first event.
-    begun: Option<Instant>,
 }
 
 impl Schedule {
@@ -185,6 +183,11 @@
         self.tickets.contains_key(&id)
     }
 
+    /// Whether any request waits.
+    pub fn is_waiting(&self) -> bool {
+        !self.tickets.is_empty()
+    }
+
     /// Services with requests that wait.
     pub fn waiting(&self) -> Vec<CompactString> {
         let queues = self.queues.iter();
@@ -233,9 +236,8 @@
         let mut found = None;
         for (ticket, entry) in waiting.queue.order(now, LEAD) {
             let (id, ask) = waiting.rows.get(&ticket)?;
-            let late = now + LEAD > entry.target;
             let overtaking = match arrivals {
-                Some(arrivals) if !late => arrivals.below(now, entry.size),
+                Some(arrivals) if !entry.is_late(now, LEAD) => arrivals.below(now, entry.size),
                 _ => all,
             };
             // One that was told to come back has no other chance.
@@ -272,7 +274,6 @@
             decode,
             prefill: None,
             ready: Duration::ZERO,
-            begun: None,
         };
         self.leases.insert(id, lease);
     }
@@ -294,7 +295,6 @@
         let Some(lease) = self.leases.get_mut(&id) else {
             return;
         };
-        lease.begun = Some(now);
         self.pool.answered(now, lease.decode.endpoint, true);
         if lease.decode.unread > 0 {
             // What reading beside streams takes says little of the endpoint.
@@ -315,12 +315,7 @@
             return;
         };
         if let Some((now, between)) = between {
-            let (key, tokens) = (lease.decode.endpoint, lease.decode.tokens);
-            self.pool.streamed(now, key, between);
-            if let Some(begun) = lease.begun {
-                let took = now.saturating_duration_since(begun);
-                self.pool.ran(key, took, tokens);
-            }
+            self.pool.streamed(now, lease.decode.endpoint, between);
         }
         self.pool.finish(lease.decode);
         if let Some(work) = lease.prefill {
@@ -379,7 +374,7 @@
             decode: Work {
                 endpoint: key,
                 unread: prefill.map_or(need.prompt, |_| 0),
-                tokens: need.prompt + need.output,
+                tokens: need.tokens(),
             },
             prefill: prefill.map(|endpoint| Work {
                 endpoint,
@@ -387,7 +382,6 @@
                 tokens: need.prompt,
             }),
             ready,
-            begun: None,
         };
         Some((grant, lease))
     }
@@ -407,7 +401,7 @@
 /// Memory that a request takes, for as long as it takes it, in token seconds.
 fn work(need: Need, token: Duration) -> f64 {
     let lasts = START.as_secs_f64() + f64::from(need.output) * token.as_secs_f64();
-    f64::from(need.prompt + need.output) * lasts
+    f64::from(need.tokens()) * lasts
 }
 
 /// Time from room to the first event: a prompt's reading and the way to it.
