Tell others a host's own readings only

Cause: two hosts that restarted neighbours had made disagree on who reads for all followed each other. A host tells the age of its own last reading; who follows a follower reads for itself.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -164,7 +164,7 @@
     links: Links,
     /// What another host has read of the platform.
     news: watch::Sender<News>,
-    /// When this host was last told what the platform has.
+    /// When this host last asked the platform.
     seen: watch::Sender<Seen>,
     /// Hosts that follow what this one reads.
     followers: Tally,
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -177,12 +177,8 @@
     loop {
         let now = shared.clock.now();
         let version = shared.table.load().version();
-        let (configured, holds) = {
-            let told = news.borrow_and_update();
-            (told.configured, told.configuration_holds(version, pace))
-        };
+        let holds = news.borrow_and_update().configuration_holds(version, pace);
         if let Some(until) = holds.filter(|until| *until > now) {
-            shared.seen.send_modify(|seen| seen.configured = configured);
             let _ = tokio::time::timeout(until - now, news.changed()).await;
             continue;
         }
@@ -236,13 +232,9 @@
     let mut taken = None;
     loop {
         let now = shared.clock.now();
-        let (listed, endpoints, holds) = {
+        let (endpoints, holds) = {
             let told = news.borrow_and_update();
-            (
-                told.listed,
-                told.endpoints.clone(),
-                told.list_holds(own, pace),
-            )
+            (told.endpoints.clone(), told.list_holds(own, pace))
         };
         if let Some(until) = holds.filter(|until| *until > now) {
             list.read(now);
@@ -255,7 +247,6 @@
                 put(shared, &mut list, now, &mut known);
                 taken = endpoints;
             }
-            shared.seen.send_modify(|seen| seen.listed = listed);
             // What was read before is too long ago to go on from.
             reader.next = None;
             let until = list.due().map_or(until, |due| due.min(until));
--- a/crates/lib/src/gateway/news.rs
+++ b/crates/lib/src/gateway/news.rs
@@ -41,7 +41,8 @@
     pub version: u64,
 }
 
-/// When this host was last told what the platform has.
+/// When this host last asked the platform. What others told it does not count:
+/// two hosts that follow each other would take each other's word for ever.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
     /// Of the endpoints.
