--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -17,16 +17,18 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget};
+use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
 use cranberryridge_policy::gateway::queue::Queue;
 use cranberryridge_policy::gateway::route::Table;
-use cranberryridge_wire::Map;
+use cranberryridge_wire::{Map, Set};
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::tally::Tally;
 
+use self::dialect::Notice;
 use self::follow::Hosts;
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
@@ -141,6 +143,8 @@
     pool: Mutex<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<Map<CompactString, Budget>>,
+    /// Newest known era of the platform's store.
+    era: watch::Sender<Era>,
     /// Known entry hosts.
     hosts: Mutex<Hosts>,
     /// Moves of engines that this host ordered.
@@ -165,6 +169,9 @@
     /// Target stages of engines that are being moved, with the time until which
     /// each move counts as pending.
     moving_engines: watch::Sender<Map<CompactString, (Phase, Instant)>>,
+    /// Ids of listed endpoints that said in an answer that they are shutting
+    /// down, to this host or to another.
+    leaving_endpoints: watch::Sender<Set<CompactString>>,
     /// Links to schedulers.
     links: Links,
     /// State of the platform as read by another host.
@@ -210,6 +217,7 @@
             metrics: parts.metrics,
             table: ArcSwap::default(),
             budgets: Mutex::default(),
+            era: watch::Sender::default(),
             hosts: Mutex::default(),
             demands: watch::Sender::default(),
             capacity_freed: Notify::new(),
@@ -220,6 +228,7 @@
             current_endpoints: watch::Sender::new(None),
             listed_endpoints: watch::Sender::default(),
             moving_engines: watch::Sender::default(),
+            leaving_endpoints: watch::Sender::default(),
             links: Links::default(),
             news: watch::Sender::default(),
             seen: watch::Sender::default(),
@@ -241,13 +250,100 @@
         lock(&self.pool)
     }
 
-    /// Returns an endpoint if it is still listed and not draining. Called right
-    /// before each attempt, as it may have started to drain since it was
-    /// chosen.
-    fn active_endpoint(&self, key: EndpointKey) -> Option<Endpoint> {
+    /// Returns an endpoint if it is still listed and accepts work. Called right
+    /// before each attempt, as it may have started to leave or to rest since it
+    /// was chosen.
+    fn active_endpoint(&self, now: Instant, key: EndpointKey) -> Option<Endpoint> {
         let pool = self.pool();
         let state = pool.get(key)?;
-        (!state.endpoint.draining).then(|| state.endpoint.clone())
+        state.accepts_work(now).then(|| state.endpoint.clone())
+    }
+
+    /// Returns the id of an endpoint, or `None` if it is no longer listed.
+    fn endpoint_id(&self, key: EndpointKey) -> Option<CompactString> {
+        let pool = self.pool();
+        Some(pool.get(key)?.endpoint.id.clone())
+    }
+
+    /// Records what an endpoint said about itself in an answer and reports it to
+    /// other hosts.
+    fn record_notice(&self, now: Instant, key: EndpointKey, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let rest = notice.retry_after.and_then(pool::rest_time);
+        let mut pool = self.pool();
+        let is_news = notice.is_leaving && pool.mark_leaving(key);
+        if let Some(rest) = rest {
+            pool.rest(now, key, rest);
+        }
+        let Some(state) = pool.get(key) else { return };
+        let (id, service) = (state.endpoint.id.clone(), state.endpoint.service.clone());
+        drop(pool);
+        if is_news {
+            self.add_leaving(&id);
+            self.metrics.count("endpoint.leaving");
+            slog::info!(self.logger, "endpoint: leaving, as it says";
+                "endpoint" => %id, "service" => %service);
+        }
+        match (notice.retry_after, rest) {
+            (None, _) => {}
+            (Some(seconds), None) => {
+                self.metrics.count("endpoint.bad_rest");
+                slog::warn!(self.logger, "endpoint: rest unreadable, ignored";
+                    "endpoint" => %id, "seconds" => seconds);
+            }
+            (Some(seconds), Some(rest)) => {
+                self.metrics.count("endpoint.resting");
+                slog::info!(self.logger, "endpoint: rests";
+                    "endpoint" => %id, "service" => %service,
+                    "seconds" => seconds, "rest_ms" => rest.as_millis() as u64);
+            }
+        }
+        if is_news || rest.is_some() {
+            self.links.report_notice(&service, id, is_news, rest);
+        }
+    }
+
+    /// Records that an endpoint is shutting down, as another host reported.
+    fn record_leaving(&self, id: &str) {
+        let mut pool = self.pool();
+        let Some(key) = pool.key(id) else { return };
+        if pool.mark_leaving(key) {
+            drop(pool);
+            self.add_leaving(&id.into());
+            slog::info!(self.logger, "endpoint: leaving, as another host says"; "endpoint" => id);
+        }
+    }
+
+    /// Adds to the endpoints that are shutting down, and removes those that are
+    /// no longer listed.
+    fn add_leaving(&self, id: &CompactString) {
+        self.leaving_endpoints.send_modify(|endpoints| {
+            let pool = self.pool();
+            endpoints.retain(|id| pool.key(id).is_some());
+            endpoints.insert(id.clone());
+        });
+    }
+
+    /// Records the era that an answer of the store or another host names.
+    /// Returns `false` if it is an earlier one than the current.
+    fn observe_era(&self, era: Era) -> bool
+    where
+        C: Clock,
+    {
+        let mut before = Era::default();
+        let is_new = self.era.send_if_modified(|current| {
+            before = *current;
+            *current = era.max(before);
+            era > before
+        });
+        if is_new {
+            lock(&self.moves).begin_era(self.clock.now());
+            self.metrics.count("store.era_begun");
+            slog::info!(self.logger, "store: new era"; "era" => era.0, "before" => before.0);
+        }
+        era >= before
     }
 
     /// Records that an endpoint failed to serve a request and reports it to the
--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -28,6 +28,9 @@
     /// Classifies an endpoint's answer to an attempt by its head.
     fn classify(&self, head: &response::Parts, attempt: &str, stage: Stage<'_>) -> Verdict;
 
+    /// Parses what the endpoint says about itself in the head of any answer.
+    fn parse_notice(&self, head: &response::Parts) -> Notice;
+
     /// Parses the endpoint's load from the head of an answer.
     fn parse_load(&self, head: &response::Parts) -> Option<Load>;
 
@@ -114,6 +117,17 @@
     },
 }
 
+/// What an endpoint says about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Whether the endpoint is shutting down.
+    pub is_leaving: bool,
+    /// Seconds for which the endpoint wants no requests from this host, as it
+    /// stated them in a refusal. Not a number if the value is none, `None` if it
+    /// stated nothing.
+    pub retry_after: Option<f64>,
+}
+
 /// State that an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -145,6 +145,10 @@
     let now = shared.clock.now();
     let (head, body) = answer.into_parts();
     let verdict = shared.dialect.classify(&head, &input.attempt_id, stage);
+    // Another endpoint answered a misdirected request.
+    if verdict != Verdict::Misdirected {
+        shared.record_notice(now, key, shared.dialect.parse_notice(&head));
+    }
     match verdict {
         Verdict::Ran => {
             let mut pool = shared.pool();
@@ -191,20 +195,37 @@
     }
 }
 
-/// Sends a notification to an endpoint in the background. Failures are only
+/// Makes a control call to an endpoint. Returns `None` if no answer came within
+/// `limit`.
+pub async fn control<N: Net, C: Clock, D: Dialect>(
+    shared: &Shared<N, C, D>,
+    key: EndpointKey,
+    at: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Option<Response<Bytes>> {
+    let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
+    let answer = tokio::time::timeout(limit, client.fetch(request)).await;
+    let (head, body) = answer.ok()?.ok()?.into_parts();
+    let now = shared.clock.now();
+    shared.record_notice(now, key, shared.dialect.parse_notice(&head));
+    Some(Response::from_parts(head, body))
+}
+
+/// Makes a control call to an endpoint in the background. A failure is only
 /// logged, since the endpoint releases the resource by timeout as well.
 pub fn notify<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
+    key: EndpointKey,
     at: SocketAddr,
     request: Request<Full<Bytes>>,
 ) {
-    let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
-    let (logger, limit) = (shared.logger.clone(), shared.settings.call_timeout);
+    let shared = shared.clone();
+    let limit = shared.settings.call_timeout;
     tokio::spawn(async move {
-        let result = tokio::time::timeout(limit, client.fetch(request)).await;
-        if !matches!(result, Ok(Ok(_))) {
-            slog::debug!(logger, "gateway: cannot notify endpoint, its resource will expire";
-                "address" => %at);
+        if control(&shared, key, at, request, limit).await.is_none() {
+            slog::debug!(shared.logger,
+                "gateway: cannot notify endpoint, its resource will expire"; "address" => %at);
         }
     });
 }
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -9,13 +9,15 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use rand::RngExt;
 
+use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, List};
 use cranberryridge_policy::gateway::route::{Configuration, Table};
 use cranberryridge_policy::subset::{self, Member};
 
 use super::snapshot::{self, Snapshot};
-use super::store::{Error, Host, Page, Record, Store, Topic};
+use super::store::{Answer, Error, Host, Page, Record, Store, Topic};
 use super::{lock, Shared};
 use crate::clock::Clock;
 
@@ -39,6 +41,11 @@
 /// soon find each other.
 const SECOND_ANNOUNCE_DELAY: Duration = Duration::from_secs(2);
 
+/// Range of the random delay of an announcement after the store came back from
+/// an older copy. Hosts must not all announce themselves at once, and a host
+/// that started shortly before is unknown to others until then.
+const RESTORE_ANNOUNCE_DELAY_MS: std::ops::Range<u64> = 0..1500;
+
 /// Time after which a host without announcements counts as gone. Allows three
 /// lost announcements.
 const HOST_EXPIRY: Duration = Duration::from_secs(35);
@@ -69,6 +76,8 @@
     topic: Topic,
     /// Offset of the next record, or `None` if the newest records must be read.
     next: Option<u64>,
+    /// Era of that offset.
+    era: Era,
     /// Number of failed calls since the last successful one.
     failures: u32,
 }
@@ -86,6 +95,7 @@
             store,
             topic,
             next: None,
+            era: Era::default(),
             failures: 0,
         }
     }
@@ -96,6 +106,10 @@
         shared: &Shared<N, C, D>,
         wait: Duration,
     ) -> Result<Batch, Error> {
+        let mut eras = shared.era.subscribe();
+        if *eras.borrow_and_update() != self.era {
+            self.next = None;
+        }
         let is_full = self.next.is_none();
         // After a failure, each call only probes whether the store is back.
         let wait = if is_full || self.failures > 0 {
@@ -110,14 +124,40 @@
                 None => self.store.newest(self.topic).await,
             }
         };
-        let page = tokio::time::timeout(limit, call).await;
-        let page = page.unwrap_or_else(|_| Err(Error::Unavailable("no answer".into())));
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(limit, call) => {
+                answer.unwrap_or_else(|_| Answer::none(Error::Unavailable("no answer".into())))
+            }
+            // The offset belongs to an earlier era.
+            _ = eras.changed(), if !is_full => Answer::none(Error::Trimmed),
+        };
+        let page = self.check_era(shared, answer);
         self.record_result(shared, &page);
         let page = page?;
         self.next = Some(page.next);
         Ok(Batch { page, is_full })
     }
 
+    /// Returns the page of an answer if its era is the current one and that of
+    /// the offset from which it was read.
+    fn check_era<N, C: Clock, D>(
+        &mut self,
+        shared: &Shared<N, C, D>,
+        answer: Answer<Page>,
+    ) -> Result<Page, Error> {
+        let Some(era) = answer.era else {
+            return answer.result;
+        };
+        if !shared.observe_era(era) {
+            return Err(Error::Outdated);
+        }
+        if self.next.is_some() && self.era != era {
+            return Err(Error::Trimmed);
+        }
+        self.era = era;
+        answer.result
+    }
+
     /// Doubles a time with each failure, up to `longest`. A slow store needs
     /// longer timeouts, and an unavailable one should not be called too often.
     fn backoff(&self, time: Duration, longest: Duration) -> Duration {
@@ -154,7 +194,7 @@
                 slog::info!(shared.logger, "store: records deleted, reading the newest";
                     "topic" => topic);
             }
-            Err(error @ Error::Unavailable(_)) => {
+            Err(error @ (Error::Unavailable(_) | Error::Outdated)) => {
                 shared.metrics.count("store.failed");
                 if self.failures == 0 {
                     slog::warn!(shared.logger, "store: lost"; "topic" => topic, "error" => %error);
@@ -235,8 +275,10 @@
     let interval = shared.settings.list_interval;
     let mut own_read = None;
     let mut adopted = None;
+    let mut era = *shared.era.borrow();
     loop {
         let now = shared.clock.now();
+        begin_era(shared, &mut list, now, &mut era);
         let (endpoints, valid_until) = {
             let snapshot = news.borrow_and_update();
             (
@@ -246,7 +288,7 @@
         };
         if let Some(until) = valid_until.filter(|until| *until > now) {
             list.record_read(now);
-            let is_due = list.removals_due().is_some_and(|due| due <= now);
+            let is_due = list.change_due().is_some_and(|due| due <= now);
             // Most messages bring no change.
             if is_due || !is_same(&endpoints, &adopted) {
                 if let Some(endpoints) = &endpoints {
@@ -257,7 +299,7 @@
             }
             // The next own reading must be complete, as this offset is too old.
             reader.next = None;
-            let until = list.removals_due().map_or(until, |due| due.min(until));
+            let until = list.change_due().map_or(until, |due| due.min(until));
             // On a timeout, the snapshot is checked again.
             let pause = until.saturating_duration_since(now);
             let _ = tokio::time::timeout(pause, news.changed()).await;
@@ -267,6 +309,7 @@
         let started = now;
         let batch = reader.read(shared, Duration::ZERO).await;
         let now = shared.clock.now();
+        begin_era(shared, &mut list, now, &mut era);
         match batch {
             Ok(batch) => {
                 list.record_read(now);
@@ -275,7 +318,7 @@
                 shared.seen.send_modify(|seen| seen.listed_at = own_read);
             }
             Err(Error::Trimmed) => continue,
-            Err(Error::Unavailable(_)) => {}
+            Err(Error::Unavailable(_) | Error::Outdated) => {}
         }
         if own_read.is_some() {
             publish(shared, &mut list, now, &mut published);
@@ -284,7 +327,7 @@
             reader.wait_to_retry(shared).await;
         } else {
             let due = list
-                .removals_due()
+                .change_due()
                 .map(|due| due.saturating_duration_since(now));
             let pause = due.map_or(interval, |due| due.min(interval));
             let is_valid = |snapshot: &Snapshot| {
@@ -297,6 +340,21 @@
     }
 }
 
+/// Prepares the list for a new era of the store. `era` is the last one that the
+/// list was prepared for.
+fn begin_era<N, C: Clock, D>(
+    shared: &Shared<N, C, D>,
+    list: &mut List,
+    now: Instant,
+    era: &mut Era,
+) {
+    let current = *shared.era.borrow();
+    if current > *era {
+        *era = current;
+        list.begin_era(now);
+    }
+}
+
 /// Publishes the list as read, and the endpoints that are in force.
 fn publish<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
@@ -304,11 +362,11 @@
     now: Instant,
     published: &mut Vec<Endpoint>,
 ) {
+    let current = list.current(now);
     let listed = list.listed();
     if has_changed(&shared.listed_endpoints.borrow(), &listed) {
         shared.listed_endpoints.send_replace(listed);
     }
-    let current = list.current(now);
     if shared.current_endpoints.borrow().is_none() || has_changed(published, &current) {
         log_changes(shared, published, &current);
         published.clone_from(&current);
@@ -385,19 +443,27 @@
 async fn follow_hosts<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
     let mut reader = Reader::new(store, Topic::Hosts);
     let mut pause = SECOND_ANNOUNCE_DELAY;
+    let mut eras = shared.era.subscribe();
     loop {
         let host = shared.host();
         let announced = store.announce(&host);
         let announced = tokio::time::timeout(shared.settings.call_timeout, announced).await;
-        if !matches!(announced, Ok(Ok(()))) {
+        let announced = announced.ok();
+        if let Some(era) = announced.as_ref().and_then(|answer| answer.era) {
+            shared.observe_era(era);
+        }
+        if announced.is_none_or(|answer| answer.result.is_err()) {
             slog::debug!(shared.logger, "store: announcement failed");
         }
+        let era_before = reader.era;
         let batch = reader.read(shared, Duration::ZERO).await;
         let now = shared.clock.now();
         if let Ok(batch) = batch {
+            let is_restored = batch.is_full && reader.era != era_before;
             let mut hosts = lock(&shared.hosts);
             for record in batch.page.records {
                 match record {
+                    Record::Host(host) if is_restored => hosts.record_restored(now, host),
                     Record::Host(host) => hosts.record(now, host),
                     Record::Unreadable { key, reason } => log_unreadable(shared, &key, &reason),
                     _ => {}
@@ -407,7 +473,15 @@
             shared.pool().set_host_count(hosts.count());
         }
         // On a timeout, the host announces itself again.
-        let _ = tokio::time::timeout(pause, shared.announce_requested.notified()).await;
+        let wait = tokio::time::timeout(pause, shared.announce_requested.notified());
+        tokio::select! {
+            _ = wait => {}
+            _ = eras.changed() => {
+                // The copy may lack the last announcement.
+                let delay = rand::rng().random_range(RESTORE_ANNOUNCE_DELAY_MS);
+                tokio::time::sleep(Duration::from_millis(delay)).await;
+            }
+        }
         pause = ANNOUNCE_INTERVAL;
     }
 }
@@ -424,6 +498,12 @@
         self.by_name.insert(host.name.clone(), (now, host));
     }
 
+    /// Records an announcement from an older copy of the store. It does not
+    /// replace a known one, which may be newer.
+    fn record_restored(&mut self, now: Instant, host: Host) {
+        self.by_name.entry(host.name.clone()).or_insert((now, host));
+    }
+
     /// Removes hosts without an announcement for [`HOST_EXPIRY`].
     fn remove_expired(&mut self, now: Instant) {
         let is_gone = |at: Instant| now.saturating_duration_since(at) >= HOST_EXPIRY;
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -199,10 +199,10 @@
     expected: Duration,
 ) -> Result<Option<Cache<N, C, D>>, Refusal> {
     let shared = Arc::clone(&call.shared);
-    let Some(endpoint) = shared.active_endpoint(key) else {
+    let started_at = shared.clock.now();
+    let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         return Ok(None);
     };
-    let started_at = shared.clock.now();
     if progress.prefill_sent && !shared.spend_retry(started_at, &call.service) {
         return Err(Refusal::new(Code::RetryBudget));
     }
@@ -252,7 +252,7 @@
     let shared = Arc::clone(&call.shared);
     let started_at = shared.clock.now();
     let key = reservation.key;
-    let Some(endpoint) = shared.active_endpoint(key) else {
+    let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         call.record
             .add_call("room", &reservation.endpoint.id, "leaving");
         return Ok(None);
--- a/crates/lib/src/gateway/generate/cache.rs
+++ b/crates/lib/src/gateway/generate/cache.rs
@@ -54,11 +54,11 @@
         if self.is_taken {
             return;
         }
-        let shared = &self.in_flight.shared;
+        let (shared, key) = (&self.in_flight.shared, self.in_flight.work.endpoint);
         shared.metrics.count("kv_cache.released");
         let request = shared
             .dialect
             .release_cache_request(self.source, &self.handle);
-        exchange::notify(shared, self.source, request);
+        exchange::notify(shared, key, self.source, request);
     }
 }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -65,7 +65,7 @@
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
         shared.record_failure(shared.clock.now(), key, Failure::Broken);
-        let id = shared.active_endpoint(key).map(|endpoint| endpoint.id);
+        let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
         splitter.discard();
--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -13,7 +13,6 @@
 use cranberryridge_wire::code::Code;
 
 use super::{first_event_deadline, Progress};
-use crate::client::Client;
 use crate::clock::Clock;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::exchange::{self, InFlight};
@@ -122,7 +121,7 @@
         };
         let (shared, at) = (&self.in_flight.shared, self.endpoint.address);
         let request = shared.dialect.release_reservation_request(at, &id);
-        exchange::notify(shared, at, request);
+        exchange::notify(shared, self.key, at, request);
     }
 }
 
@@ -142,6 +141,7 @@
     let deadline = first_event_deadline(call);
     let mut is_retry = !progress.excluded.is_empty();
     loop {
+        refuse_if_all_rest(call)?;
         let assigned = schedule::request_endpoints(call, need, &progress.excluded, is_retry).await;
         let (lease, grant) = match assigned {
             Assignment::Granted(lease, grant) => (lease, grant),
@@ -185,6 +185,14 @@
     Some((key, prefiller))
 }
 
+/// Refuses the request if all endpoints have asked this host for a rest.
+fn refuse_if_all_rest<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Result<(), Refusal> {
+    match call.rest_remaining() {
+        Some(rest) => Err(Refusal::at_earliest(Code::Full, rest)),
+        None => Ok(()),
+    }
+}
+
 /// Reserves capacity at an endpoint that this host chooses.
 async fn acquire_locally<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
@@ -200,6 +208,7 @@
         if shared.pool().endpoints(&call.service).is_empty() {
             return Err(Refusal::new(Code::NoEndpoint));
         }
+        refuse_if_all_rest(call)?;
         while position.is_next() {
             let Some(key) = choose_decoder(call, engine, need, progress) else {
                 break;
@@ -245,7 +254,7 @@
     key: EndpointKey,
 ) -> Option<Reservation<N, C, D>> {
     let shared = Arc::clone(&call.shared);
-    let endpoint = shared.active_endpoint(key)?;
+    let endpoint = shared.active_endpoint(shared.clock.now(), key)?;
     let kv_tokens = need.kv_tokens();
     let work = Work {
         endpoint: key,
@@ -269,23 +278,22 @@
     let request = shared
         .dialect
         .reserve_request(at, kv_tokens, engine.max_reservation);
-    let client = Client::new(shared.net.clone(), at);
-    let answer = tokio::time::timeout(RESERVE_TIMEOUT, client.fetch(request)).await;
+    let answer = exchange::control(&shared, key, at, request, RESERVE_TIMEOUT).await;
     let now = shared.clock.now();
     match answer {
-        Ok(Ok(answer)) if answer.status().is_success() => {
+        Some(answer) if answer.status().is_success() => {
             reservation.id = shared.dialect.parse_reservation(answer.body());
             shared.pool().record_outcome(now, key, true);
             Some(reservation)
         }
-        Ok(Ok(_)) => {
+        Some(_) => {
             call.record
                 .add_call("reserve", &reservation.endpoint.id, "full");
             shared.metrics.count("endpoint.no_room");
             shared.record_failure(now, key, Failure::Full);
             None
         }
-        Ok(Err(_)) | Err(_) => {
+        None => {
             call.record
                 .add_call("reserve", &reservation.endpoint.id, "no answer");
             shared.metrics.count("endpoint.unreachable");
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -80,9 +80,7 @@
     let mut sent_count = 0;
     loop {
         let Some(key) = choose(call, progress) else {
-            let empty = call.shared.pool().endpoints(&call.service).is_empty();
-            let code = if empty { Code::NoEndpoint } else { Code::Full };
-            return failure.ok_or(Refusal::new(code));
+            return failure.ok_or_else(|| refuse(call));
         };
         if sent_count > 0
             && !call
@@ -110,6 +108,21 @@
     }
 }
 
+/// Refuses a request for which there is no endpoint.
+fn refuse<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Refusal {
+    let shared = &call.shared;
+    let rest = call.rest_remaining();
+    if let Some(rest) = rest {
+        return Refusal::at_earliest(Code::Full, rest);
+    }
+    let is_empty = shared.pool().endpoints(&call.service).is_empty();
+    Refusal::new(if is_empty {
+        Code::NoEndpoint
+    } else {
+        Code::Full
+    })
+}
+
 /// Chooses the endpoint to try next.
 fn choose<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
@@ -128,7 +141,7 @@
     key: EndpointKey,
 ) -> Attempt {
     let shared = Arc::clone(&call.shared);
-    let Some(endpoint) = shared.active_endpoint(key) else {
+    let Some(endpoint) = shared.active_endpoint(shared.clock.now(), key) else {
         return Attempt::NotSent;
     };
     let in_flight = InFlight::new(
--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -14,8 +14,7 @@
 
 use super::dialect::{Dialect, Order};
 use super::store::{Claim, Store};
-use super::{lock, Shared};
-use crate::client::Client;
+use super::{exchange, lock, Shared};
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -82,6 +81,8 @@
     /// No answer came; the engine may carry the order out.
     NoAnswer,
     Refused,
+    /// Not sent, as the engine is gone, shutting down or resting.
+    Unavailable,
     /// Not sent, as the engine sent no readable report.
     NoReport,
     /// Not sent, as the engine is busy with another order or already in the
@@ -100,15 +101,24 @@
 ) -> Option<(u64, Duration)> {
     let limit = shared.settings.call_timeout;
     let claimed_at = shared.clock.uptime();
-    let claims = tokio::time::timeout(limit, store.claims()).await;
-    let Ok(Ok(claims)) = claims else {
+    let answer = tokio::time::timeout(limit, store.claims()).await.ok()?;
+    let era = answer.era?;
+    let known_era = *shared.era.borrow();
+    let Ok(claims) = answer.result else {
         slog::debug!(shared.logger, "engines: reading the claims failed");
         return None;
     };
+    // In a new era, the store may lack claims of other hosts, so that moves are
+    // paused.
+    if !shared.observe_era(era) || era != known_era {
+        return None;
+    }
     let now = shared.clock.now();
     let entries = claims.entries.iter();
-    let new_claims = entries
-        .filter(|entry| lock(&shared.moves).record_claim(now, entry.offset, &entry.claim.order));
+    let new_claims = entries.filter(|entry| {
+        let claim = &entry.claim;
+        lock(&shared.moves).record_claim(now, entry.offset, &claim.holder, &claim.order)
+    });
     // The decision was made without these claims and may be wrong.
     if new_claims.count() > 0 {
         return None;
@@ -117,10 +127,17 @@
         holder: shared.settings.name.clone(),
         order: order.clone(),
     };
-    match tokio::time::timeout(limit, store.claim(&claim, claims.next)).await {
+    let answer = tokio::time::timeout(limit, store.claim(&claim, claims.next)).await;
+    let recorded_era = answer.as_ref().ok().and_then(|answer| answer.era);
+    if let Some(era) = recorded_era {
+        shared.observe_era(era);
+    }
+    match answer.map(|answer| answer.result) {
+        // The claims before this one were read in another era.
+        Ok(Ok(Some(_))) if recorded_era != Some(era) => None,
         Ok(Ok(Some(offset))) => {
-            lock(&shared.moves).record_claim(now, offset, order);
-            Some((offset + 1, claimed_at))
+            lock(&shared.moves).record_claim(now, offset, &claim.holder, order);
+            Some((era.fencing_token(offset), claimed_at))
         }
         Ok(Ok(None)) => None,
         Ok(Err(_)) | Err(_) => {
@@ -139,15 +156,20 @@
     fencing_token: u64,
     claimed_at: Duration,
 ) -> Outcome {
-    let client = Client::new(shared.net.clone(), endpoint.address);
-    let limit = shared.settings.call_timeout;
-    let request = shared.dialect.report_request(endpoint.address);
-    let report = tokio::time::timeout(limit, client.fetch(request)).await;
-    let report = report.ok().and_then(Result::ok);
+    let (at, limit) = (endpoint.address, shared.settings.call_timeout);
+    let key = shared.pool().key(&endpoint.id);
+    let Some(key) = key else {
+        return Outcome::Unavailable;
+    };
+    let request = shared.dialect.report_request(at);
+    let report = exchange::control(shared, key, at, request, limit).await;
     let report = report.and_then(|answer| shared.dialect.parse_report(answer.body()));
     let Some(report) = report else {
         return Outcome::NoReport;
     };
+    if shared.active_endpoint(shared.clock.now(), key).is_none() {
+        return Outcome::Unavailable;
+    }
     if report.busy || report.phase == Some(order.phase) {
         return Outcome::Needless;
     }
@@ -162,10 +184,10 @@
         fencing_token,
         accepted_orders: report.accepted_orders,
     };
-    let request = shared.dialect.order_request(endpoint.address, &order);
-    match tokio::time::timeout(limit, client.fetch(request)).await {
-        Ok(Ok(answer)) if answer.status().is_success() => Outcome::Accepted,
-        Ok(Ok(_)) => Outcome::Refused,
-        Ok(Err(_)) | Err(_) => Outcome::NoAnswer,
+    let request = shared.dialect.order_request(at, &order);
+    match exchange::control(shared, key, at, request, limit).await {
+        Some(answer) if answer.status().is_success() => Outcome::Accepted,
+        Some(_) => Outcome::Refused,
+        None => Outcome::NoAnswer,
     }
 }
--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -49,6 +49,14 @@
         Self { code, retry_after }
     }
 
+    /// Creates a refusal with a time before which a retry would be refused
+    /// again. Jitter only extends it.
+    pub fn at_earliest(code: Code, retry_after: Duration) -> Self {
+        let factor = rand::rng().random_range(1.0..JITTER.end);
+        let retry_after = retry_after.mul_f64(factor);
+        Self { code, retry_after }
+    }
+
     /// Creates the response, with the dialect's retry header if the status is
     /// 429 or 503.
     pub fn response<D: Dialect>(&self, dialect: &D) -> Response<Body> {
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -13,7 +13,7 @@
 use cranberryridge_policy::gateway::pool::Failure;
 use cranberryridge_policy::gateway::schedule::{Answer, Id, Request, Scheduler};
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
-use cranberryridge_wire::Map;
+use cranberryridge_wire::{Map, Set};
 
 use super::dialect::Dialect;
 use super::serve::ACCEPT_BACKOFF;
@@ -143,6 +143,9 @@
     let mut endpoints = Vec::new();
     let mut demand_timer = tokio::time::interval(DEMAND_INTERVAL);
     let mut moving = shared.moving_engines.subscribe();
+    let mut leaving = shared.leaving_endpoints.subscribe();
+    // Leaving endpoints that the linked hosts were told of.
+    let mut told = Set::default();
     loop {
         let waiting = schedule.has_queued();
         let mut arrived = None;
@@ -157,7 +160,7 @@
             }
             _ = read.changed() => {
                 let after = read.borrow_and_update().clone();
-                let changes = snapshot::diff(&endpoints, &after);
+                let changes = snapshot::diff(*shared.era.borrow(), &endpoints, &after);
                 endpoints = after;
                 for part in changes {
                     broadcast(&mut links, &Down::Listing(part));
@@ -172,6 +175,17 @@
                     schedule.mark_moving(*until, endpoint, *phase);
                 }
             }
+            _ = leaving.changed() => {
+                let after = leaving.borrow_and_update().clone();
+                for endpoint in after.difference(&told) {
+                    schedule.record_notice(shared.clock.now(), endpoint, true, Duration::ZERO);
+                    let numbers = links.keys().copied().collect::<Vec<_>>();
+                    for number in numbers {
+                        send(&mut links, number, Down::Leaving(endpoint.clone()));
+                    }
+                }
+                told = after;
+            }
             event = inbox.recv() => {
                 let Some(event) = event else { return };
                 arrived = handle_event(shared, &mut schedule, &mut links, event);
@@ -227,9 +241,12 @@
             let endpoints = shared.listed_endpoints.borrow().clone();
             if let Some(peer) = links.get_mut(&link) {
                 peer.subscription = Some(shared.followers.enter());
-                for part in snapshot::full(&endpoints) {
+                for part in snapshot::full(*shared.era.borrow(), &endpoints) {
                     send(links, link, Down::Listing(part));
                 }
+                for endpoint in &*shared.leaving_endpoints.borrow() {
+                    send(links, link, Down::Leaving(endpoint.clone()));
+                }
                 send(links, link, heartbeat(shared));
             }
         }
@@ -266,6 +283,12 @@
         Up::Trouble(trouble) => {
             schedule.record_failure(now, &trouble.endpoint, to_failure(trouble.kind))
         }
+        Up::Notice(notice) => {
+            schedule.record_notice(now, &notice.endpoint, notice.leaving, notice.rest.into());
+            if notice.leaving {
+                shared.record_leaving(&notice.endpoint);
+            }
+        }
     }
     None
 }
@@ -335,6 +358,7 @@
         list: seen.listed_at.map(age),
         configuration: seen.configured_at.map(age),
         version: shared.table.load().version(),
+        era: shared.era.borrow().0,
     })
 }
 
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -139,7 +139,9 @@
                 return Assignment::Granted(lease, grant);
             }
             Ok(Some(Down::Refusal(refusal))) => return Assignment::Refused(refusal.wait.into()),
-            Ok(Some(Down::Unknown(_) | Down::Beat(_) | Down::Listing(_)) | None) => {
+            Ok(
+                Some(Down::Unknown(_) | Down::Beat(_) | Down::Listing(_) | Down::Leaving(_)) | None,
+            ) => {
                 return Assignment::NoScheduler;
             }
             Err(_) => {
@@ -163,6 +165,8 @@
     let target = call.record.arrival + call.route.latency_target;
     let pool = call.shared.pool();
     let excluded = excluded.iter().filter_map(|key| pool.get(*key));
+    let excluded = excluded.map(|state| state.endpoint.id.clone());
+    let declining = pool.declining(now, &call.service);
     wire::Ask {
         number,
         service: call.service.clone(),
@@ -176,6 +180,6 @@
             .into(),
         again: is_retry,
         returns: call.remaining_time() < call.route.timeout.mul_f64(RETRY_TIME_SHARE),
-        avoid: excluded.map(|state| state.endpoint.id.clone()).collect(),
+        avoid: excluded.chain(declining).collect(),
     }
 }
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use tokio::sync::{mpsc, Notify};
 
+use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::pool::Failure;
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::{Map, Set};
@@ -200,6 +201,28 @@
         self.send(service, &Up::Trouble(trouble));
     }
 
+    /// Reports what an endpoint said about itself to the scheduler of its
+    /// service. If it is shutting down, also to the host that reads the platform,
+    /// which tells the hosts that follow it.
+    pub fn report_notice(
+        &self,
+        service: &str,
+        endpoint: CompactString,
+        leaving: bool,
+        rest: Option<Duration>,
+    ) {
+        let notice = wire::Notice {
+            endpoint,
+            leaving,
+            rest: rest.unwrap_or_default().into(),
+        };
+        let notice = Up::Notice(notice);
+        self.send(service, &notice);
+        if leaving {
+            self.send(SNAPSHOT_SERVICE, &notice);
+        }
+    }
+
     /// Reports this host's leases to a service's new scheduler.
     fn restore_leases(&self, link: &Link, service: &str) {
         let leases = lock(&self.leases);
@@ -308,16 +331,23 @@
         let number = match message {
             Down::Beat(_) | Down::Listing(_) if !is_subscribed => return,
             Down::Beat(beat) => {
+                shared.observe_era(Era(beat.era));
                 let now = shared.clock.now();
                 return shared
                     .news
                     .send_modify(|snapshot| snapshot.apply_heartbeat(now, &beat));
             }
             Down::Listing(part) => {
+                shared.observe_era(Era(part.era));
                 return shared
                     .news
                     .send_modify(|snapshot| snapshot.apply_listing(part));
             }
+            Down::Leaving(endpoint) => {
+                drop(state);
+                shared.record_leaving(&endpoint);
+                return;
+            }
             Down::Queued(number) | Down::Unknown(number) => number,
             Down::Grant(ref grant) => grant.number,
             Down::Refusal(ref refusal) => refusal.number,
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Returns the time until an endpoint accepts requests again, if all of the
+    /// service have asked this host for a rest.
+    pub fn rest_remaining(&self) -> Option<Duration> {
+        let now = self.shared.clock.now();
+        self.shared.pool().rest_remaining(now, &self.service)
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline
--- a/crates/lib/src/gateway/snapshot.rs
+++ b/crates/lib/src/gateway/snapshot.rs
@@ -10,6 +10,7 @@
 
 use compact_str::CompactString;
 
+use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_wire::schedule::{self as wire, Stage};
 use cranberryridge_wire::Map;
@@ -113,8 +114,9 @@
     is_newer.then(|| read + interval.mul_f64(MAX_AGE_INTERVALS))
 }
 
-/// Returns the changes from one list to the next, in messages.
-pub fn diff(before: &[Endpoint], after: &[Endpoint]) -> Vec<wire::Listing> {
+/// Returns the changes from one list to the next, in messages. `era` is the
+/// newest known era of the store.
+pub fn diff(era: Era, before: &[Endpoint], after: &[Endpoint]) -> Vec<wire::Listing> {
     let before_by_id = by_id(before);
     let after_by_id = by_id(after);
     let put = after
@@ -123,12 +125,18 @@
     let gone = |endpoint: &&Endpoint| !after_by_id.contains_key(endpoint.id.as_str());
     let removed = before.iter().filter(gone);
     let removed = removed.map(|endpoint| endpoint.id.clone()).collect();
-    split(false, put.map(encode).collect(), removed)
+    split(era, false, put.map(encode).collect(), removed)
 }
 
-/// Returns a complete list, in messages.
-pub fn full(endpoints: &[Endpoint]) -> Vec<wire::Listing> {
-    split(true, endpoints.iter().map(encode).collect(), Vec::new())
+/// Returns a complete list, in messages. `era` is the newest known era of the
+/// store.
+pub fn full(era: Era, endpoints: &[Endpoint]) -> Vec<wire::Listing> {
+    split(
+        era,
+        true,
+        endpoints.iter().map(encode).collect(),
+        Vec::new(),
+    )
 }
 
 pub(super) fn by_id(endpoints: &[Endpoint]) -> Map<&str, &Endpoint> {
@@ -140,6 +148,7 @@
 
 /// Splits changes or a complete list into messages.
 fn split(
+    era: Era,
     is_full: bool,
     put: Vec<wire::Endpoint>,
     removed: Vec<CompactString>,
@@ -151,6 +160,7 @@
         .max(1);
     let (mut put, mut removed) = (put.into_iter(), removed.into_iter());
     let parts = (0..count).map(|part| wire::Listing {
+        era: era.0,
         first: is_full && part == 0,
         last: part + 1 == count,
         put: put.by_ref().take(MAX_PART_ENDPOINTS).collect(),
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -8,59 +8,68 @@
 use serde::{Deserialize, Serialize};
 
 use cranberryridge_policy::gateway::balance::Move;
+use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::route::Configuration;
 
 /// Reads and writes the store. An adapter implements it.
 pub trait Store: Clone + Send + Sync + 'static {
-    /// Returns the newest record of each key.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Unavailable`] if the store does not answer.
-    fn newest(&self, topic: Topic) -> impl Future<Output = Result<Page, Error>> + Send;
+    /// Returns the newest record of each key. The result is
+    /// [`Error::Unavailable`] if the store does not answer, and
+    /// [`Error::Trimmed`] if it came back from an older copy between two pages.
+    fn newest(&self, topic: Topic) -> impl Future<Output = Answer<Page>> + Send;
 
     /// Returns the records from an offset on. Waits up to `wait` for the first
-    /// one.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Trimmed`] if the store no longer has the offset,
-    /// [`Error::Unavailable`] if it does not answer.
+    /// one. The result is [`Error::Trimmed`] if the store does not have the
+    /// offset, [`Error::Unavailable`] if it does not answer.
     fn since(
         &self,
         topic: Topic,
         from: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Page, Error>> + Send;
+    ) -> impl Future<Output = Answer<Page>> + Send;
 
-    /// Announces this host to the other entry hosts.
-    ///
-    /// # Errors
-    ///
+    /// Announces this host to the other entry hosts. The result is
     /// [`Error::Unavailable`] if the store does not answer.
-    fn announce(&self, host: &Host) -> impl Future<Output = Result<(), Error>> + Send;
+    fn announce(&self, host: &Host) -> impl Future<Output = Answer<()>> + Send;
 
-    /// Returns the newest claim on each engine.
-    ///
-    /// # Errors
-    ///
+    /// Returns the newest claim on each engine. The result is
     /// [`Error::Unavailable`] if the store does not answer.
-    fn claims(&self) -> impl Future<Output = Result<Claims, Error>> + Send;
+    fn claims(&self) -> impl Future<Output = Answer<Claims>> + Send;
 
     /// Claims an engine, provided that no claim was recorded at offset `next`
     /// or later. Returns the offset of the claim, or `None` if another claim
-    /// came first.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Unavailable`] if no answer came. The claim may have been
-    /// recorded.
-    fn claim(
-        &self,
-        claim: &Claim,
-        next: u64,
-    ) -> impl Future<Output = Result<Option<u64>, Error>> + Send;
+    /// came first. The result is [`Error::Unavailable`] if no answer came; the
+    /// claim may have been recorded.
+    fn claim(&self, claim: &Claim, next: u64) -> impl Future<Output = Answer<Option<u64>>> + Send;
+}
+
+/// Outcome of a call to the store.
+#[derive(Clone, Debug)]
+pub struct Answer<T> {
+    /// Era that the answer names, also if it is a refusal. `None` if no answer
+    /// came.
+    pub era: Option<Era>,
+    /// The decoded answer.
+    pub result: Result<T, Error>,
+}
+
+impl<T> Answer<T> {
+    /// Creates the outcome of a call without an answer.
+    pub fn none(error: Error) -> Self {
+        Self {
+            era: None,
+            result: Err(error),
+        }
+    }
+
+    /// Converts the decoded answer.
+    pub fn and_then<U>(self, convert: impl FnOnce(T) -> Result<U, Error>) -> Answer<U> {
+        Answer {
+            era: self.era,
+            result: self.result.and_then(convert),
+        }
+    }
 }
 
 /// An entry host's announcement.
@@ -153,7 +162,11 @@
     /// The store did not answer or refused the call.
     #[error("store not available: {0}")]
     Unavailable(String),
-    /// The records at the offset were deleted.
+    /// The store does not have the records at the offset: they were deleted, or
+    /// belong to an earlier era.
     #[error("the requested records were deleted")]
     Trimmed,
+    /// The answer is from an earlier era than the current one.
+    #[error("the answer is from an earlier era of the store")]
+    Outdated,
 }
--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -28,6 +28,9 @@
     pub cooldown: Duration,
     /// Time after which an ordered move counts as finished or lost.
     pub move_timeout: Duration,
+    /// Time without moves after the store came back from an older copy, which
+    /// may lack claims. Covers the lease of an order that follows such a claim.
+    pub restore_pause: Duration,
     /// Least relative reduction of the busier stage's utilization that
     /// justifies a move.
     pub min_gain: f64,
@@ -44,6 +47,7 @@
             averaging_time: Duration::from_secs(6),
             cooldown: Duration::from_secs(20),
             move_timeout: Duration::from_secs(12),
+            restore_pause: Duration::from_secs(6),
             min_gain: 0.08,
             min_load: 0.05,
             token_time: Duration::from_micros(4500),
@@ -129,8 +133,19 @@
     settings: Settings,
     /// Last move by engine id.
     last_moves: Map<CompactString, LastMove>,
-    /// Offset of the newest known claim, by engine id.
-    claims: Map<CompactString, u64>,
+    /// Newest known claim, by engine id.
+    claims: Map<CompactString, Claim>,
+    /// Time before which no engine moves, or `None` if moves were never paused.
+    paused_until: Option<Instant>,
+}
+
+/// A recorded claim of an engine. The offset alone does not identify it, as the
+/// store assigns offsets again after it came back from an older copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Claim {
+    offset: u64,
+    holder: CompactString,
+    phase: Phase,
 }
 
 impl Moves {
@@ -140,6 +155,7 @@
             settings,
             last_moves: Map::default(),
             claims: Map::default(),
+            paused_until: None,
         }
     }
 
@@ -167,11 +183,25 @@
         );
     }
 
-    /// Records the claim at a log offset and returns whether it is new. The age
-    /// of a claim is unknown, so its move counts as pending from `now`.
-    pub fn record_claim(&mut self, now: Instant, offset: u64, order: &Move) -> bool {
-        let before = self.claims.insert(order.endpoint.clone(), offset);
-        let is_new = before != Some(offset);
+    /// Pauses moves, as the store came back from an older copy, which may lack
+    /// the claims of other hosts.
+    pub fn begin_era(&mut self, now: Instant) {
+        self.paused_until = Some(now + self.settings.restore_pause);
+    }
+
+    /// Records a holder's claim at a log offset and returns whether it is new.
+    /// The age of a claim is unknown, so its move counts as pending from `now`.
+    pub fn record_claim(&mut self, now: Instant, offset: u64, holder: &str, order: &Move) -> bool {
+        let claim = Claim {
+            offset,
+            holder: holder.into(),
+            phase: order.phase,
+        };
+        let before = self.claims.get(&order.endpoint);
+        let is_new = before != Some(&claim);
+        if is_new {
+            self.claims.insert(order.endpoint.clone(), claim);
+        }
         if is_new && !self.last_moves.contains_key(&order.endpoint) {
             self.record_order(now, order.clone());
         }
@@ -199,10 +229,13 @@
         demand: Demand,
     ) -> Option<Move> {
         self.expire(now);
+        if self.paused_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let states = pool.endpoints(service).iter();
         let states = states.filter_map(|key| Some((*key, pool.get(*key)?)));
         let engines = states
-            .filter(|(_, state)| !state.endpoint.draining)
+            .filter(|(_, state)| state.accepts_work(now))
             .filter_map(|(key, state)| Some((key, state, self.target_phase(now, state)?)))
             .collect::<Vec<_>>();
         let engine_count = engines.len();
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -4,6 +4,10 @@
 //! itself was unreachable. Therefore removals around an outage long enough for
 //! endpoints to expire are held until the endpoints had time to be listed
 //! again.
+//!
+//! The platform's store may come back from an older copy. An endpoint that was
+//! known to leave or to be gone is then not used only because the copy still
+//! lists it, and one that the copy lacks has time to be listed again.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -56,6 +60,11 @@
     entry_ttl: Duration,
     /// Time until which removals are held, or `None` if they are not held.
     removals_held_until: Option<Instant>,
+    /// Time until which the list may contain entries of an older copy whose
+    /// endpoints are gone, or `None` if it does not.
+    stale_until: Option<Instant>,
+    /// Endpoints that were removed recently, by id.
+    departed: Map<CompactString, Departure>,
     last_read: Option<Instant>,
 }
 
@@ -64,8 +73,31 @@
     endpoint: Endpoint,
     /// Time of the removal from the list, or `None` while listed.
     removed_at: Option<Instant>,
+    /// Time until which the entry may be a stale one of an endpoint that is
+    /// gone, or `None` if it is valid.
+    withheld_until: Option<Instant>,
+}
+
+/// An endpoint that was removed.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_ms: u64,
+    /// Whether it was draining.
+    draining: bool,
+    removed_at: Instant,
 }
 
+/// Time after which a copy of the store no longer lists a removed endpoint.
+/// Copies are some seconds old.
+const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+
+/// Number of departures that are kept. Older ones are forgotten first.
+const MAX_DEPARTURES: usize = 4096;
+
+/// Time after a return from an older copy in which a stale entry expires, as a
+/// multiple of the shortest outage in which one expires.
+const STALE_TTL_MULTIPLE: u32 = 2;
+
 impl List {
     /// Creates an empty list, whose endpoints expire in outages of `entry_ttl`
     /// or longer.
@@ -74,6 +106,8 @@
             records: Map::default(),
             entry_ttl,
             removals_held_until: None,
+            stale_until: None,
+            departed: Map::default(),
             last_read: None,
         }
     }
@@ -94,13 +128,17 @@
             .is_some_and(|last_read| elapsed(last_read) >= self.entry_ttl)
     }
 
-    /// Adds or replaces an endpoint.
+    /// Prepares for entries from an older copy of the store. Holds removals, as
+    /// the copy may lack new endpoints, and withholds entries of endpoints that
+    /// are gone until their next record or until a stale entry has expired.
+    pub fn begin_era(&mut self, now: Instant) {
+        self.removals_held_until = Some(now + RELIST_GRACE_PERIOD);
+        self.stale_until = Some(now + self.entry_ttl * STALE_TTL_MULTIPLE);
+    }
+
+    /// Adds or replaces an endpoint that has written its entry.
     pub fn put(&mut self, endpoint: Endpoint) {
-        let record = Record {
-            endpoint,
-            removed_at: None,
-        };
-        self.records.insert(record.endpoint.id.clone(), record);
+        self.insert(endpoint, None);
     }
 
     /// Marks an endpoint as removed.
@@ -114,40 +152,132 @@
     /// Replaces all endpoints. Those missing from the new list are marked as
     /// removed.
     pub fn replace(&mut self, now: Instant, endpoints: Vec<Endpoint>) {
+        let stale_until = self.stale_until.filter(|until| *until > now);
+        let endpoints = endpoints.into_iter();
+        let endpoints = endpoints
+            .filter(|endpoint| stale_until.is_none() || !self.has_restarted_since(endpoint));
+        let endpoints = endpoints.map(|endpoint| {
+            let withheld_until = stale_until.filter(|_| self.is_gone(&endpoint));
+            (endpoint, withheld_until)
+        });
+        let endpoints = endpoints.collect::<Vec<_>>();
         for record in self.records.values_mut() {
             record.removed_at.get_or_insert(now);
         }
-        for endpoint in endpoints {
-            self.put(endpoint);
+        for (endpoint, withheld_until) in endpoints {
+            self.insert(endpoint, withheld_until);
+        }
+    }
+
+    /// Returns whether a later start of the endpoint is known.
+    fn has_restarted_since(&self, endpoint: &Endpoint) -> bool {
+        let record = self.records.get(&endpoint.id);
+        let departure = self.departed.get(&endpoint.id);
+        record.is_some_and(|record| record.endpoint.started_ms > endpoint.started_ms)
+            || departure.is_some_and(|departure| departure.started_ms > endpoint.started_ms)
+    }
+
+    /// Returns whether this start of the endpoint is known to be gone.
+    fn is_gone(&self, endpoint: &Endpoint) -> bool {
+        let departure = self.departed.get(&endpoint.id);
+        if departure.is_some_and(|departure| departure.started_ms == endpoint.started_ms) {
+            return true;
+        }
+        let record = self.records.get(&endpoint.id);
+        let record = record.filter(|record| record.endpoint.started_ms == endpoint.started_ms);
+        record.is_some_and(|record| record.removed_at.is_some() || record.withheld_until.is_some())
+    }
+
+    /// Adds or replaces an endpoint. One that was draining stays so until it
+    /// restarts.
+    fn insert(&mut self, mut endpoint: Endpoint, withheld_until: Option<Instant>) {
+        let known = self.records.get(&endpoint.id);
+        let known = known.map(|record| (record.endpoint.started_ms, record.endpoint.draining));
+        let departed = self.departed.get(&endpoint.id);
+        let departed = departed.map(|departure| (departure.started_ms, departure.draining));
+        let was_draining = |start: Option<(u64, bool)>| start == Some((endpoint.started_ms, true));
+        endpoint.draining |= was_draining(known) || was_draining(departed);
+        if withheld_until.is_none() && !endpoint.draining {
+            self.departed.remove(&endpoint.id);
         }
+        let record = Record {
+            endpoint,
+            removed_at: None,
+            withheld_until,
+        };
+        self.records.insert(record.endpoint.id.clone(), record);
     }
 
     /// Drops the removed endpoints, except those whose removal is held, and
-    /// returns the rest. Removals of draining endpoints are never held.
+    /// returns the rest without withheld ones. Removals of draining endpoints
+    /// are never held.
     pub fn current(&mut self, now: Instant) -> Vec<Endpoint> {
         if self.removals_held_until.is_some_and(|until| until <= now) {
             self.removals_held_until = None;
         }
+        if self.stale_until.is_some_and(|until| until <= now) {
+            self.stale_until = None;
+        }
         let is_held = self.is_outage(now) || self.removals_held_until.is_some();
-        self.records.retain(|_, record| {
-            record.removed_at.is_none() || (is_held && !record.endpoint.draining)
+        let departed = &mut self.departed;
+        self.records.retain(|id, record| {
+            if record.withheld_until.is_some_and(|until| until <= now) {
+                record.withheld_until = None;
+            }
+            let Some(removed_at) = record.removed_at else {
+                return true;
+            };
+            let is_kept = is_held && !record.endpoint.draining;
+            if !is_kept {
+                let departure = Departure {
+                    started_ms: record.endpoint.started_ms,
+                    draining: record.endpoint.draining,
+                    removed_at,
+                };
+                departed.insert(id.clone(), departure);
+            }
+            is_kept
         });
+        self.forget_departures(now);
         let records = self.records.values();
-        records.map(|record| record.endpoint.clone()).collect()
+        let used = records.filter(|record| record.withheld_until.is_none());
+        used.map(|record| record.endpoint.clone()).collect()
     }
 
-    /// Returns the listed endpoints, without those whose removal is held.
+    /// Returns the listed endpoints, without withheld ones and those whose
+    /// removal is held.
     pub fn listed(&self) -> Vec<Endpoint> {
-        let records = self
+        let records = self.records.values();
+        let listed =
+            records.filter(|record| record.removed_at.is_none() && record.withheld_until.is_none());
+        listed.map(|record| record.endpoint.clone()).collect()
+    }
+
+    /// Returns when [`List::current`] changes next without a read: at the end
+    /// of the time in which removals are held or entries withheld. `None` if
+    /// neither is the case.
+    pub fn change_due(&self) -> Option<Instant> {
+        let withheld = self
             .records
             .values()
-            .filter(|record| record.removed_at.is_none());
-        records.map(|record| record.endpoint.clone()).collect()
+            .filter_map(|record| record.withheld_until);
+        withheld.chain(self.removals_held_until).min()
     }
 
-    /// Returns the end of the grace period after an outage, when held removals take
-    /// effect. `None` if no grace period has begun since the last one ended.
-    pub fn removals_due(&self) -> Option<Instant> {
-        self.removals_held_until
+    /// Forgets departures that no copy of the store can lack, and the oldest
+    /// ones beyond the limit.
+    fn forget_departures(&mut self, now: Instant) {
+        self.departed.retain(|_, departure| {
+            now.saturating_duration_since(departure.removed_at) < DEPARTURE_TTL
+        });
+        let Some(excess) = self.departed.len().checked_sub(MAX_DEPARTURES + 1) else {
+            return;
+        };
+        let mut times = self.departed.values().map(|departure| departure.removed_at);
+        let mut times = times.by_ref().collect::<Vec<_>>();
+        let (_, limit, _) = times.select_nth_unstable(excess);
+        let limit = *limit;
+        self.departed
+            .retain(|_, departure| departure.removed_at > limit);
     }
 }
--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -331,7 +331,7 @@
     ) -> Option<EndpointKey> {
         let candidates = self.endpoints(scope.service).iter().filter_map(|key| {
             let state = self.get(*key)?;
-            let is_usable = !state.endpoint.draining
+            let is_usable = state.accepts_work(now)
                 && !state.is_moving(now)
                 && fits(state)
                 && !scope.excluded.contains(key);
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -115,6 +115,26 @@
     running: f64,
 }
 
+/// Longest rest that an endpoint gets.
+const MAX_REST: Duration = Duration::from_secs(60);
+
+/// Returns the rest that an endpoint gets when it asks for `seconds`. `None` if
+/// the value is not a time.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use cranberryridge_policy::gateway::pool::rest_time;
+/// assert_eq!(rest_time(0.25), Some(Duration::from_millis(250)));
+/// assert_eq!(rest_time(31_536_000.0), Some(Duration::from_secs(60)));
+/// assert_eq!(rest_time(-1.0), None);
+/// ```
+pub fn rest_time(seconds: f64) -> Option<Duration> {
+    let is_time = seconds >= 0.0;
+    is_time.then(|| Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+}
+
 /// Work sent to an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -329,6 +349,60 @@
         }
     }
 
+    /// Marks an endpoint as shutting down until it restarts. Returns whether this
+    /// was not known before.
+    pub fn mark_leaving(&mut self, key: EndpointKey) -> bool {
+        let Some(state) = self.states.get_mut(key) else {
+            return false;
+        };
+        let was_leaving = state.is_leaving();
+        state.is_leaving = true;
+        !was_leaving
+    }
+
+    /// Sends no requests to an endpoint for a time, as it asked this host for a
+    /// rest. A shorter rest does not end a longer one.
+    pub fn rest(&mut self, now: Instant, key: EndpointKey, rest: Duration) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.resting_until = state.resting_until.max(Some(now + rest));
+        }
+    }
+
+    /// Prefers other endpoints for a time, as this one asked another host for a
+    /// rest.
+    pub fn avoid(&mut self, now: Instant, key: EndpointKey, time: Duration) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.paused_until = state.paused_until.max(Some(now + time));
+        }
+    }
+
+    /// Returns the time until the first of a service's endpoints accepts
+    /// requests again, if all that are not shutting down have asked for a rest.
+    /// Prefill endpoints are not considered.
+    pub fn rest_remaining(&self, now: Instant, service: &str) -> Option<Duration> {
+        let states = self.endpoints(service).iter();
+        let states = states.filter_map(|key| self.get(*key));
+        let staying = states
+            .filter(|state| state.endpoint.phase != Some(Phase::Prefill) && !state.is_leaving());
+        let remaining = staying.map(|state| {
+            let until = state.resting_until?;
+            until
+                .checked_duration_since(now)
+                .filter(|left| !left.is_zero())
+        });
+        // `None` is the least, so one endpoint that accepts work suffices.
+        remaining.min().flatten()
+    }
+
+    /// Returns the ids of a service's endpoints that accept no requests from this
+    /// host.
+    pub fn declining(&self, now: Instant, service: &str) -> Vec<CompactString> {
+        let states = self.endpoints(service).iter();
+        let states = states.filter_map(|key| self.get(*key));
+        let declining = states.filter(|state| !state.accepts_work(now));
+        declining.map(|state| state.endpoint.id.clone()).collect()
+    }
+
     /// Marks an endpoint as moving to another stage, at most until `until`.
     pub fn mark_moving(&mut self, until: Instant, id: &str, phase: Phase) {
         let key = self.keys_by_id.get(id);
@@ -416,7 +490,7 @@
             .filter_map(|key| self.get(*key));
         let engines = states.filter(|state| {
             let is_decoder = state.endpoint.phase != Some(Phase::Prefill);
-            let is_healthy = state.consecutive_failures == 0 && !state.endpoint.draining;
+            let is_healthy = state.consecutive_failures == 0 && state.accepts_work(now);
             is_decoder && is_healthy && !state.is_moving(now)
         });
         let memory = engines.count() as f64 * f64::from(engine.kv_capacity);
--- a/crates/policy/src/gateway/pool/state.rs
+++ b/crates/policy/src/gateway/pool/state.rs
@@ -39,6 +39,11 @@
     pub(super) full_until: Option<Instant>,
     /// Refusals for lack of room since the last answer.
     pub(super) consecutive_full: u32,
+    /// Whether the endpoint said in an answer that it is shutting down.
+    pub(super) is_leaving: bool,
+    /// Until this time, the endpoint wants no requests from this host. `None`
+    /// if it never said so.
+    pub(super) resting_until: Option<Instant>,
     /// Stage that the endpoint is moving to, and when that mark expires.
     pub(super) moving: Option<(Phase, Instant)>,
 }
@@ -75,6 +80,8 @@
             paused_until: None,
             full_until: None,
             consecutive_full: 0,
+            is_leaving: false,
+            resting_until: None,
             moving: None,
         }
     }
@@ -91,9 +98,26 @@
         self.full_until.is_some_and(|until| until > now)
     }
 
-    /// Returns whether the endpoint is neither draining nor backing off.
+    /// Returns whether the endpoint is shutting down, according to the list or
+    /// its own answers.
+    pub fn is_leaving(&self) -> bool {
+        self.endpoint.draining || self.is_leaving
+    }
+
+    /// Returns whether the endpoint asked this host to send nothing now.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.resting_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns whether the endpoint may get requests: it is neither shutting
+    /// down nor has it asked for a rest.
+    pub fn accepts_work(&self, now: Instant) -> bool {
+        !self.is_leaving() && !self.is_resting(now)
+    }
+
+    /// Returns whether the endpoint accepts work and is not backing off.
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.endpoint.draining && self.paused_until.is_none_or(|until| until <= now)
+        self.accepts_work(now) && self.paused_until.is_none_or(|until| until <= now)
     }
 
     /// Returns the duration of its work relative to the expected one. Above 1
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -217,10 +217,7 @@
         random: &mut R,
     ) -> Option<(Id, Answer)> {
         let backlog = self.backlogs.get(service)?;
-        let ticket = backlog.queue.next(now, FIRST_EVENT_LEAD_TIME)?;
-        let (id, request) = backlog.requests.get(&ticket)?;
-        let id = *id;
-        if let Some((grant, lease)) = self.choose_endpoints(now, request, engine, random) {
+        if let Some((id, grant, lease)) = self.find_servable(now, backlog, engine, random) {
             self.dequeue(id);
             self.pool.start(lease.decode);
             if let Some(work) = lease.prefill {
@@ -234,6 +231,37 @@
         Some((id, Answer::Refusal(saturation)))
     }
 
+    /// Finds the first request that gets endpoints now. A request that must
+    /// avoid some endpoints does not hold up those behind it.
+    fn find_servable<R: Rng>(
+        &self,
+        now: Instant,
+        backlog: &Backlog,
+        engine: Engine,
+        random: &mut R,
+    ) -> Option<(Id, Grant, Lease)> {
+        let first = backlog.queue.next(now, FIRST_EVENT_LEAD_TIME)?;
+        let (id, request) = backlog.requests.get(&first)?;
+        let chosen = self.choose_endpoints(now, request, engine, random);
+        if let Some((grant, lease)) = chosen {
+            return Some((*id, grant, lease));
+        }
+        if request.excluded.is_empty() {
+            return None;
+        }
+        for (ticket, _) in backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME) {
+            let (id, request) = backlog.requests.get(&ticket)?;
+            let chosen = self.choose_endpoints(now, request, engine, random);
+            if let Some((grant, lease)) = chosen {
+                return Some((*id, grant, lease));
+            }
+            if request.excluded.is_empty() {
+                return None;
+            }
+        }
+        None
+    }
+
     /// Finds the first request that will not get room before its deadline, and
     /// predicts when there will be room.
     fn find_unservable(
@@ -370,6 +398,27 @@
         }
     }
 
+    /// Records what an endpoint said about itself to another host: whether it is
+    /// shutting down, and for how long that host must send it nothing. Other
+    /// hosts may still use a resting endpoint.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        is_leaving: bool,
+        rest: Duration,
+    ) {
+        let Some(key) = self.pool.key(endpoint) else {
+            return;
+        };
+        if is_leaving {
+            self.pool.mark_leaving(key);
+        }
+        if !rest.is_zero() {
+            self.pool.avoid(now, key, rest);
+        }
+    }
+
     /// Chooses endpoints for a request.
     fn choose_endpoints<R: Rng>(
         &self,
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -188,7 +188,7 @@
     list.record_read(late);
     list.remove(late, "i-2");
     assert_eq!(list.current(late).len(), 1, "the removal is held");
-    assert_eq!(list.removals_due(), Some(late + RELIST_GRACE_PERIOD));
+    assert_eq!(list.change_due(), Some(late + RELIST_GRACE_PERIOD));
     list.record_read(late + SECOND);
     assert_eq!(
         list.current(late + SECOND).len(),
@@ -521,13 +521,22 @@
     let order = moves
         .next_move(now, &pool, "model", demand)
         .expect("a move");
-    assert!(moves.record_claim(now, 7, &order), "the claim is new");
-    assert!(!moves.record_claim(now, 7, &order), "the claim is known");
+    assert!(
+        moves.record_claim(now, 7, "front-1", &order),
+        "the claim is new"
+    );
+    assert!(
+        !moves.record_claim(now, 7, "front-1", &order),
+        "the claim is known"
+    );
     let next = moves
         .next_move(now, &pool, "model", demand)
         .expect("another move");
     assert_ne!(next.endpoint, order.endpoint);
-    assert!(moves.record_claim(now, 9, &order), "a later claim is new");
+    assert!(
+        moves.record_claim(now, 9, "front-1", &order),
+        "a later claim is new"
+    );
     let later = now + settings.cooldown;
     let next = moves
         .next_move(later, &pool, "model", demand)
@@ -549,7 +558,7 @@
     hosts[0].record_order(begin, order.clone());
     // The other host reads the same claim every three seconds.
     for turn in 1..10 {
-        hosts[1].record_claim(begin + SECOND * 3 * turn, 5, &order);
+        hosts[1].record_claim(begin + SECOND * 3 * turn, 5, "front-1", &order);
     }
     let soon = begin + SECOND * 4;
     assert!(hosts.iter().all(|moves| moves.is_pending(soon, "d0")));
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -2,14 +2,15 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use cranberryridge::body::{Aborted, Body};
 use cranberryridge::net::Net;
@@ -33,7 +34,17 @@
     refused_reservations: Arc<AtomicUsize>,
     /// KV caches that wait for their transfer.
     caches: Arc<AtomicUsize>,
-    orders: Arc<AtomicUsize>,
+    /// Fencing tokens of the accepted orders.
+    orders: Arc<Mutex<Vec<u64>>>,
+    /// Whether the endpoint says in all its answers that it is shutting down.
+    is_leaving: Arc<AtomicBool>,
+    /// Value of `retry-after` with which all requests are refused, or `None` if
+    /// they are not.
+    rest: Arc<Mutex<Option<String>>>,
+    /// Times of the requests to control paths.
+    control_calls: Arc<Mutex<Vec<Instant>>>,
+    /// Time of the first refusal that stated a rest.
+    first_rest: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Settings of an endpoint.
@@ -101,7 +112,7 @@
     /// The request's body.
     pub body: Bytes,
     /// Time of arrival.
-    pub received_at: tokio::time::Instant,
+    pub received_at: Instant,
     /// Whether the endpoint ran the request. A prefill or a refusal doesn't
     /// count.
     pub ran: bool,
@@ -156,6 +167,10 @@
             refused_reservations: Arc::default(),
             caches: Arc::default(),
             orders: Arc::default(),
+            is_leaving: Arc::default(),
+            rest: Arc::default(),
+            control_calls: Arc::default(),
+            first_rest: Arc::default(),
         }
     }
 
@@ -174,6 +189,28 @@
         lock(&self.faults).push_back(fault);
     }
 
+    /// Says in all further answers that the endpoint is shutting down. It goes on
+    /// to serve.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses all further requests and reservations with this value of
+    /// `retry-after`, or serves them again if it is `None`.
+    pub fn set_rest(&self, retry_after: Option<&str>) {
+        *lock(&self.rest) = retry_after.map(Into::into);
+    }
+
+    /// Returns the time of the first refusal that stated a rest.
+    pub fn first_rest(&self) -> Option<Instant> {
+        *lock(&self.first_rest)
+    }
+
+    /// Returns the times of the requests to the control paths (`/-/`).
+    pub fn control_call_times(&self) -> Vec<Instant> {
+        lock(&self.control_calls).clone()
+    }
+
     /// Removes the faults that haven't occurred yet.
     pub fn clear_faults(&self) {
         lock(&self.faults).clear();
@@ -212,19 +249,41 @@
 
     /// Returns the number of accepted orders.
     pub fn order_count(&self) -> usize {
-        self.orders.load(Ordering::SeqCst)
+        lock(&self.orders).len()
+    }
+
+    /// Returns the fencing tokens of the accepted orders, oldest first.
+    pub fn order_tokens(&self) -> Vec<u64> {
+        lock(&self.orders).clone()
     }
 
+    /// Answers a request, and says in every answer if the endpoint is leaving.
     async fn answer(self, request: Request<Bytes>) -> Response<Body> {
+        let is_leaving = self.is_leaving.clone();
+        let mut response = self.handle(request).await;
+        if is_leaving.load(Ordering::SeqCst) {
+            let headers = response.headers_mut();
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        response
+    }
+
+    async fn handle(self, request: Request<Bytes>) -> Response<Body> {
         let path = request.uri().path().to_owned();
+        if path.starts_with("/-/") {
+            lock(&self.control_calls).push(Instant::now());
+        }
         match path.as_str() {
+            "/-/hold-take" if lock(&self.rest).is_some() => return self.refuse(""),
             "/-/hold-take" => return self.reserve(request.body()),
             "/-/order" => {
-                self.orders.fetch_add(1, Ordering::SeqCst);
+                let body = serde_json::from_slice::<Value>(request.body()).unwrap_or_default();
+                let token = body["fencingToken"].as_u64().unwrap_or_default();
+                lock(&self.orders).push(token);
                 return status(StatusCode::ACCEPTED);
             }
             "/-/report" => {
-                let orders = self.orders.load(Ordering::SeqCst);
+                let orders = self.order_count();
                 return json(&json!({
                     "phase": self.settings.phase, "busy": false, "sequence": orders,
                 }));
@@ -244,7 +303,7 @@
 
     /// Reserves memory until its TTL expires.
     fn reserve(&self, body: &Bytes) -> Response<Body> {
-        let body = serde_json::from_slice::<serde_json::Value>(body).unwrap_or_default();
+        let body = serde_json::from_slice::<Value>(body).unwrap_or_default();
         let number = |name: &str| body[name].as_u64().unwrap_or_default();
         let tokens = number("tokens") as usize;
         if self.reserved_tokens() + tokens > self.settings.memory_tokens {
@@ -265,6 +324,19 @@
         json(&json!({ "hold": name }))
     }
 
+    /// Refuses a request. States the rest that the endpoint wants, if any.
+    fn refuse(&self, attempt: &str) -> Response<Body> {
+        let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+        let headers = response.headers_mut();
+        headers.insert("not-executed", HeaderValue::from_static("1"));
+        insert_header(headers, "attempt-id", attempt);
+        if let Some(rest) = &*lock(&self.rest) {
+            lock(&self.first_rest).get_or_insert(Instant::now());
+            insert_header(headers, "retry-after", rest);
+        }
+        response
+    }
+
     /// Moves a reservation's memory to a run, so that the TTL no longer
     /// releases it.
     fn claim(&self, name: &str) -> Memory {
@@ -292,6 +364,7 @@
         let expected = text("expect-instance").is_none_or(|id| id == self.settings.id);
         let refused = match fault {
             _ if !expected => Some(StatusCode::MISDIRECTED_REQUEST),
+            _ if lock(&self.rest).is_some() => Some(StatusCode::SERVICE_UNAVAILABLE),
             Some(Fault::NotRun) => Some(StatusCode::SERVICE_UNAVAILABLE),
             Some(Fault::Misdirected) => Some(StatusCode::MISDIRECTED_REQUEST),
             _ => None,
@@ -301,7 +374,7 @@
             request_line: format!("{} {}", head.method, head.uri),
             headers: head.headers.clone(),
             body,
-            received_at: tokio::time::Instant::now(),
+            received_at: Instant::now(),
             ran: refused.is_none() && !is_prefill,
         });
         let attempt = match fault {
@@ -309,10 +382,8 @@
             _ => text("attempt-id").unwrap_or_default(),
         };
         if let Some(code) = refused {
-            let mut response = status(code);
-            let headers = response.headers_mut();
-            headers.insert("not-executed", HeaderValue::from_static("1"));
-            insert_header(headers, "attempt-id", attempt);
+            let mut response = self.refuse(attempt);
+            *response.status_mut() = code;
             return response;
         }
         let run = Run {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,13 +1,15 @@
 //! A stand-in for the platform's store of keyed topics, with faults.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use serde_json::{json, Value};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use cranberryridge::body::Body;
 use cranberryridge::net::Net;
@@ -23,18 +25,28 @@
     appended: Arc<watch::Sender<u64>>,
     fault: Arc<Mutex<Fault>>,
     calls: Arc<Mutex<u64>>,
+    /// Number of returns from an older copy, sent as `store-era`.
+    era: Arc<AtomicU64>,
 }
 
 /// A topic with a single partition.
 #[derive(Debug, Default)]
 struct Topic {
-    /// Keys and values, beginning at offset `first_offset`. An empty value
-    /// deletes the key.
-    records: Vec<(String, Vec<u8>)>,
+    /// Records, beginning at offset `first_offset`.
+    records: Vec<Record>,
     /// Offset of the first record.
     first_offset: u64,
 }
 
+/// A record of a topic.
+#[derive(Clone, Debug)]
+struct Record {
+    key: String,
+    /// Empty if the record deletes the key.
+    value: Vec<u8>,
+    written_at: Instant,
+}
+
 /// A fault of a store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -76,6 +88,19 @@
         self.append(topic, vec![(key.into(), value.to_vec())]);
     }
 
+    /// Returns to a copy that is `age` old, as after a loss of the newest records,
+    /// and begins a new era. Reads that wait are answered, as their connections
+    /// would break.
+    pub fn restore(&self, age: Duration) {
+        let copied_at = Instant::now().checked_sub(age);
+        for topic in lock(&self.topics).values_mut() {
+            let is_copied = |record: &Record| copied_at.is_some_and(|at| record.written_at <= at);
+            topic.records.retain(is_copied);
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.appended.send_modify(|appended| *appended += 1);
+    }
+
     /// Removes all records but the newest of each key.
     pub fn compact(&self, topic: &str) {
         let mut topics = lock(&self.topics);
@@ -92,8 +117,8 @@
     pub fn get(&self, topic: &str, key: &str) -> Option<Value> {
         let topics = lock(&self.topics);
         let rows = newest(topics.get(topic)?);
-        let row = rows.into_iter().find(|(other, _)| other == key)?;
-        serde_json::from_slice(&row.1).ok()
+        let row = rows.into_iter().find(|row| row.key == key)?;
+        serde_json::from_slice(&row.value).ok()
     }
 
     /// Returns the number of calls so far.
@@ -106,12 +131,27 @@
         let mut topics = lock(&self.topics);
         let topic = topics.entry(topic.into()).or_default();
         let offset = topic.end();
-        topic.records.extend(records);
+        let written_at = Instant::now();
+        let records = records.into_iter();
+        topic.records.extend(records.map(|(key, value)| Record {
+            key,
+            value,
+            written_at,
+        }));
         self.appended.send_modify(|appended| *appended += 1);
         offset
     }
 
+    /// Answers a call, and names the era in every answer.
     async fn answer(self, request: Request<Bytes>) -> Response<Body> {
+        let era = self.era.clone();
+        let mut response = self.handle(request).await;
+        let era = HeaderValue::from(era.load(Ordering::SeqCst));
+        response.headers_mut().insert("store-era", era);
+        response
+    }
+
+    async fn handle(self, request: Request<Bytes>) -> Response<Body> {
         *lock(&self.calls) += 1;
         let fault = *lock(&self.fault);
         match fault {
@@ -164,10 +204,11 @@
             return json(&json!({ "items": [], "hasMore": false, "endOffset": 0 }));
         };
         let rows = newest(topic).into_iter();
-        let items = rows.map(|(key, value)| {
-            let at = topic.records.iter().rposition(|(other, _)| *other == key);
+        let items = rows.map(|row| {
+            let mut records = topic.records.iter();
+            let at = records.rposition(|other| other.key == row.key);
             let offset = topic.first_offset + at.unwrap_or_default() as u64;
-            json!({ "key": key, "value": encode(&value), "offset": offset })
+            json!({ "key": row.key, "value": encode(&row.value), "offset": offset })
         });
         json(&json!({
             "items": items.collect::<Vec<_>>(),
@@ -207,7 +248,8 @@
     fn page(&self, name: &str, from: u64) -> Option<Response<Body>> {
         let topics = lock(&self.topics);
         let topic = topics.get(name)?;
-        if from < topic.first_offset {
+        let is_missing = from > topic.end() && from != u64::MAX;
+        if from < topic.first_offset || is_missing {
             let mut response = json(&json!({ "firstOffset": topic.first_offset }));
             *response.status_mut() = StatusCode::GONE;
             return Some(response);
@@ -220,7 +262,7 @@
         let mut body = BytesMut::new();
         body.put_u64(topic.end());
         body.put_u64(topic.first_offset);
-        for (key, value) in records {
+        for Record { key, value, .. } in records {
             body.put_u32((1 + key.len() + value.len()) as u32);
             body.put_u8(key.len() as u8);
             body.put_slice(key.as_bytes());
@@ -238,12 +280,12 @@
 }
 
 /// Returns the newest record of each key that has a value.
-fn newest(topic: &Topic) -> Vec<(String, Vec<u8>)> {
-    let mut rows = Vec::<(String, Vec<u8>)>::new();
-    for (key, value) in &topic.records {
-        rows.retain(|(other, _)| other != key);
-        if !value.is_empty() {
-            rows.push((key.clone(), value.clone()));
+fn newest(topic: &Topic) -> Vec<Record> {
+    let mut rows = Vec::<Record>::new();
+    for record in &topic.records {
+        rows.retain(|other| other.key != record.key);
+        if !record.value.is_empty() {
+            rows.push(record.clone());
         }
     }
     rows
