--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod explain;
 mod losses;
+mod notices;
 mod options;
 mod publish;
 mod report;
@@ -38,6 +39,8 @@
   status                  show daemons, endpoints, versions and counters
   explain [CODE]          explain a result code, or list them all
   losses [FILE]...        count lost requests by cause, from gateway logs
+  notices [FILE]...       list the store's eras and leaving or resting endpoints, from
+                          gateway logs
   demo                    run both deployments on embedded stand-ins
 
 `cranberryridge COMMAND --help` shows a command's options.
@@ -69,6 +72,7 @@
         "status" => status::run(arguments),
         "explain" => explain::run(arguments),
         "losses" => losses::run(arguments),
+        "notices" => notices::run(arguments),
         "demo" => demo::run(arguments),
         "--version" | "-V" => {
             println!("cranberryridge {}", env!("CARGO_PKG_VERSION"));
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -99,6 +99,33 @@
     );
 }
 
+#[test]
+fn notices_are_listed_by_era_and_endpoint() {
+    let log = r#"
+{"msg":"store: new era","daemon":"front-1","era":1,"before":0}
+{"msg":"store: new era","daemon":"front-2","era":1,"before":0}
+{"msg":"store: new era","daemon":"front-1","era":2,"before":1}
+{"msg":"endpoint: leaving, as it says","daemon":"front-1","ts":"10:02","endpoint":"i-1"}
+{"msg":"endpoint: leaving, as another host says","daemon":"front-2","ts":"10:03","endpoint":"i-1"}
+{"msg":"endpoint: rests","daemon":"front-1","endpoint":"i-2","rest_ms":2500}
+{"msg":"endpoint: rest unreadable, ignored","daemon":"front-1","endpoint":"i-2"}
+not a line of a log
+"#;
+    let file = write_service_file("notices", log);
+    let (code, text) = code_and_text(&run(&["notices", file.to_str().unwrap()]));
+    assert_eq!(code, Some(0), "{text}");
+    let rows = text.lines().collect::<Vec<_>>();
+    assert_eq!(
+        rows,
+        [
+            "era 2: 1 hosts, front-1",
+            "era 1: 1 hosts, front-2",
+            "i-1: leaving since 10:02, known to 2 hosts",
+            "i-2: 1 rests, the longest 2500 ms; 1 unreadable rests",
+        ]
+    );
+}
+
 #[test]
 fn exit_codes_are_the_documented_ones() {
     assert_eq!(run(&["--version"]).status.code(), Some(0));
