Offer a prompt's KV cache to a second engine if the first refuses

A refusal leaves the cache at its prefill engine, so it can still be taken.

Change: the cache is kept over the next reservation and offered once more, if the operators' time for it leaves room; a second refusal may mean that it is gone, so the prompt is then read again.

--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -166,6 +166,7 @@
         kv_capacity: 28_000,
         tokens_per_event: 11,
         max_reservation: Duration::from_secs(2),
+        cache_ttl: Duration::from_millis(500),
     };
     for count in [58, 290, 1_000] {
         let mut schedule =
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -5,6 +5,7 @@
 //! read at a prefill endpoint or at the decode endpoint itself, and the stream
 //! is relayed to the caller.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -64,6 +65,29 @@
     Failure(response::Parts, Bytes),
 }
 
+/// Where a prompt has been read.
+enum Prompt<N: Net, C: Clock, D: Dialect> {
+    /// Nowhere: the endpoint failed, and another one should be tried.
+    Unread,
+    /// The decode endpoint will read it.
+    Local,
+    /// A prefill endpoint has read it and keeps its KV cache.
+    Remote(Cache<N, C, D>),
+}
+
+/// Outcome of sending a request to the endpoint that generates the answer.
+enum Attempt<N: Net, C: Clock, D: Dialect> {
+    /// The endpoint answered.
+    Answered(Answer<N, C, D>),
+    /// The request did not run, and another endpoint should be tried. The KV
+    /// cache, if any, was not taken.
+    NotRun(Option<Cache<N, C, D>>),
+}
+
+/// A prompt that was read: its work in flight, the address of the endpoint that
+/// keeps the KV cache, and the name of the cache there.
+type Handle<N, C, D> = (InFlight<N, C, D>, SocketAddr, CompactString);
+
 /// State of a request across attempts.
 #[derive(Debug, Default)]
 struct Progress {
@@ -126,32 +150,63 @@
     if need.kv_tokens() > engine.kv_capacity {
         return Err(Refusal::new(Code::Full));
     }
+    let mut kept = None::<Cache<N, C, D>>;
     loop {
         let reservation = reservation::acquire(call, engine, need, progress).await?;
-        let prefiller = reservation
-            .prefiller
-            .or_else(|| choose_prefiller(call, engine, need, progress, reservation.key));
-        let cache = match prefiller {
-            Some(Prefiller::Remote {
-                prefill,
-                prefill_time,
-            }) => {
-                let cache =
-                    run_prefill(call, need, progress, &reservation, prefill, prefill_time).await?;
-                if cache.is_none() {
-                    continue;
-                }
-                cache
+        let now = call.shared.clock.now();
+        let reusable = kept.take().filter(|cache| cache.is_reusable(now));
+        let cache = match reusable {
+            Some(mut cache) => {
+                call.shared.metrics.count("kv_cache.reused");
+                cache.mark_reused();
+                Some(cache)
             }
-            Some(Prefiller::Local { .. }) => None,
-            None => return Err(Refusal::new(Code::NoEndpoint)),
+            None => match read_prompt(call, engine, need, progress, &reservation).await? {
+                Prompt::Unread => continue,
+                Prompt::Local => None,
+                Prompt::Remote(cache) => Some(cache),
+            },
         };
-        if let Some(answer) = start_generation(call, need, progress, reservation, cache).await? {
-            return Ok(answer);
+        match start_generation(call, need, progress, reservation, cache).await? {
+            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::NotRun(cache) => kept = cache,
         }
     }
 }
 
+/// Has the prompt read at a prefill endpoint, unless the decode endpoint of the
+/// reservation reads it.
+async fn read_prompt<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
+    engine: Engine,
+    need: Need,
+    progress: &mut Progress,
+    reservation: &Reservation<N, C, D>,
+) -> Result<Prompt<N, C, D>, Refusal> {
+    let prefiller = reservation
+        .prefiller
+        .or_else(|| choose_prefiller(call, engine, need, progress, reservation.key));
+    let Some(prefiller) = prefiller else {
+        return Err(Refusal::new(Code::NoEndpoint));
+    };
+    let Prefiller::Remote {
+        prefill,
+        prefill_time,
+    } = prefiller
+    else {
+        return Ok(Prompt::Local);
+    };
+    let handle = run_prefill(call, need, progress, reservation, prefill, prefill_time).await?;
+    Ok(match handle {
+        Some((in_flight, source, handle)) => {
+            let now = call.shared.clock.now();
+            let valid_until = now + engine.cache_ttl;
+            Prompt::Remote(Cache::new(in_flight, source, handle, valid_until))
+        }
+        None => Prompt::Unread,
+    })
+}
+
 /// Returns the capacity that the request needs.
 fn need<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Need {
     let description = &call.record.description;
@@ -188,8 +243,8 @@
     pool.choose_prefiller(now, scope, engine, need, decode, &mut rand::rng())
 }
 
-/// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
-/// if another endpoint should be tried.
+/// Sends the prompt to a prefill endpoint and returns the handle of its KV
+/// cache, or `None` if another endpoint should be tried.
 async fn run_prefill<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     need: Need,
@@ -197,7 +252,7 @@
     reservation: &Reservation<N, C, D>,
     key: EndpointKey,
     expected: Duration,
-) -> Result<Option<Cache<N, C, D>>, Refusal> {
+) -> Result<Option<Handle<N, C, D>>, Refusal> {
     let shared = Arc::clone(&call.shared);
     let started_at = shared.clock.now();
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
@@ -237,25 +292,25 @@
     in_flight.finish_prefill(expected, took);
     reservation.record_remote_prefill(took);
     call.record.add_call("prefill", &endpoint.id, "read");
-    Ok(Some(Cache::new(in_flight, endpoint.address, handle)))
+    Ok(Some((in_flight, endpoint.address, handle)))
 }
 
 /// Sends the request to the endpoint that generates the answer and waits for the
-/// first bytes. Returns `None` if another endpoint should be tried.
+/// first bytes.
 async fn start_generation<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     need: Need,
     progress: &mut Progress,
     mut reservation: Reservation<N, C, D>,
     mut cache: Option<Cache<N, C, D>>,
-) -> Result<Option<Answer<N, C, D>>, Refusal> {
+) -> Result<Attempt<N, C, D>, Refusal> {
     let shared = Arc::clone(&call.shared);
     let started_at = shared.clock.now();
     let key = reservation.key;
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         call.record
             .add_call("room", &reservation.endpoint.id, "leaving");
-        return Ok(None);
+        return Ok(Attempt::NotRun(cache));
     };
     if progress.run_sent && !shared.spend_retry(started_at, &call.service) {
         return Err(Refusal::new(Code::RetryBudget));
@@ -282,11 +337,11 @@
             progress.may_have_run = may_have_run_before;
             progress.excluded.push(key);
             call.record.add_call(stage, &endpoint.id, "not run");
-            return Ok(None);
+            return Ok(Attempt::NotRun(cache));
         }
         Outcome::Lost => {
             call.record.add_call(stage, &endpoint.id, "lost");
-            return record_lost_run(call, progress, key).map(|()| None);
+            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         }
         Outcome::Answer(answer) => answer,
     };
@@ -297,9 +352,9 @@
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
         let Some((head, body)) = exchange::read_answer(&shared, key, answer).await else {
-            return record_lost_run(call, progress, key).map(|()| None);
+            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         };
-        return Ok(Some(Answer::Failure(head, body)));
+        return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
     let (head, mut body) = answer.into_parts();
     let first_chunk = match next_chunk(&mut body).await {
@@ -308,7 +363,7 @@
         Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
             shared.record_failure(shared.clock.now(), key, Failure::Broken);
-            return record_lost_run(call, progress, key).map(|()| None);
+            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         }
     };
     let took = shared.clock.now().saturating_duration_since(started_at);
@@ -316,7 +371,7 @@
     call.record.add_call(stage, &endpoint.id, "began");
     progress.current = None;
     progress.run_count += 1;
-    Ok(Some(Answer::Stream(Box::new(Run {
+    Ok(Attempt::Answered(Answer::Stream(Box::new(Run {
         head,
         body,
         first_chunk,
--- a/crates/lib/src/gateway/generate/cache.rs
+++ b/crates/lib/src/gateway/generate/cache.rs
@@ -1,6 +1,7 @@
 //! KV cache of a prompt, kept at its prefill endpoint until transferred.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 
@@ -9,6 +10,10 @@
 use crate::gateway::exchange::{self, InFlight};
 use crate::net::Net;
 
+/// Time in which a decode endpoint gets the request and begins to take the cache.
+/// It covers a new connection between failure domains.
+const MAX_TAKE_TIME: Duration = Duration::from_millis(60);
+
 /// A KV cache at a prefill endpoint. Dropping it releases the cache there,
 /// unless a decode endpoint has taken it.
 #[derive(Debug)]
@@ -17,20 +22,31 @@
     source: SocketAddr,
     /// Name of the cache at that endpoint.
     handle: CompactString,
+    /// Time at which the endpoint drops the cache.
+    valid_until: Instant,
     /// Whether a decode endpoint has taken it.
     is_taken: bool,
+    /// Whether it was offered to a second decode endpoint.
+    is_reused: bool,
     /// Memory of the cache, counted in the pool until dropped.
     in_flight: InFlight<N, C, D>,
 }
 
 impl<N: Net, C: Clock, D: Dialect> Cache<N, C, D> {
     /// Wraps a cache that the endpoint at `source` keeps under the name
-    /// `handle`.
-    pub fn new(in_flight: InFlight<N, C, D>, source: SocketAddr, handle: CompactString) -> Self {
+    /// `handle` until `valid_until`.
+    pub fn new(
+        in_flight: InFlight<N, C, D>,
+        source: SocketAddr,
+        handle: CompactString,
+        valid_until: Instant,
+    ) -> Self {
         Self {
             source,
             handle,
+            valid_until,
             is_taken: false,
+            is_reused: false,
             in_flight,
         }
     }
@@ -43,6 +59,17 @@
         }
     }
 
+    /// Returns whether another decode endpoint may take the cache after one has
+    /// refused the request. A second refusal may mean that the cache is gone.
+    pub fn is_reusable(&self, now: Instant) -> bool {
+        !self.is_taken && !self.is_reused && now + MAX_TAKE_TIME < self.valid_until
+    }
+
+    /// Marks the cache as offered to a second decode endpoint.
+    pub fn mark_reused(&mut self) {
+        self.is_reused = true;
+    }
+
     /// Marks the cache as taken, so that dropping it does not release it.
     pub fn mark_taken(&mut self) {
         self.is_taken = true;
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -100,6 +100,9 @@
     /// Longest time for which room can be reserved. Zero if the engine takes no
     /// reservations.
     pub max_reservation: Duration,
+    /// Time for which an engine keeps the KV cache of a prompt for another one to
+    /// take. Zero if it is unknown.
+    pub cache_ttl: Duration,
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -22,6 +22,7 @@
     kv_capacity: 10_000,
     tokens_per_event: 11,
     max_reservation: SECOND,
+    cache_ttl: Duration::from_millis(500),
 };
 
 const NEED: Need = Need {
