--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -36,7 +36,12 @@
 ];
 
 /// Further seeds that run if `SOAK_SEEDS` is not set.
-const DEFAULT_SEEDS: [u64; 1] = [1];
+const DEFAULT_SEEDS: [u64; 2] = [1, 1001];
+
+/// Seeds from this one on also let the store come back from an older copy, and
+/// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
+/// they once failed.
+const FIRST_SEED_WITH_COPIES: u64 = 1000;
 
 /// Number of seeds that run concurrently, each on its own addresses.
 const MAX_PARALLEL_SEEDS: usize = 3;
@@ -97,6 +102,9 @@
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
     while tokio::time::Instant::now() < end {
         inject_fault(&mut site, &mut random);
+        if seed >= FIRST_SEED_WITH_COPIES {
+            inject_platform_fault(&mut site, &mut random);
+        }
         let delay = random.random_range(150..900);
         tokio::time::sleep(Duration::from_millis(delay)).await;
         site.restart_ended();
@@ -149,3 +157,14 @@
         }
     }
 }
+
+/// Lets the store return from a copy, or an endpoint ask for rests, or neither.
+fn inject_platform_fault(site: &mut Site, random: &mut StdRng) {
+    let runner = random.random_range(0..site.runners.len());
+    match random.random_range(0..6) {
+        0 => site.restore_store(Duration::from_millis(random.random_range(0..6000))),
+        1 => site.runners[runner].set_rest(Some("0.7")),
+        2 => site.runners.iter().for_each(|runner| runner.set_rest(None)),
+        _ => {}
+    }
+}
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 use cranberryridge::net::Tcp;
 use cranberryridge_standin::runner::{self, Runner};
@@ -42,7 +42,10 @@
     processes: Vec<Process>,
     /// Third octet of all addresses.
     subnet: u8,
-    /// Version of the last published configuration.
+    /// Entries of the endpoints in the store, by id.
+    entries: Vec<(String, Value)>,
+    /// The last published configuration and its version.
+    configuration: Value,
     version: u64,
 }
 
@@ -53,6 +56,7 @@
         let store = Store::default();
         let mut servers = vec![store.serve(&Tcp, at(1, 7001)).await.unwrap()];
         let (mut runners, mut proxies) = (Vec::new(), Vec::new());
+        let mut entries = Vec::new();
         let phases = [None, None, Some("prefill"), Some("decode"), Some("decode")];
         for (index, phase) in phases.into_iter().enumerate() {
             let host = 10 + index as u8;
@@ -72,6 +76,7 @@
                 entry["phase"] = phase.into();
             }
             store.put("keyed.servers", &runner.settings.id, Some(&entry));
+            entries.push((runner.settings.id.clone(), entry));
             runners.push(runner);
             proxies.push(proxy);
         }
@@ -82,6 +87,8 @@
             _servers: servers,
             processes: Vec::new(),
             subnet,
+            entries,
+            configuration: Value::Null,
             version: 0,
         };
         site.publish_configuration();
@@ -154,7 +161,10 @@
         for index in 0..self.processes.len() {
             self.signal(index, "CONT");
         }
-        self.runners.iter().for_each(Runner::clear_faults);
+        for runner in &self.runners {
+            runner.clear_faults();
+            runner.set_rest(None);
+        }
     }
 
     /// Puts a new version of the configuration into the store.
@@ -181,6 +191,18 @@
                 "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
         self.store.put("keyed.op", "config", Some(&configuration));
+        self.configuration = configuration;
+    }
+
+    /// Lets the store return from a copy that is `age` old. The operator and the
+    /// endpoints write again what they wrote since.
+    pub fn restore_store(&self, age: std::time::Duration) {
+        self.store.restore(age);
+        let configuration = Some(&self.configuration);
+        self.store.put("keyed.op", "config", configuration);
+        for (id, entry) in &self.entries {
+            self.store.put("keyed.servers", id, Some(entry));
+        }
     }
 
     /// Checks how often requests ran, what callers received, that no endpoint
