Take an answer without an era for one of the current era

A store that stops naming eras, as an older platform, would have had all its answers discarded, and no engine would have moved. Test: answers_without_an_era_are_used.

--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -145,9 +145,7 @@
         shared: &Shared<N, C, D>,
         answer: Answer<Page>,
     ) -> Result<Page, Error> {
-        let Some(era) = answer.era else {
-            return answer.result;
-        };
+        let era = answer.era.unwrap_or(*shared.era.borrow());
         if !shared.observe_era(era) {
             return Err(Error::Outdated);
         }
--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -102,8 +102,8 @@
     let limit = shared.settings.call_timeout;
     let claimed_at = shared.clock.uptime();
     let answer = tokio::time::timeout(limit, store.claims()).await.ok()?;
-    let era = answer.era?;
     let known_era = *shared.era.borrow();
+    let era = answer.era.unwrap_or(known_era);
     let Ok(claims) = answer.result else {
         slog::debug!(shared.logger, "engines: reading the claims failed");
         return None;
@@ -129,12 +129,11 @@
     };
     let answer = tokio::time::timeout(limit, store.claim(&claim, claims.next)).await;
     let recorded_era = answer.as_ref().ok().and_then(|answer| answer.era);
-    if let Some(era) = recorded_era {
-        shared.observe_era(era);
-    }
+    let recorded_era = recorded_era.unwrap_or(era);
+    shared.observe_era(recorded_era);
     match answer.map(|answer| answer.result) {
         // The claims before this one were read in another era.
-        Ok(Ok(Some(_))) if recorded_era != Some(era) => None,
+        Ok(Ok(Some(_))) if recorded_era != era => None,
         Ok(Ok(Some(offset))) => {
             lock(&shared.moves).record_claim(now, offset, &claim.holder, order);
             Some((era.fencing_token(offset), claimed_at))
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug)]
 pub struct Answer<T> {
     /// Era that the answer names, also if it is a refusal. `None` if no answer
-    /// came.
+    /// came, or if it names none and so is taken for one of the current era.
     pub era: Option<Era>,
     /// The decoded answer.
     pub result: Result<T, Error>,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's store of keyed topics, with faults.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
     calls: Arc<Mutex<u64>>,
     /// Number of returns from an older copy, sent as `store-era`.
     era: Arc<AtomicU64>,
+    /// Whether answers lack the era, as those of an older platform.
+    hides_era: Arc<AtomicBool>,
 }
 
 /// A topic with a single partition.
@@ -88,6 +90,11 @@
         self.append(topic, vec![(key.into(), value.to_vec())]);
     }
 
+    /// Leaves the era out of all further answers.
+    pub fn hide_era(&self) {
+        self.hides_era.store(true, Ordering::SeqCst);
+    }
+
     /// Returns to a copy that is `age` old, as after a loss of the newest records,
     /// and begins a new era. Reads that wait are answered, as their connections
     /// would break.
@@ -144,10 +151,12 @@
 
     /// Answers a call, and names the era in every answer.
     async fn answer(self, request: Request<Bytes>) -> Response<Body> {
-        let era = self.era.clone();
+        let (era, hides_era) = (self.era.clone(), self.hides_era.clone());
         let mut response = self.handle(request).await;
-        let era = HeaderValue::from(era.load(Ordering::SeqCst));
-        response.headers_mut().insert("store-era", era);
+        if !hides_era.load(Ordering::SeqCst) {
+            let era = HeaderValue::from(era.load(Ordering::SeqCst));
+            response.headers_mut().insert("store-era", era);
+        }
         response
     }
 
