Bound what a request that must avoid engines costs its scheduler

Read again: a request that names engines to avoid made the scheduler look through its whole queue at each event, and a rest in a message had no bound, so that one of centuries would have overflowed a time. Eight requests are considered in its place, engines that the scheduler knows to leave do not count, and times in messages are at most 600 s. A claim's era is compared with the one that was known before the claims were read, so that a return of the store in between is noticed.

--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -101,15 +101,15 @@
 ) -> Option<(u64, Duration)> {
     let limit = shared.settings.call_timeout;
     let claimed_at = shared.clock.uptime();
-    let answer = tokio::time::timeout(limit, store.claims()).await.ok()?;
     let known_era = *shared.era.borrow();
+    let answer = tokio::time::timeout(limit, store.claims()).await.ok()?;
     let era = answer.era.unwrap_or(known_era);
     let Ok(claims) = answer.result else {
         slog::debug!(shared.logger, "engines: reading the claims failed");
         return None;
     };
-    // In a new era, the store may lack claims of other hosts, so that moves are
-    // paused.
+    // The move was decided in another era. In a new one, the store may lack
+    // claims of other hosts, and moves are paused.
     if !shared.observe_era(era) || era != known_era {
         return None;
     }
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -284,7 +284,8 @@
             schedule.record_failure(now, &trouble.endpoint, to_failure(trouble.kind))
         }
         Up::Notice(notice) => {
-            schedule.record_notice(now, &notice.endpoint, notice.leaving, notice.rest.into());
+            let rest = Duration::from(notice.rest).min(MAX_WAIT);
+            schedule.record_notice(now, &notice.endpoint, notice.leaving, rest);
             if notice.leaving {
                 shared.record_leaving(&notice.endpoint);
             }
@@ -379,7 +380,7 @@
     }
 }
 
-/// Upper bound of the waiting times in a request.
+/// Upper bound of the times in a message.
 const MAX_WAIT: Duration = Duration::from_secs(600);
 
 fn from_micros(microseconds: u32) -> Duration {
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -112,6 +112,10 @@
     arrivals: Option<Arrivals>,
 }
 
+/// Number of requests behind one that must avoid some endpoints that are
+/// considered in its place. Bounds the time of a decision.
+const MAX_PASSED_OVER: usize = 8;
+
 /// Endpoints that a request occupies.
 #[derive(Clone, Copy, Debug)]
 struct Lease {
@@ -246,22 +250,30 @@
         if let Some((grant, lease)) = chosen {
             return Some((*id, grant, lease));
         }
-        if request.excluded.is_empty() {
+        if !self.is_restricted(now, request) {
             return None;
         }
-        for (ticket, _) in backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME) {
+        let ordered = backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME);
+        for (ticket, _) in ordered.into_iter().skip(1).take(MAX_PASSED_OVER) {
             let (id, request) = backlog.requests.get(&ticket)?;
             let chosen = self.choose_endpoints(now, request, engine, random);
             if let Some((grant, lease)) = chosen {
                 return Some((*id, grant, lease));
             }
-            if request.excluded.is_empty() {
+            if !self.is_restricted(now, request) {
                 return None;
             }
         }
         None
     }
 
+    /// Returns whether a request must avoid an endpoint that others may use.
+    fn is_restricted(&self, now: Instant, request: &Request) -> bool {
+        let keys = request.excluded.iter().filter_map(|id| self.pool.key(id));
+        let mut states = keys.filter_map(|key| self.pool.get(key));
+        states.any(|state| state.accepts_work(now))
+    }
+
     /// Finds the first request that will not get room before its deadline, and
     /// predicts when there will be room.
     fn find_unservable(
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -409,3 +409,45 @@
         "{alone:?} {together:?}"
     );
 }
+
+/// A host whose engines all rest must not hold up the requests of others.
+#[test]
+fn a_request_that_must_avoid_all_engines_holds_up_no_other() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(pool::Settings::default(), balance::Settings::default());
+    scheduler.update(engines(1, 2));
+    let restricted = Request {
+        excluded: vec!["d0".into(), "d1".into()],
+        ..request(now)
+    };
+    scheduler.enqueue(now, id(1), restricted, ENGINE);
+    scheduler.enqueue(now, id(2), request(now), ENGINE);
+    let mut random = StdRng::seed_from_u64(1);
+    let answer = scheduler.next_answer(now, "model", ENGINE, &mut random);
+    assert!(
+        matches!(answer, Some((granted, Answer::Grant(_))) if granted == id(2)),
+        "{answer:?}"
+    );
+    assert!(scheduler.is_queued(id(1)));
+}
+
+/// What one host hears from an endpoint at rest concerns that host. Others use the
+/// endpoint if no other has room.
+#[test]
+fn a_rest_asked_of_one_host_makes_others_prefer_other_engines() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(pool::Settings::default(), balance::Settings::default());
+    scheduler.update(engines(1, 2));
+    scheduler.record_notice(now, "d0", false, 3 * SECOND);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut granted = Vec::new();
+    for number in 0..4 {
+        scheduler.enqueue(now, id(number), request(now), ENGINE);
+        let answer = scheduler.next_answer(now, "model", ENGINE, &mut random);
+        if let Some((_, Answer::Grant(grant))) = answer {
+            granted.push(grant.decode);
+        }
+    }
+    assert_eq!(granted[..2], ["d1", "d1"], "{granted:?}");
+    assert!(granted.contains(&"d0".into()), "{granted:?}");
+}
