--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -154,17 +154,22 @@
     loop {
         let reservation = reservation::acquire(call, engine, need, progress).await?;
         let now = call.shared.clock.now();
-        let reusable = kept.take().filter(|cache| cache.is_reusable(now));
+        let mut reusable = kept.take();
+        if !reusable.as_mut().is_some_and(|cache| cache.offer(now)) {
+            reusable = None;
+        }
         let cache = match reusable {
-            Some(mut cache) => {
+            Some(cache) => {
                 call.shared.metrics.count("kv_cache.reused");
-                cache.mark_reused();
                 Some(cache)
             }
             None => match read_prompt(call, engine, need, progress, &reservation).await? {
                 Prompt::Unread => continue,
                 Prompt::Local => None,
-                Prompt::Remote(cache) => Some(cache),
+                Prompt::Remote(mut cache) => {
+                    cache.offer(call.shared.clock.now());
+                    Some(cache)
+                }
             },
         };
         match start_generation(call, need, progress, reservation, cache).await? {
--- a/crates/lib/src/gateway/generate/cache.rs
+++ b/crates/lib/src/gateway/generate/cache.rs
@@ -1,19 +1,17 @@
 //! KV cache of a prompt, kept at its prefill endpoint until transferred.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use compact_str::CompactString;
 
+use cranberryridge_policy::gateway::cache;
+
 use crate::clock::Clock;
 use crate::gateway::dialect::{Dialect, Stage};
 use crate::gateway::exchange::{self, InFlight};
 use crate::net::Net;
 
-/// Time in which a decode endpoint gets the request and begins to take the cache.
-/// It covers a new connection between failure domains.
-const MAX_TAKE_TIME: Duration = Duration::from_millis(60);
-
 /// A KV cache at a prefill endpoint. Dropping it releases the cache there,
 /// unless a decode endpoint has taken it.
 #[derive(Debug)]
@@ -22,12 +20,10 @@
     source: SocketAddr,
     /// Name of the cache at that endpoint.
     handle: CompactString,
-    /// Time at which the endpoint drops the cache.
-    valid_until: Instant,
     /// Whether a decode endpoint has taken it.
     is_taken: bool,
-    /// Whether it was offered to a second decode endpoint.
-    is_reused: bool,
+    /// Offers of the cache to decode endpoints.
+    offers: cache::Cache,
     /// Memory of the cache, counted in the pool until dropped.
     in_flight: InFlight<N, C, D>,
 }
@@ -44,9 +40,8 @@
         Self {
             source,
             handle,
-            valid_until,
             is_taken: false,
-            is_reused: false,
+            offers: cache::Cache::new(valid_until),
             in_flight,
         }
     }
@@ -59,15 +54,10 @@
         }
     }
 
-    /// Returns whether another decode endpoint may take the cache after one has
-    /// refused the request. A second refusal may mean that the cache is gone.
-    pub fn is_reusable(&self, now: Instant) -> bool {
-        !self.is_taken && !self.is_reused && now + MAX_TAKE_TIME < self.valid_until
-    }
-
-    /// Marks the cache as offered to a second decode endpoint.
-    pub fn mark_reused(&mut self) {
-        self.is_reused = true;
+    /// Returns whether the cache may be offered to a decode endpoint now, and
+    /// counts the offer if so.
+    pub fn offer(&mut self, now: Instant) -> bool {
+        !self.is_taken && self.offers.offer(now)
     }
 
     /// Marks the cache as taken, so that dropping it does not release it.
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -3,6 +3,7 @@
 
 pub mod balance;
 pub mod budget;
+pub mod cache;
 pub mod era;
 pub mod member;
 pub mod place;
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -8,6 +8,7 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Move, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget};
+use cranberryridge_policy::gateway::cache::Cache;
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase, RELIST_GRACE_PERIOD};
 use cranberryridge_policy::gateway::place::{Need, Prefiller, Scope};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Load, Pool, Work};
@@ -612,3 +613,18 @@
     let by_size = count_first_events_on_time(|answer| answer);
     assert!(by_size >= by_arrival + 4, "{by_size} against {by_arrival}");
 }
+
+/// A cache that lapses while it is taken would cost a refusal and a retry.
+#[test]
+fn a_cache_is_offered_twice_while_it_lasts() {
+    let now = Instant::now();
+    let millis = Duration::from_millis;
+    let mut cache = Cache::new(now + millis(500));
+    assert!(cache.offer(now));
+    assert!(!cache.offer(now + millis(450)), "it would lapse on the way");
+    assert!(cache.offer(now + millis(300)));
+    assert!(!cache.offer(now + millis(310)), "it may be gone");
+    let mut unknown = Cache::new(now);
+    assert!(unknown.offer(now), "its time is not known");
+    assert!(!unknown.offer(now));
+}
