--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -326,26 +326,6 @@
         });
     }
 
-    /// Records the era that an answer of the store or another host names.
-    /// Returns `false` if it is an earlier one than the current.
-    fn observe_era(&self, era: Era) -> bool
-    where
-        C: Clock,
-    {
-        let mut before = Era::default();
-        let is_new = self.era.send_if_modified(|current| {
-            before = *current;
-            *current = era.max(before);
-            era > before
-        });
-        if is_new {
-            lock(&self.moves).begin_era(self.clock.now());
-            self.metrics.count("store.era_begun");
-            slog::info!(self.logger, "store: new era"; "era" => era.0, "before" => before.0);
-        }
-        era >= before
-    }
-
     /// Records that an endpoint failed to serve a request and reports it to the
     /// scheduler.
     fn record_failure(&self, now: Instant, key: EndpointKey, failure: Failure) {
@@ -418,6 +398,23 @@
 }
 
 impl<N, C: Clock, D> Shared<N, C, D> {
+    /// Records the era that an answer of the store or another host names.
+    /// Returns `false` if it is an earlier one than the current.
+    fn observe_era(&self, era: Era) -> bool {
+        let mut before = Era::default();
+        let is_new = self.era.send_if_modified(|current| {
+            before = *current;
+            *current = era.max(before);
+            era > before
+        });
+        if is_new {
+            lock(&self.moves).begin_era(self.clock.now());
+            self.metrics.count("store.era_begun");
+            slog::info!(self.logger, "store: new era"; "era" => era.0, "before" => before.0);
+        }
+        era >= before
+    }
+
     /// Returns the record with which this host announces itself.
     fn host(&self) -> Host {
         Host {
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -5,7 +5,6 @@
 //! read at a prefill endpoint or at the decode endpoint itself, and the stream
 //! is relayed to the caller.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -84,10 +83,6 @@
     NotRun(Option<Cache<N, C, D>>),
 }
 
-/// A prompt that was read: its work in flight, the address of the endpoint that
-/// keeps the KV cache, and the name of the cache there.
-type Handle<N, C, D> = (InFlight<N, C, D>, SocketAddr, CompactString);
-
 /// State of a request across attempts.
 #[derive(Debug, Default)]
 struct Progress {
@@ -154,10 +149,9 @@
     loop {
         let reservation = reservation::acquire(call, engine, need, progress).await?;
         let now = call.shared.clock.now();
-        let mut reusable = kept.take();
-        if !reusable.as_mut().is_some_and(|cache| cache.offer(now)) {
-            reusable = None;
-        }
+        let reusable = kept
+            .take()
+            .and_then(|mut cache| cache.offer(now).then_some(cache));
         let cache = match reusable {
             Some(cache) => {
                 call.shared.metrics.count("kv_cache.reused");
@@ -201,15 +195,16 @@
     else {
         return Ok(Prompt::Local);
     };
-    let handle = run_prefill(call, need, progress, reservation, prefill, prefill_time).await?;
-    Ok(match handle {
-        Some((in_flight, source, handle)) => {
-            let now = call.shared.clock.now();
-            let valid_until = now + engine.cache_ttl;
-            Prompt::Remote(Cache::new(in_flight, source, handle, valid_until))
-        }
-        None => Prompt::Unread,
-    })
+    let cache = run_prefill(
+        call,
+        engine,
+        need,
+        progress,
+        reservation,
+        prefill,
+        prefill_time,
+    );
+    Ok(cache.await?.map_or(Prompt::Unread, Prompt::Remote))
 }
 
 /// Returns the capacity that the request needs.
@@ -248,16 +243,17 @@
     pool.choose_prefiller(now, scope, engine, need, decode, &mut rand::rng())
 }
 
-/// Sends the prompt to a prefill endpoint and returns the handle of its KV
-/// cache, or `None` if another endpoint should be tried.
+/// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
+/// if another endpoint should be tried.
 async fn run_prefill<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
+    engine: Engine,
     need: Need,
     progress: &mut Progress,
     reservation: &Reservation<N, C, D>,
     key: EndpointKey,
     expected: Duration,
-) -> Result<Option<Handle<N, C, D>>, Refusal> {
+) -> Result<Option<Cache<N, C, D>>, Refusal> {
     let shared = Arc::clone(&call.shared);
     let started_at = shared.clock.now();
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
@@ -288,7 +284,8 @@
         }
         _ => None,
     };
-    let took = shared.clock.now().saturating_duration_since(started_at);
+    let now = shared.clock.now();
+    let took = now.saturating_duration_since(started_at);
     let Some(handle) = handle else {
         call.record.add_call("prefill", &endpoint.id, "failed");
         progress.excluded.push(key);
@@ -297,7 +294,9 @@
     in_flight.finish_prefill(expected, took);
     reservation.record_remote_prefill(took);
     call.record.add_call("prefill", &endpoint.id, "read");
-    Ok(Some((in_flight, endpoint.address, handle)))
+    let valid_until = now + engine.cache_ttl;
+    let cache = Cache::new(in_flight, endpoint.address, handle, valid_until);
+    Ok(Some(cache))
 }
 
 /// Sends the request to the endpoint that generates the answer and waits for the
--- a/crates/lib/src/gateway/generate/cache.rs
+++ b/crates/lib/src/gateway/generate/cache.rs
@@ -57,7 +57,7 @@
     /// Returns whether the cache may be offered to a decode endpoint now, and
     /// counts the offer if so.
     pub fn offer(&mut self, now: Instant) -> bool {
-        !self.is_taken && self.offers.offer(now)
+        self.offers.offer(now)
     }
 
     /// Marks the cache as taken, so that dropping it does not release it.
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -87,6 +87,14 @@
     removed_at: Instant,
 }
 
+/// What is known of one start of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    started_ms: u64,
+    draining: bool,
+    is_gone: bool,
+}
+
 /// Time after which a copy of the store no longer lists a removed endpoint.
 /// Copies are some seconds old.
 const DEPARTURE_TTL: Duration = Duration::from_secs(60);
@@ -171,32 +179,42 @@
 
     /// Returns whether a later start of the endpoint is known.
     fn has_restarted_since(&self, endpoint: &Endpoint) -> bool {
-        let record = self.records.get(&endpoint.id);
-        let departure = self.departed.get(&endpoint.id);
-        record.is_some_and(|record| record.endpoint.started_ms > endpoint.started_ms)
-            || departure.is_some_and(|departure| departure.started_ms > endpoint.started_ms)
+        let mut starts = self.known_starts(&endpoint.id);
+        starts.any(|start| start.started_ms > endpoint.started_ms)
     }
 
     /// Returns whether this start of the endpoint is known to be gone.
     fn is_gone(&self, endpoint: &Endpoint) -> bool {
-        let departure = self.departed.get(&endpoint.id);
-        if departure.is_some_and(|departure| departure.started_ms == endpoint.started_ms) {
-            return true;
-        }
-        let record = self.records.get(&endpoint.id);
-        let record = record.filter(|record| record.endpoint.started_ms == endpoint.started_ms);
-        record.is_some_and(|record| record.removed_at.is_some() || record.withheld_until.is_some())
+        let mut starts = self.known_starts(&endpoint.id);
+        starts.any(|start| start.started_ms == endpoint.started_ms && start.is_gone)
+    }
+
+    /// Returns whether this start of the endpoint is known to be draining.
+    fn is_draining(&self, endpoint: &Endpoint) -> bool {
+        let mut starts = self.known_starts(&endpoint.id);
+        starts.any(|start| start.started_ms == endpoint.started_ms && start.draining)
+    }
+
+    /// Returns the starts of an endpoint that are known from its entry and its
+    /// departure.
+    fn known_starts(&self, id: &str) -> impl Iterator<Item = Start> {
+        let listed = self.records.get(id).map(|record| Start {
+            started_ms: record.endpoint.started_ms,
+            draining: record.endpoint.draining,
+            is_gone: record.removed_at.is_some() || record.withheld_until.is_some(),
+        });
+        let departed = self.departed.get(id).map(|departure| Start {
+            started_ms: departure.started_ms,
+            draining: departure.draining,
+            is_gone: true,
+        });
+        listed.into_iter().chain(departed)
     }
 
     /// Adds or replaces an endpoint. One that was draining stays so until it
     /// restarts.
     fn insert(&mut self, mut endpoint: Endpoint, withheld_until: Option<Instant>) {
-        let known = self.records.get(&endpoint.id);
-        let known = known.map(|record| (record.endpoint.started_ms, record.endpoint.draining));
-        let departed = self.departed.get(&endpoint.id);
-        let departed = departed.map(|departure| (departure.started_ms, departure.draining));
-        let was_draining = |start: Option<(u64, bool)>| start == Some((endpoint.started_ms, true));
-        endpoint.draining |= was_draining(known) || was_draining(departed);
+        endpoint.draining |= self.is_draining(&endpoint);
         if withheld_until.is_none() && !endpoint.draining {
             self.departed.remove(&endpoint.id);
         }
@@ -273,10 +291,9 @@
         let Some(excess) = self.departed.len().checked_sub(MAX_DEPARTURES + 1) else {
             return;
         };
-        let mut times = self.departed.values().map(|departure| departure.removed_at);
-        let mut times = times.by_ref().collect::<Vec<_>>();
-        let (_, limit, _) = times.select_nth_unstable(excess);
-        let limit = *limit;
+        let times = self.departed.values().map(|departure| departure.removed_at);
+        let mut times = times.collect::<Vec<_>>();
+        let limit = *times.select_nth_unstable(excess).1;
         self.departed
             .retain(|_, departure| departure.removed_at > limit);
     }
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -8,6 +8,7 @@
 //! reservations are authoritative, and a host that cannot reach its scheduler
 //! chooses by itself.
 
+use std::iter;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -245,16 +246,10 @@
         random: &mut R,
     ) -> Option<(Id, Grant, Lease)> {
         let first = backlog.queue.next(now, FIRST_EVENT_LEAD_TIME)?;
-        let (id, request) = backlog.requests.get(&first)?;
-        let chosen = self.choose_endpoints(now, request, engine, random);
-        if let Some((grant, lease)) = chosen {
-            return Some((*id, grant, lease));
-        }
-        if !self.is_restricted(now, request) {
-            return None;
-        }
-        let ordered = backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME);
-        for (ticket, _) in ordered.into_iter().skip(1).take(MAX_PASSED_OVER) {
+        // The queue is sorted only if the first request is passed over.
+        let ordered = iter::once_with(|| backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME));
+        let others = ordered.flatten().map(|(ticket, _)| ticket).skip(1);
+        for ticket in iter::once(first).chain(others.take(MAX_PASSED_OVER)) {
             let (id, request) = backlog.requests.get(&ticket)?;
             let chosen = self.choose_endpoints(now, request, engine, random);
             if let Some((grant, lease)) = chosen {
