Read logs once for losses and notices

Both commands opened files, skipped what stands before a line's first brace and decoded it with a loop of their own. crates/cli/src/logs.rs does it for both; output and errors are as before.

--- a/crates/cli/src/losses.rs
+++ b/crates/cli/src/losses.rs
@@ -2,14 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{self, BufRead, BufReader};
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use getopts::Options;
 use serde::Deserialize;
 
-use crate::options;
+use crate::{logs, options};
 
 /// Message of the line that a gateway logs for each finished request.
 const REQUEST_MESSAGE: &str = "gateway: request over";
@@ -88,31 +86,11 @@
         return Ok(0);
     };
     let mut losses = Losses::default();
-    if matches.free.is_empty() {
-        read(&mut losses, io::stdin().lock())?;
-    }
-    for file in &matches.free {
-        let opened = File::open(file).with_context(|| format!("cannot read {file}"))?;
-        read(&mut losses, BufReader::new(opened))?;
-    }
-    options::print(&losses.table());
-    Ok(0)
-}
-
-/// Counts the requests of a log. Skips the text before the first brace of a line, and
-/// lines that are not about a request.
-fn read(losses: &mut Losses, log: impl BufRead) -> Result<()> {
-    for line in log.lines() {
-        let line = line?;
-        let Some(begin) = line.find('{') else {
-            continue;
-        };
-        let Ok(line) = serde_json::from_str::<Line>(&line[begin..]) else {
-            continue;
-        };
+    logs::read(&matches.free, |line: Line| {
         if line.msg == REQUEST_MESSAGE {
             losses.count(line);
         }
-    }
-    Ok(())
+    })?;
+    options::print(&losses.table());
+    Ok(0)
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod explain;
+mod logs;
 mod losses;
 mod notices;
 mod options;
--- a/crates/cli/src/notices.rs
+++ b/crates/cli/src/notices.rs
@@ -3,14 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{self, BufRead, BufReader};
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use getopts::Options;
 use serde::Deserialize;
 
-use crate::options;
+use crate::{logs, options};
 
 /// Messages of the lines that a gateway logs for a new era and for endpoints.
 const ERA_MESSAGE: &str = "store: new era";
@@ -132,28 +130,7 @@
         return Ok(0);
     };
     let mut notices = Notices::default();
-    if matches.free.is_empty() {
-        read(&mut notices, io::stdin().lock())?;
-    }
-    for file in &matches.free {
-        let opened = File::open(file).with_context(|| format!("cannot read {file}"))?;
-        read(&mut notices, BufReader::new(opened))?;
-    }
+    logs::read(&matches.free, |line| notices.record(line))?;
     options::print(&notices.table());
     Ok(0)
 }
-
-/// Records the notices of a log. Skips the text before the first brace of a line, and
-/// lines of another kind.
-fn read(notices: &mut Notices, log: impl BufRead) -> Result<()> {
-    for line in log.lines() {
-        let line = line?;
-        let Some(begin) = line.find('{') else {
-            continue;
-        };
-        if let Ok(line) = serde_json::from_str::<Line>(&line[begin..]) {
-            notices.record(line);
-        }
-    }
-    Ok(())
-}
