--- a/crates/standin/tests/drain.rs
+++ b/crates/standin/tests/drain.rs
@@ -13,7 +13,9 @@
 use cranberryridge_standin::engine::expected_answer;
 use cranberryridge_standin::fleet::Plan;
 
-use peer::{completion, connect_http2, start_fleet, text, wait_until, with_timeout};
+use peer::{
+    assert_completes, completion, connect_http2, start_fleet, text, wait_until, with_timeout,
+};
 
 /// Length of an answer that takes longer than the grace period.
 const ANSWER_TOKENS: u64 = 300;
@@ -68,14 +70,7 @@
 
     // The load balancer may still send requests in the grace period.
     tokio::time::sleep(GRACE_PERIOD / 2).await;
-    let late = with_timeout(client.send(completion("late", 5)))
-        .await
-        .unwrap();
-    let late = with_timeout(late.into_body().collect())
-        .await
-        .unwrap()
-        .to_bytes();
-    assert_eq!(text(&late), expected_answer("late", 5));
+    assert_completes(&client, "late", 5).await;
 
     tokio::time::sleep(GRACE_PERIOD).await;
     assert!(net.connect(address).await.is_err());
@@ -156,14 +151,7 @@
     wait_until(Duration::from_millis(100), "notice", noticed).await;
     for number in 0..8 {
         let prompt = format!("after {number}");
-        let answer = with_timeout(client.send(completion(&prompt, 5)))
-            .await
-            .unwrap();
-        let whole = with_timeout(answer.into_body().collect())
-            .await
-            .unwrap()
-            .to_bytes();
-        assert_eq!(text(&whole), expected_answer(&prompt, 5));
+        assert_completes(&client, &prompt, 5).await;
         let new = engine.resident_ids();
         assert!(new.iter().all(|id| before.contains(id)), "{new:?}");
     }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -11,10 +11,13 @@
 use cranberryridge::client::Client;
 use cranberryridge::clock::Tokio;
 use cranberryridge::wire::id::Version;
-use cranberryridge_standin::engine::{expected_answer, Faults};
+use cranberryridge_standin::engine::Faults;
 use cranberryridge_standin::fleet::Plan;
 
-use peer::{completion, pair_plan, post, start_fleet, text, wait_until, with_timeout, Deployment};
+use peer::{
+    assert_completes, completion, pair_plan, post, start_fleet, wait_until, with_timeout,
+    Deployment,
+};
 
 /// Limit for the time until every entry knows of a crash.
 const CRASH_NOTICE_LIMIT: Duration = Duration::from_millis(300);
@@ -61,14 +64,7 @@
         ready_endpoints(&fleet) == 3
     })
     .await;
-    let answer = with_timeout(client.send(completion("back", 5)))
-        .await
-        .unwrap();
-    let whole = with_timeout(answer.into_body().collect())
-        .await
-        .unwrap()
-        .to_bytes();
-    assert_eq!(text(&whole), expected_answer("back", 5));
+    assert_completes(&client, "back", 5).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -78,14 +74,7 @@
     let client = Client::new(net.clone(), fleet.entries[0].address());
     for number in 0..4 {
         let prompt = format!("stalled {number}");
-        let answer = with_timeout(client.send(completion(&prompt, 5)))
-            .await
-            .unwrap();
-        let whole = with_timeout(answer.into_body().collect())
-            .await
-            .unwrap()
-            .to_bytes();
-        assert_eq!(text(&whole), expected_answer(&prompt, 5));
+        assert_completes(&client, &prompt, 5).await;
     }
     let entries = fleet.entries.iter();
     let retries = entries.map(|entry| entry.metrics().get("retry.transfer_failed"));
--- a/crates/standin/tests/peer/mod.rs
+++ b/crates/standin/tests/peer/mod.rs
@@ -10,10 +10,11 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::{Method, Request};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use serde_json::{json, Value};
 
+use cranberryridge::client::Client;
 use cranberryridge::clock::Tokio;
 use cranberryridge::net::{memory::Memory, Net};
 use cranberryridge::stream::{Receiver, Sender};
@@ -22,6 +23,7 @@
     Beat, Call, Decode, Down, Greeting, Hold, Prefill, Ticket, Up,
 };
 use cranberryridge::wire::record::Late;
+use cranberryridge_standin::engine::expected_answer;
 use cranberryridge_standin::fleet::{Fleet, Plan};
 
 /// A fleet on in-memory pipes with a paused clock.
@@ -75,6 +77,14 @@
         .expect("the task did not finish in time")
 }
 
+/// Sends a completion request and asserts that the answer is whole and as expected.
+pub async fn assert_completes(client: &Client<Memory>, prompt: &str, tokens: u64) {
+    let answer = with_timeout(client.send(completion(prompt, tokens))).await;
+    let body = with_timeout(answer.unwrap().into_body().collect()).await;
+    let whole = body.unwrap().to_bytes();
+    assert_eq!(text(&whole), expected_answer(prompt, tokens));
+}
+
 /// Builds a POST request with a JSON body.
 pub fn post(path: &str, body: &Value) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::from(body.to_string())));
--- a/crates/standin/tests/silent.rs
+++ b/crates/standin/tests/silent.rs
@@ -14,7 +14,10 @@
 use cranberryridge_standin::engine::expected_answer;
 use cranberryridge_standin::fleet::Plan;
 
-use peer::{completion, hold, pair_plan, start_fleet, text, wait_until, with_timeout, Deployment};
+use peer::{
+    assert_completes, completion, hold, pair_plan, start_fleet, text, wait_until, with_timeout,
+    Deployment,
+};
 
 /// Length of an answer that takes seconds.
 const ANSWER_TOKENS: u64 = 200;
@@ -86,14 +89,7 @@
         }
     });
     let client = Client::new(net.clone(), fleet.entries[0].address());
-    let answer = with_timeout(client.send(completion("again", 450)))
-        .await
-        .unwrap();
-    let whole = with_timeout(answer.into_body().collect())
-        .await
-        .unwrap()
-        .to_bytes();
-    assert_eq!(text(&whole), expected_answer("again", 450));
+    assert_completes(&client, "again", 450).await;
     faults.await.unwrap();
     assert!(fleet.sidecars[1].metrics().get("stream.resumed") >= 2);
 }
