--- /dev/null
+++ b/crates/policy/tests/balance.rs
@@ -0,0 +1,163 @@
+//! Tests of moving engines between stages.
+
+mod fixture;
+
+use std::time::Instant;
+
+use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Move, Moves};
+use cranberryridge_policy::gateway::member::Phase;
+
+use fixture::{engine_pool, ENGINE, NEED, SECOND};
+
+/// Guards against a shortage of decode memory while prefill engines are mostly
+/// idle, which traffic with long answers causes.
+#[test]
+fn engines_move_to_the_overloaded_stage() {
+    let now = Instant::now();
+    let settings = balance::Settings::default();
+    let pool = engine_pool(6, 12);
+    let mut meter = Meter::new(settings, now);
+    for request in 0..18 * 6 {
+        let at = now + SECOND * request / 18;
+        meter.add(at, &pool, ENGINE, NEED);
+    }
+    let now = now + 6 * SECOND;
+    let demand = meter.demand(now);
+    assert!(
+        demand.decode_engines > 3.0 * demand.prefill_engines,
+        "{demand:?}"
+    );
+    let mut moves = Moves::new(settings);
+    let mut moved = 0;
+    while let Some(order) = moves.next_move(now, &pool, "model", demand) {
+        assert_eq!(order.phase, Phase::Decode);
+        moves.record_order(now, order);
+        moved += 1;
+        assert!(moved < 6, "one prefill engine always remains");
+    }
+    assert!((1..=3).contains(&moved), "{moved} engines moved");
+    let pending = |moves: &Moves, at| {
+        let ids = (0..6).map(|n| format!("p{n}"));
+        ids.filter(|id| moves.is_pending(at, id)).count()
+    };
+    assert_eq!(pending(&moves, now), moved);
+    assert_eq!(pending(&moves, now + settings.move_timeout), 0);
+}
+
+#[test]
+fn engines_do_not_move_for_small_imbalances() {
+    let now = Instant::now();
+    let settings = balance::Settings::default();
+    let pool = engine_pool(6, 12);
+    let mut moves = Moves::new(settings);
+    let mut next = |prefill_engines, decode_engines| {
+        let demand = Demand {
+            prefill_engines,
+            decode_engines,
+        };
+        moves.next_move(now, &pool, "model", demand)
+    };
+    assert_eq!(next(0.0, 0.0), None, "no traffic");
+    assert_eq!(next(3.0, 6.0), None, "balanced");
+    assert_eq!(next(3.0, 6.5), None, "nearly balanced");
+    assert!(next(1.0, 8.0).is_some());
+    assert!(matches!(
+        next(8.0, 1.0),
+        Some(Move {
+            phase: Phase::Prefill,
+            ..
+        })
+    ));
+}
+
+/// A move that was claimed but not ordered must not change the balance, and few
+/// engines may move at once, as moving engines serve no requests.
+#[test]
+fn few_engines_move_at_a_time() {
+    let now = Instant::now();
+    let settings = balance::Settings::default();
+    let pool = engine_pool(1, 2);
+    let mut moves = Moves::new(settings);
+    let demand = Demand {
+        prefill_engines: 0.42,
+        decode_engines: 0.07,
+    };
+    let first = moves
+        .next_move(now, &pool, "model", demand)
+        .expect("a move");
+    moves.start_cooldown(now, first.endpoint.clone());
+    let second = moves
+        .next_move(now, &pool, "model", demand)
+        .expect("another move");
+    assert_ne!(first.endpoint, second.endpoint);
+    assert_eq!(second.phase, Phase::Prefill);
+    moves.record_order(now, second);
+    assert_eq!(
+        moves.next_move(now, &pool, "model", demand),
+        None,
+        "one is moving"
+    );
+    let later = now + settings.move_timeout;
+    let next = moves.next_move(later, &pool, "model", demand);
+    assert!(next.is_none(), "all engines are in cooldown: {next:?}");
+}
+
+/// A host that takes over as scheduler must not move engines that its
+/// predecessor has claimed.
+#[test]
+fn claims_of_other_hosts_count_once() {
+    let now = Instant::now();
+    let settings = balance::Settings::default();
+    let pool = engine_pool(6, 12);
+    let mut moves = Moves::new(settings);
+    let demand = Demand {
+        prefill_engines: 1.0,
+        decode_engines: 8.0,
+    };
+    let order = moves
+        .next_move(now, &pool, "model", demand)
+        .expect("a move");
+    assert!(
+        moves.record_claim(now, 7, "front-1", &order),
+        "the claim is new"
+    );
+    assert!(
+        !moves.record_claim(now, 7, "front-1", &order),
+        "the claim is known"
+    );
+    let next = moves
+        .next_move(now, &pool, "model", demand)
+        .expect("another move");
+    assert_ne!(next.endpoint, order.endpoint);
+    assert!(
+        moves.record_claim(now, 9, "front-1", &order),
+        "a later claim is new"
+    );
+    let later = now + settings.cooldown;
+    let next = moves
+        .next_move(later, &pool, "model", demand)
+        .expect("a move");
+    assert_eq!(next.endpoint, order.endpoint, "its cooldown is over");
+}
+
+/// A host learns of another's moves late. Reading the same claim again must not
+/// extend the move, or engines would serve no requests.
+#[test]
+fn a_move_that_others_claimed_ends() {
+    let begin = Instant::now();
+    let settings = balance::Settings::default();
+    let order = Move {
+        endpoint: "d0".into(),
+        phase: Phase::Prefill,
+    };
+    let mut hosts = [Moves::new(settings), Moves::new(settings)];
+    hosts[0].record_order(begin, order.clone());
+    // The other host reads the same claim every three seconds.
+    for turn in 1..10 {
+        hosts[1].record_claim(begin + SECOND * 3 * turn, 5, "front-1", &order);
+    }
+    let soon = begin + SECOND * 4;
+    assert!(hosts.iter().all(|moves| moves.is_pending(soon, "d0")));
+    let end = begin + settings.move_timeout + SECOND * 4;
+    assert!(hosts.iter().all(|moves| !moves.is_pending(end, "d0")));
+}
--- a/crates/policy/tests/era.rs
+++ b/crates/policy/tests/era.rs
@@ -1,8 +1,9 @@
 //! Tests of the list of endpoints and of claims when the store comes back from
 //! an older copy, step by step and over random series.
 
+mod fixture;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bolero::check;
@@ -10,23 +11,18 @@
 use cranberryridge_policy::gateway::balance::{self, Demand, Move, Moves};
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase};
-use cranberryridge_policy::gateway::pool::{self, Pool};
 
-const SECOND: Duration = Duration::from_secs(1);
+use fixture::{endpoint, engine_pool, SECOND};
 
 /// Shortest outage in which an entry expires.
 const ENTRY_TTL: Duration = Duration::from_secs(2);
 
-fn endpoint(id: &str, started_ms: u64, draining: bool) -> Endpoint {
+/// Returns a start of an endpoint.
+fn start(id: &str, started_ms: u64, draining: bool) -> Endpoint {
     Endpoint {
-        id: id.into(),
         started_ms,
-        address: SocketAddr::from(([10, 0, 0, 3], 80)),
-        service: "orders".into(),
-        domain: "a".into(),
-        phase: None,
-        slots: 8,
         draining,
+        ..endpoint(id, "orders", None)
     }
 }
 
@@ -52,7 +48,7 @@
 #[test]
 fn a_gone_endpoint_that_the_copy_lists_is_withheld() {
     let begin = Instant::now();
-    let both = || vec![endpoint("i-1", 1, false), endpoint("i-2", 1, false)];
+    let both = || vec![start("i-1", 1, false), start("i-2", 1, false)];
     let mut list = list(begin, both());
     list.remove(begin, "i-1");
     assert_eq!(used(&mut list, begin), ["i-2"]);
@@ -65,28 +61,25 @@
     // Reading the copy once more proves nothing.
     list.replace(begin + SECOND, both());
     assert_eq!(used(&mut list, begin + SECOND), ["i-2"]);
-    list.put(endpoint("i-1", 1, false));
+    list.put(start("i-1", 1, false));
     assert_eq!(used(&mut list, begin + SECOND), ["i-1", "i-2"]);
 }
 
 #[test]
 fn a_restarted_endpoint_is_not_withheld() {
     let begin = Instant::now();
-    let mut list = list(begin, vec![endpoint("i-1", 1, true)]);
+    let mut list = list(begin, vec![start("i-1", 1, true)]);
     list.remove(begin, "i-1");
     assert!(list.current(begin).is_empty());
     list.begin_era(begin);
-    list.replace(begin, vec![endpoint("i-1", 2, false)]);
+    list.replace(begin, vec![start("i-1", 2, false)]);
     assert_eq!(used(&mut list, begin), ["i-1"]);
 }
 
 #[test]
 fn removals_by_a_copy_are_held_until_endpoints_have_registered_again() {
     let begin = Instant::now();
-    let mut list = list(
-        begin,
-        vec![endpoint("i-1", 1, false), endpoint("i-2", 1, true)],
-    );
+    let mut list = list(begin, vec![start("i-1", 1, false), start("i-2", 1, true)]);
     list.begin_era(begin);
     list.replace(begin, Vec::new());
     let kept = list.current(begin);
@@ -152,13 +145,13 @@
             match Step::decode(*byte) {
                 Step::Write(n) if gone_at[usize::from(n)].is_none() => {
                     let index = usize::from(n);
-                    let entry = endpoint(&format!("i-{n}"), starts[index], leaving[index]);
+                    let entry = start(&format!("i-{n}"), starts[index], leaving[index]);
                     store.insert(n, entry.clone());
                     list.put(entry);
                 }
                 Step::Leave(n) if store.contains_key(&n) && gone_at[usize::from(n)].is_none() => {
                     leaving[usize::from(n)] = true;
-                    let entry = endpoint(&format!("i-{n}"), starts[usize::from(n)], true);
+                    let entry = start(&format!("i-{n}"), starts[usize::from(n)], true);
                     store.insert(n, entry.clone());
                     list.put(entry);
                 }
@@ -228,15 +221,7 @@
 fn no_engine_moves_shortly_after_a_return() {
     let begin = Instant::now();
     let settings = balance::Settings::default();
-    let mut pool = Pool::new(pool::Settings::default());
-    let engine = |id: String, phase| Endpoint {
-        phase: Some(phase),
-        service: "model".into(),
-        ..endpoint(&id, 1, false)
-    };
-    let prefill = (0..6).map(|n| engine(format!("p{n}"), Phase::Prefill));
-    let decode = (0..12).map(|n| engine(format!("d{n}"), Phase::Decode));
-    pool.update(prefill.chain(decode).collect());
+    let pool = engine_pool(6, 12);
     let demand = Demand {
         prefill_engines: 1.0,
         decode_engines: 8.0,
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -1,50 +1,21 @@
 //! Tests the gateway's decisions one by one.
 
-use std::net::SocketAddr;
+mod fixture;
+
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
-use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Move, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget};
 use cranberryridge_policy::gateway::cache::Cache;
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase, RELIST_GRACE_PERIOD};
-use cranberryridge_policy::gateway::place::{Need, Prefiller, Scope};
+use cranberryridge_policy::gateway::place::{Prefiller, Scope};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Load, Pool, Work};
 use cranberryridge_policy::gateway::queue::{Entry, Queue};
-use cranberryridge_policy::gateway::route::{
-    Configuration, Engine, Kind, Route, Service, Table, Target,
-};
-
-const SECOND: Duration = Duration::from_secs(1);
-
-const ENGINE: Engine = Engine {
-    slots: 64,
-    kv_capacity: 30_000,
-    tokens_per_event: 11,
-    max_reservation: SECOND,
-    cache_ttl: Duration::from_millis(500),
-};
-
-const NEED: Need = Need {
-    prompt_tokens: 3000,
-    output_tokens: 700,
-    max_event_gap: Duration::from_millis(300),
-};
+use cranberryridge_policy::gateway::route::{Configuration, Kind, Route, Service, Table, Target};
 
-fn endpoint(id: &str, service: &str, phase: Option<Phase>) -> Endpoint {
-    Endpoint {
-        id: id.into(),
-        started_ms: 1,
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        service: service.into(),
-        domain: "a".into(),
-        phase,
-        slots: 8,
-        draining: false,
-    }
-}
+use fixture::{endpoint, engine_pool, ENGINE, NEED, SECOND};
 
 fn scope(service: &str) -> Scope<'_> {
     Scope {
@@ -54,17 +25,6 @@
     }
 }
 
-/// Creates a pool of prefill engines `p0`, `p1`, … and decode engines `d0`,
-/// `d1`, … in one failure domain.
-fn engines(prefill: usize, decode: usize) -> Pool {
-    let mut pool = Pool::new(pool::Settings::default());
-    let prefillers =
-        (0..prefill).map(|n| endpoint(&format!("p{n}"), "model", Some(Phase::Prefill)));
-    let decoders = (0..decode).map(|n| endpoint(&format!("d{n}"), "model", Some(Phase::Decode)));
-    pool.update(prefillers.chain(decoders).collect());
-    pool
-}
-
 fn key(pool: &Pool, id: &str) -> EndpointKey {
     let all = pool
         .endpoints("model")
@@ -286,7 +246,7 @@
 fn an_engine_that_is_full_or_moving_is_not_asked() {
     let now = Instant::now();
     let mut random = StdRng::seed_from_u64(4);
-    let mut pool = engines(1, 2);
+    let mut pool = engine_pool(1, 2);
     pool.record_failure(now, key(&pool, "d0"), Failure::Full);
     let chosen = pool.choose_decoder(now, scope("model"), ENGINE, NEED, &mut random);
     assert_eq!(chosen, Some(key(&pool, "d1")));
@@ -305,7 +265,7 @@
 fn local_prefill_only_without_running_streams() {
     let now = Instant::now();
     let mut random = StdRng::seed_from_u64(5);
-    let mut pool = engines(1, 1);
+    let mut pool = engine_pool(1, 1);
     let (prefill, decode) = (key(&pool, "p0"), key(&pool, "d0"));
     let mut prefiller = |pool: &Pool| {
         let prefiller =
@@ -330,7 +290,7 @@
 fn load_of_other_hosts_is_estimated_from_own_load() {
     let now = Instant::now();
     let mut random = StdRng::seed_from_u64(6);
-    let mut pool = engines(1, 4);
+    let mut pool = engine_pool(1, 4);
     // This host has one stream at each of two engines.
     pool.start(work(key(&pool, "d0"), 0, 3700));
     pool.start(work(key(&pool, "d1"), 0, 3700));
@@ -362,7 +322,7 @@
 fn slow_streaming_engine_gets_less_work() {
     let now = Instant::now();
     let mut random = StdRng::seed_from_u64(7);
-    let mut pool = engines(1, 2);
+    let mut pool = engine_pool(1, 2);
     let usual = Duration::from_millis(50);
     for _ in 0..20 {
         pool.record_event_interval(now, key(&pool, "d0"), usual);
@@ -400,7 +360,7 @@
 
 #[test]
 fn backlog_wait_grows_with_queue_length() {
-    let mut pool = engines(2, 4);
+    let mut pool = engine_pool(2, 4);
     let empty = pool.predict_backlog_wait("model", ENGINE, 0, 1);
     assert_eq!(empty, Duration::ZERO);
     let key = key(&pool, "d0");
@@ -415,159 +375,6 @@
     assert!((half.as_secs_f64() - 4.0).abs() < 0.4, "{half:?}");
 }
 
-/// Guards against a shortage of decode memory while prefill engines are mostly
-/// idle, which traffic with long answers causes.
-#[test]
-fn engines_move_to_the_overloaded_stage() {
-    let now = Instant::now();
-    let settings = balance::Settings::default();
-    let pool = engines(6, 12);
-    let mut meter = Meter::new(settings, now);
-    for request in 0..18 * 6 {
-        let at = now + SECOND * request / 18;
-        meter.add(at, &pool, ENGINE, NEED);
-    }
-    let now = now + 6 * SECOND;
-    let demand = meter.demand(now);
-    assert!(
-        demand.decode_engines > 3.0 * demand.prefill_engines,
-        "{demand:?}"
-    );
-    let mut moves = Moves::new(settings);
-    let mut moved = 0;
-    while let Some(order) = moves.next_move(now, &pool, "model", demand) {
-        assert_eq!(order.phase, Phase::Decode);
-        moves.record_order(now, order);
-        moved += 1;
-        assert!(moved < 6, "one prefill engine always remains");
-    }
-    assert!((1..=3).contains(&moved), "{moved} engines moved");
-    let pending = |moves: &Moves, at| {
-        let ids = (0..6).map(|n| format!("p{n}"));
-        ids.filter(|id| moves.is_pending(at, id)).count()
-    };
-    assert_eq!(pending(&moves, now), moved);
-    assert_eq!(pending(&moves, now + settings.move_timeout), 0);
-}
-
-#[test]
-fn engines_do_not_move_for_small_imbalances() {
-    let now = Instant::now();
-    let settings = balance::Settings::default();
-    let pool = engines(6, 12);
-    let mut moves = Moves::new(settings);
-    let mut next = |prefill_engines, decode_engines| {
-        let demand = Demand {
-            prefill_engines,
-            decode_engines,
-        };
-        moves.next_move(now, &pool, "model", demand)
-    };
-    assert_eq!(next(0.0, 0.0), None, "no traffic");
-    assert_eq!(next(3.0, 6.0), None, "balanced");
-    assert_eq!(next(3.0, 6.5), None, "nearly balanced");
-    assert!(next(1.0, 8.0).is_some());
-    assert!(matches!(
-        next(8.0, 1.0),
-        Some(Move {
-            phase: Phase::Prefill,
-            ..
-        })
-    ));
-}
-
-/// A move that was claimed but not ordered must not change the balance, and few
-/// engines may move at once, as moving engines serve no requests.
-#[test]
-fn few_engines_move_at_a_time() {
-    let now = Instant::now();
-    let settings = balance::Settings::default();
-    let pool = engines(1, 2);
-    let mut moves = Moves::new(settings);
-    let demand = Demand {
-        prefill_engines: 0.42,
-        decode_engines: 0.07,
-    };
-    let first = moves
-        .next_move(now, &pool, "model", demand)
-        .expect("a move");
-    moves.start_cooldown(now, first.endpoint.clone());
-    let second = moves
-        .next_move(now, &pool, "model", demand)
-        .expect("another move");
-    assert_ne!(first.endpoint, second.endpoint);
-    assert_eq!(second.phase, Phase::Prefill);
-    moves.record_order(now, second);
-    assert_eq!(
-        moves.next_move(now, &pool, "model", demand),
-        None,
-        "one is moving"
-    );
-    let later = now + settings.move_timeout;
-    let next = moves.next_move(later, &pool, "model", demand);
-    assert!(next.is_none(), "all engines are in cooldown: {next:?}");
-}
-
-/// A host that takes over as scheduler must not move engines that its
-/// predecessor has claimed.
-#[test]
-fn claims_of_other_hosts_count_once() {
-    let now = Instant::now();
-    let settings = balance::Settings::default();
-    let pool = engines(6, 12);
-    let mut moves = Moves::new(settings);
-    let demand = Demand {
-        prefill_engines: 1.0,
-        decode_engines: 8.0,
-    };
-    let order = moves
-        .next_move(now, &pool, "model", demand)
-        .expect("a move");
-    assert!(
-        moves.record_claim(now, 7, "front-1", &order),
-        "the claim is new"
-    );
-    assert!(
-        !moves.record_claim(now, 7, "front-1", &order),
-        "the claim is known"
-    );
-    let next = moves
-        .next_move(now, &pool, "model", demand)
-        .expect("another move");
-    assert_ne!(next.endpoint, order.endpoint);
-    assert!(
-        moves.record_claim(now, 9, "front-1", &order),
-        "a later claim is new"
-    );
-    let later = now + settings.cooldown;
-    let next = moves
-        .next_move(later, &pool, "model", demand)
-        .expect("a move");
-    assert_eq!(next.endpoint, order.endpoint, "its cooldown is over");
-}
-
-/// A host learns of another's moves late. Reading the same claim again must not
-/// extend the move, or engines would serve no requests.
-#[test]
-fn a_move_that_others_claimed_ends() {
-    let begin = Instant::now();
-    let settings = balance::Settings::default();
-    let order = Move {
-        endpoint: "d0".into(),
-        phase: Phase::Prefill,
-    };
-    let mut hosts = [Moves::new(settings), Moves::new(settings)];
-    hosts[0].record_order(begin, order.clone());
-    // The other host reads the same claim every three seconds.
-    for turn in 1..10 {
-        hosts[1].record_claim(begin + SECOND * 3 * turn, 5, "front-1", &order);
-    }
-    let soon = begin + SECOND * 4;
-    assert!(hosts.iter().all(|moves| moves.is_pending(soon, "d0")));
-    let end = begin + settings.move_timeout + SECOND * 4;
-    assert!(hosts.iter().all(|moves| !moves.is_pending(end, "d0")));
-}
-
 /// Simulates a burst of 60 simultaneous requests of mixed sizes at one engine
 /// that runs eight at a time, with a target of one second. `sizes` returns the
 /// size that the queue assumes for an answer of a given length in tokens.
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -1,22 +1,24 @@
 //! Tests the scheduler's decisions one by one and under load.
 
+mod fixture;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use cranberryridge_policy::gateway::balance;
-use cranberryridge_policy::gateway::member::{Endpoint, Phase};
+use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::place::{Need, Scope};
 use cranberryridge_policy::gateway::pool::{self, Failure, Pool, Work};
 use cranberryridge_policy::gateway::route::Engine;
 use cranberryridge_policy::gateway::schedule::{Answer, Grant, Id, Request, Scheduler};
 
-const SECOND: Duration = Duration::from_secs(1);
+use fixture::{engines, NEED, SECOND};
 
+/// An engine with room for two requests of [`NEED`].
 const ENGINE: Engine = Engine {
     slots: 64,
     kv_capacity: 10_000,
@@ -25,30 +27,6 @@
     cache_ttl: Duration::from_millis(500),
 };
 
-const NEED: Need = Need {
-    prompt_tokens: 3000,
-    output_tokens: 700,
-    max_event_gap: Duration::from_millis(300),
-};
-
-/// Creates prefill engines `p0`, `p1`, … and decode engines `d0`, `d1`, … in
-/// one failure domain.
-fn engines(prefill: usize, decode: usize) -> Vec<Endpoint> {
-    let engine = |id: String, phase| Endpoint {
-        id: id.as_str().into(),
-        started_ms: 1,
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        service: "model".into(),
-        domain: "a".into(),
-        phase: Some(phase),
-        slots: 64,
-        draining: false,
-    };
-    let prefillers = (0..prefill).map(|n| engine(format!("p{n}"), Phase::Prefill));
-    let decoders = (0..decode).map(|n| engine(format!("d{n}"), Phase::Decode));
-    prefillers.chain(decoders).collect()
-}
-
 fn id(number: u64) -> Id {
     Id { link: 1, number }
 }
