Log how an endpoint's answer ended

The line of a request told neither how the answer was framed nor whether its stream ended inside an event, so that the hypotheses on truncated streams could not be told apart. It now has framing and partial_bytes.

--- a/crates/lib/src/gateway/events.rs
+++ b/crates/lib/src/gateway/events.rs
@@ -50,6 +50,11 @@
         Some(events)
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched_bytes = 0;
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{request, response, Request, Response};
+use http::{header, request, response, HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
@@ -43,6 +43,40 @@
     pub attempt_id: compact_str::CompactString,
 }
 
+/// How the end of an answer is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By the length in its head.
+    Length,
+    /// By an empty chunk.
+    Chunks,
+    /// By the end of the connection, so that an answer may end early without
+    /// a transport error.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of an HTTP/1 answer with a body from its headers.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -21,7 +21,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, InFlight, Outcome};
+use super::exchange::{self, Framing, InFlight, Outcome};
 use super::refusal::Refusal;
 use super::serve::Call;
 use crate::body::Body;
@@ -361,6 +361,7 @@
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
     let (head, mut body) = answer.into_parts();
+    call.record.framing = Some(Framing::of(&head.headers));
     let first_chunk = match next_chunk(&mut body).await {
         Chunk::Data(bytes) => Some(bytes),
         Chunk::End => None,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -150,6 +150,9 @@
             next = tokio::time::timeout(idle_timeout, next_chunk(&mut run.body)) => next,
             () = reply.closed() => return Outcome::CallerGone,
         };
+        if !matches!(next, Ok(Chunk::Data(_))) {
+            call.record.partial_bytes = splitter.partial_bytes();
+        }
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
             Ok(Chunk::End) => {
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -11,7 +11,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, InFlight, Outcome};
+use super::exchange::{self, Framing, InFlight, Outcome};
 use super::refusal::Refusal;
 use super::serve::Call;
 use crate::body::Body;
@@ -163,6 +163,9 @@
     progress.current = Some(key);
     let started_at = shared.clock.now();
     let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
+    if let Outcome::Answer(answer) = &outcome {
+        call.record.framing = Some(Framing::of(answer.headers()));
+    }
     let attempt = match outcome {
         Outcome::Answer(answer) => match exchange::read_answer(&shared, key, answer).await {
             Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -6,6 +6,7 @@
 use slog::Logger;
 
 use super::dialect::Description;
+use super::exchange::Framing;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
@@ -32,6 +33,11 @@
     pub event_count: u32,
     /// Longest gap between two events.
     max_event_gap: Duration,
+    /// Framing of the last answer from an endpoint, if one arrived.
+    pub framing: Option<Framing>,
+    /// Bytes that arrived after the last complete event when the last stream
+    /// ended.
+    pub partial_bytes: usize,
     /// Calls to endpoints in order, with their results.
     calls: String,
     /// Outcome for the caller, as logged.
@@ -58,6 +64,8 @@
             description,
             event_count: 0,
             max_event_gap: Duration::ZERO,
+            framing: None,
+            partial_bytes: 0,
             calls: String::new(),
             outcome: "caller gone",
             status: 0,
@@ -127,6 +135,8 @@
             "events" => self.event_count,
             "pause_ms" => self.max_event_gap.as_millis() as u64,
             "total_ms" => total.as_millis() as u64,
+            "framing" => self.framing.map(Framing::name),
+            "partial_bytes" => self.partial_bytes,
             "calls" => %self.calls);
     }
 }
