--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
 use serde_json::{json, Value};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -94,6 +94,11 @@
     /// Breaks the answer off after this many events, in the middle of the next
     /// one.
     Break(u32),
+    /// Answers without a length or chunks, and ends with the connection.
+    Unframed,
+    /// As [`Fault::Unframed`], but ends a stream after this many events, in the
+    /// middle of the next one.
+    UnframedBreak(u32),
     /// Answers with the id of another attempt.
     Foreign,
     /// Answers without the response stamp.
@@ -399,8 +404,17 @@
             self.stream(&head, fault, run)
         } else {
             tokio::time::sleep(self.settings.service_time).await;
-            Response::new(Body::full(format!("{} {}", head.method, head.uri)))
+            let body = format!("{} {}", head.method, head.uri);
+            if fault == Some(Fault::Unframed) {
+                self.send_halves(body.into())
+            } else {
+                Response::new(Body::full(body))
+            }
         };
+        if matches!(fault, Some(Fault::Unframed | Fault::UnframedBreak(_))) {
+            // HTTP/1.0 has no chunks.
+            *response.version_mut() = Version::HTTP_10;
+        }
         if fault == Some(Fault::Failure) {
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         }
@@ -425,6 +439,20 @@
         response
     }
 
+    /// Answers with a body in two halves, one service time apart.
+    fn send_halves(&self, body: Bytes) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(1);
+        let service_time = self.settings.service_time;
+        tokio::spawn(async move {
+            let (first, second) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
+            // A caller that has gone needs neither half.
+            let _ = sender.send(Ok(first)).await;
+            tokio::time::sleep(service_time).await;
+            let _ = sender.send(Ok(second)).await;
+        });
+        Response::new(Body::Pieces(receiver))
+    }
+
     /// Reads a prompt and leaves a KV cache behind.
     async fn prefill(&self) -> Response<Body> {
         tokio::time::sleep(self.settings.service_time).await;
@@ -454,11 +482,14 @@
                     tokio::time::sleep(Duration::from_millis(time)).await;
                 }
                 let text = format!("id: {event}\ndata: token-{event}\n\n");
-                if fault == Some(Fault::Break(event - 1)) {
+                let breaks = [Fault::Break(event - 1), Fault::UnframedBreak(event - 1)];
+                if let Some(fault) = fault.filter(|fault| breaks.contains(fault)) {
                     let partial = Bytes::from(text.into_bytes()).slice(..8);
                     // A caller that has gone needs no more events.
                     let _ = sender.send(Ok(partial)).await;
-                    let _ = sender.send(Err(Aborted)).await;
+                    if matches!(fault, Fault::Break(_)) {
+                        let _ = sender.send(Err(Aborted)).await;
+                    }
                     return;
                 }
                 if sender.send(Ok(text.into())).await.is_err() {
@@ -466,7 +497,10 @@
                 }
             }
         });
-        Response::new(Body::Pieces(receiver))
+        let mut response = Response::new(Body::Pieces(receiver));
+        let media = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, media);
+        response
     }
 }
 
