Treat a stream that ends inside an event as broken off

Cause: an answer with neither a length nor chunks ends with its connection, so the HTTP library reports the crash of its endpoint as the normal end of the body. The relay passed the rest of the broken event on and wrote the last chunk.

A stream of events is whole only at the end of an event, whatever frames it. Bytes after that make the run count as broken, which resumes the stream elsewhere or ends the caller's connection without its last chunk.

--- a/crates/lib/src/gateway/events.rs
+++ b/crates/lib/src/gateway/events.rs
@@ -50,6 +50,28 @@
         Some(events)
     }
 
+    /// Returns whether the bytes after the last complete event belong to another
+    /// one. Blank lines and complete comments do not.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge::gateway::events::Splitter;
+    /// let mut splitter = Splitter::default();
+    /// splitter.push(b": comment\n");
+    /// assert!(!splitter.is_inside_event());
+    /// splitter.push(b"id: 1\n");
+    /// assert!(splitter.is_inside_event());
+    /// ```
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.buffer.split_inclusive(|byte| *byte == b'\n');
+        lines.any(|line| {
+            let is_blank = matches!(line, b"\n" | b"\r\n");
+            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+            !is_blank && !is_comment
+        })
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.buffer.len()
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -108,7 +108,8 @@
 enum Outcome {
     /// The stream ended normally.
     Complete,
-    /// The endpoint's connection failed or was silent for too long.
+    /// The endpoint's connection failed, was silent for too long, or ended inside
+    /// an event.
     Broken,
     /// The caller disconnected.
     CallerGone,
@@ -155,6 +156,11 @@
         }
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
+            // Without a length or chunks, a crash ends the body like its last event.
+            Ok(Chunk::End) if splitter.is_inside_event() => {
+                call.shared.metrics.count("endpoint.answer_cut");
+                return Outcome::Broken;
+            }
             Ok(Chunk::End) => {
                 let rest = splitter.take_rest();
                 if !rest.is_empty() && reply.send_piece(rest).await.is_err() {
