Complete an answer only by an explicit end

A caller that stopped reading for over 30 s and then read on got the events that were queued for it, followed by the last chunk: a truncated answer, framed as complete. In the other way of serving, the pieces of a plain call that came after a lost one were passed on as well, so that the answer had a hole.

A body in pieces ended normally when its sender was dropped, so every way out of a task that did not abort the answer completed it.

A body is complete only after its sender says so. A dropped sender breaks the caller's connection, and no piece follows one that was lost. The entry, the gateway and the stand-ins share this.

--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
@@ -14,9 +14,27 @@
 pub enum Body {
     /// The complete body.
     Full(Full<Bytes>),
-    /// The pieces as they arrive. Dropping the body shows the sender that the caller
-    /// disconnected.
-    Pieces(mpsc::Receiver<Result<Bytes, Aborted>>),
+    /// The pieces as they arrive.
+    Pieces(Pieces),
+}
+
+/// Pieces of a body as they arrive. The body is complete only with [`Piece::End`]; it
+/// fails if all senders are dropped before. Dropping the body shows the senders that the
+/// caller disconnected.
+#[derive(Debug)]
+pub struct Pieces {
+    receiver: mpsc::Receiver<Piece>,
+    /// Whether the end or a failure was reported.
+    is_ended: bool,
+}
+
+/// Part of a body that is sent in pieces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// Marks the body as complete.
+    End,
 }
 
 /// Error that aborts a body. The caller sees a broken connection.
@@ -36,6 +54,47 @@
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         Self::Full(Full::new(bytes.into()))
     }
+
+    /// Creates a body that is sent in pieces, of which up to `capacity` wait for the
+    /// caller.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    /// # runtime.block_on(async {
+    /// use cranberryridge::body::{Body, Piece};
+    /// use http_body_util::BodyExt;
+    /// let (sender, body) = Body::channel(2);
+    /// sender.send(Piece::Data("ok".into())).await.unwrap();
+    /// sender.send(Piece::End).await.unwrap();
+    /// assert_eq!(body.collect().await.unwrap().to_bytes(), "ok");
+    /// # });
+    /// ```
+    pub fn channel(capacity: usize) -> (mpsc::Sender<Piece>, Self) {
+        let (sender, receiver) = mpsc::channel(capacity);
+        let pieces = Pieces {
+            receiver,
+            is_ended: false,
+        };
+        (sender, Self::Pieces(pieces))
+    }
+}
+
+impl Pieces {
+    /// Polls for the next bytes; `None` after the end or a failure.
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Aborted>>> {
+        if self.is_ended {
+            return Poll::Ready(None);
+        }
+        let piece = ready!(self.receiver.poll_recv(cx));
+        self.is_ended = !matches!(piece, Some(Piece::Data(_)));
+        Poll::Ready(match piece {
+            Some(Piece::Data(bytes)) => Some(Ok(bytes)),
+            Some(Piece::End) => None,
+            None => Some(Err(Aborted)),
+        })
+    }
 }
 
 impl http_body::Body for Body {
@@ -51,9 +110,9 @@
                 let never = |never: Infallible| match never {};
                 Pin::new(full).poll_frame(cx).map_err(never)
             }
-            Self::Pieces(receiver) => {
-                let piece = receiver.poll_recv(cx);
-                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            Self::Pieces(pieces) => {
+                let data = pieces.poll_data(cx);
+                data.map(|data| data.map(|data| data.map(Frame::data)))
             }
         }
     }
--- a/crates/lib/src/entry/model.rs
+++ b/crates/lib/src/entry/model.rs
@@ -450,6 +450,7 @@
             // The caller may have disconnected after the last event, which changes
             // nothing.
             let _ = self.reply.send_piece(openai::DONE_EVENT).await;
+            let _ = self.reply.finish().await;
             return;
         }
         let Some(answer) = openai::assemble(&self.buffered_events, self.request.chat) else {
--- a/crates/lib/src/entry/plain.rs
+++ b/crates/lib/src/entry/plain.rs
@@ -329,6 +329,8 @@
             Action::Settle(attempt) => Some(self.settle(attempt).await),
             Action::Emit => self.emit().await,
             Action::Finish => {
+                // The caller may have disconnected, which changes nothing.
+                let _ = self.reply.finish().await;
                 self.shared.metrics.count("request.answered");
                 self.shared
                     .with_budget(&self.service.name, |budget| budget.earn());
--- a/crates/lib/src/reply.rs
+++ b/crates/lib/src/reply.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::body::{Aborted, Body};
+use crate::body::{Body, Piece};
 use crate::problem::Problem;
 
 /// Maximum number of body pieces that wait for a slow caller.
@@ -19,14 +19,16 @@
 const FLUSH_PAUSE: Duration = Duration::from_millis(50);
 
 /// The task's side of an answer. Sends one answer and notices when the caller
-/// disconnects.
+/// disconnects. A body in pieces is complete only after [`Reply::finish`]; the caller
+/// sees a broken connection if the reply is dropped before.
 #[derive(Debug)]
 pub struct Reply {
     /// `None` once the head was sent.
     head: Option<oneshot::Sender<Response<Body>>>,
-    body: mpsc::Sender<Result<Bytes, Aborted>>,
-    /// Receiver of the body's pieces; moves into the response with the head.
-    pieces: Option<mpsc::Receiver<Result<Bytes, Aborted>>>,
+    /// `None` once the body was aborted or a piece was lost.
+    pieces: Option<mpsc::Sender<Piece>>,
+    /// Body that `pieces` belongs to; moves into the response with the head.
+    body: Option<Body>,
 }
 
 /// Error of a reply whose caller disconnected or stopped reading.
@@ -37,11 +39,11 @@
     /// Creates a reply and the receiver of its response.
     pub fn new() -> (Self, oneshot::Receiver<Response<Body>>) {
         let (head, receiver) = oneshot::channel();
-        let (body, pieces) = mpsc::channel(MAX_QUEUED_PIECES);
+        let (pieces, body) = Body::channel(MAX_QUEUED_PIECES);
         let reply = Self {
             head: Some(head),
-            body,
             pieces: Some(pieces),
+            body: Some(body),
         };
         (reply, receiver)
     }
@@ -66,10 +68,10 @@
 
     /// Sends the head of a response whose body follows in pieces.
     pub fn begin(&mut self, response: http::response::Builder) {
-        let Some(pieces) = self.pieces.take() else {
+        let Some(body) = self.body.take() else {
             return;
         };
-        if let Ok(response) = response.body(Body::Pieces(pieces)) {
+        if let Ok(response) = response.body(body) {
             self.send(response);
         }
     }
@@ -78,30 +80,46 @@
     ///
     /// # Errors
     ///
-    /// [`Gone`] if the caller disconnected or did not read in time.
+    /// [`Gone`] if the caller disconnected or did not read this piece or an earlier one in
+    /// time.
     pub async fn send_piece(&mut self, piece: Bytes) -> Result<(), Gone> {
-        self.enqueue(Ok(piece)).await
+        self.enqueue(Piece::Data(piece)).await
     }
 
-    /// Sends a piece of the body or the error that aborts it.
-    async fn enqueue(&mut self, piece: Result<Bytes, Aborted>) -> Result<(), Gone> {
-        let sent = tokio::time::timeout(STALL_TIMEOUT, self.body.send(piece)).await;
-        sent.map_err(|_| Gone)?.map_err(|_| Gone)
+    /// Marks the body as complete.
+    ///
+    /// # Errors
+    ///
+    /// As [`Reply::send_piece`].
+    pub async fn finish(&mut self) -> Result<(), Gone> {
+        self.enqueue(Piece::End).await
     }
 
     /// Aborts the body, so that the caller sees that it is incomplete. Pauses before,
     /// because the server drops what it has not written yet when a body fails.
     pub async fn abort(&mut self) {
         tokio::time::sleep(FLUSH_PAUSE).await;
-        // The caller may have disconnected, which changes nothing.
-        let _ = self.enqueue(Err(Aborted)).await;
+        self.pieces = None;
+    }
+
+    /// Sends a part of the body. No part follows one that was lost.
+    async fn enqueue(&mut self, piece: Piece) -> Result<(), Gone> {
+        let pieces = self.pieces.as_ref().ok_or(Gone)?;
+        let sent = tokio::time::timeout(STALL_TIMEOUT, pieces.send(piece)).await;
+        if matches!(sent, Ok(Ok(()))) {
+            return Ok(());
+        }
+        self.pieces = None;
+        Err(Gone)
     }
 
-    /// Waits until the caller disconnects.
+    /// Waits until the caller disconnects. Returns at once if the body was aborted or a
+    /// piece was lost.
     pub async fn closed(&mut self) {
-        match &mut self.head {
-            Some(head) => head.closed().await,
-            None => self.body.closed().await,
+        match (&mut self.head, &self.pieces) {
+            (Some(head), _) => head.closed().await,
+            (None, Some(pieces)) => pieces.closed().await,
+            (None, None) => {}
         }
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,7 +12,7 @@
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, Notify};
 
-use cranberryridge::body::{Aborted, Body};
+use cranberryridge::body::{Body, Piece};
 use cranberryridge::client::Client;
 use cranberryridge::net::Net;
 use cranberryridge::wire::id::Digest;
@@ -345,7 +345,7 @@
         let Some(tokens) = self.lock().results.remove(handle) else {
             return server::status(StatusCode::NOT_FOUND);
         };
-        let (sender, receiver) = mpsc::channel(1);
+        let (sender, response_body) = Body::channel(1);
         self.lock().transfers += 1;
         tokio::spawn(async move {
             let bytes = tokens * KV_BYTES_PER_TOKEN / u64::from(TRANSFER_CHUNKS);
@@ -356,14 +356,17 @@
                 }
                 let time = Duration::from_secs_f64(bytes as f64 / share.max(1) as f64);
                 tokio::time::sleep(time).await;
-                if sender.send(Ok(Bytes::from_static(b"kv"))).await.is_err() {
+                let chunk = Piece::Data(Bytes::from_static(b"kv"));
+                if sender.send(chunk).await.is_err() {
                     break;
                 }
             }
+            // A reader that has gone needs no end.
+            let _ = sender.send(Piece::End).await;
             self.lock().transfers -= 1;
             self.changed.notify_waiters();
         });
-        Response::new(Body::Pieces(receiver))
+        Response::new(response_body)
     }
 
     /// Returns the share of the link of one transfer, in bytes per second, and
@@ -390,7 +393,7 @@
         let tokens = (prompt.len().div_ceil(TEXT_BYTES_PER_TOKEN)).max(1) as u64;
         let seed = answer::seed(prompt);
         let include_usage = body["stream_options"]["include_usage"] == json!(true);
-        let (sender, receiver) = mpsc::channel(4);
+        let (sender, response_body) = Body::channel(4);
         let Some(memory) = self.allocate(id.clone(), tokens + answer_tokens).await else {
             return truncated_response();
         };
@@ -416,7 +419,7 @@
             ledger.record_stage(at, &answer.id, &prompt, Stage::Generated);
             drop(memory);
         });
-        Response::new(Body::Pieces(receiver))
+        Response::new(response_body)
     }
 
     /// Pulls a result from another engine. Returns whether it arrived whole.
@@ -438,7 +441,7 @@
 
     /// Generates an answer token by token until it is complete or its reader
     /// has gone.
-    async fn generate(&self, answer: &Answer, sender: &mpsc::Sender<Result<Bytes, Aborted>>) {
+    async fn generate(&self, answer: &Answer, sender: &mpsc::Sender<Piece>) {
         for position in 0..answer.answer_tokens {
             let others = self.lock().decoding.saturating_sub(1);
             let step = self.settings.step + self.settings.step_per_request * others;
@@ -447,17 +450,20 @@
                 ran = self.run_for(&answer.id, step) => ran.is_none(),
                 () = sender.closed() => true,
             };
-            if gone || sender.send(Ok(answer.token_event(position))).await.is_err() {
+            let event = Piece::Data(answer.token_event(position));
+            if gone || sender.send(event).await.is_err() {
                 return;
             }
         }
-        if answer.include_usage && sender.send(Ok(answer.usage_event())).await.is_err() {
-            return;
+        let done = Bytes::from_static(b"data: [DONE]\n\n");
+        let usage = answer.include_usage.then(|| answer.usage_event());
+        for event in usage.into_iter().chain([done]) {
+            if sender.send(Piece::Data(event)).await.is_err() {
+                return;
+            }
         }
-        // A reader that has gone needs no end marker.
-        let _ = sender
-            .send(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
-            .await;
+        // A reader that has gone needs no end.
+        let _ = sender.send(Piece::End).await;
     }
 
     /// Allocates memory for a request, and waits until there is enough. Returns
@@ -607,8 +613,6 @@
 
 /// Returns a response whose body breaks off at once.
 fn truncated_response() -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(1);
-    // The channel has room for one chunk.
-    let _ = sender.try_send(Err(Aborted));
-    Response::new(Body::Pieces(receiver))
+    let (_, body) = Body::channel(1);
+    Response::new(body)
 }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -9,10 +9,9 @@
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
 use serde_json::{json, Value};
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use cranberryridge::body::{Aborted, Body};
+use cranberryridge::body::{Body, Piece};
 use cranberryridge::net::Net;
 use cranberryridge::wire::Map;
 
@@ -441,16 +440,17 @@
 
     /// Answers with a body in two halves, one service time apart.
     fn send_halves(&self, body: Bytes) -> Response<Body> {
-        let (sender, receiver) = mpsc::channel(1);
+        let (sender, response_body) = Body::channel(1);
         let service_time = self.settings.service_time;
         tokio::spawn(async move {
             let (first, second) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
             // A caller that has gone needs neither half.
-            let _ = sender.send(Ok(first)).await;
+            let _ = sender.send(Piece::Data(first)).await;
             tokio::time::sleep(service_time).await;
-            let _ = sender.send(Ok(second)).await;
+            let _ = sender.send(Piece::Data(second)).await;
+            let _ = sender.send(Piece::End).await;
         });
-        Response::new(Body::Pieces(receiver))
+        Response::new(response_body)
     }
 
     /// Reads a prompt and leaves a KV cache behind.
@@ -467,7 +467,7 @@
         fault: Option<Fault>,
         run: Run,
     ) -> Response<Body> {
-        let (sender, receiver) = mpsc::channel(1);
+        let (sender, response_body) = Body::channel(1);
         let settings = self.settings.clone();
         let last_event = head.headers.get("last-event-id");
         let last_event = last_event.and_then(|id| id.to_str().ok()?.parse::<u32>().ok());
@@ -486,18 +486,20 @@
                 if let Some(fault) = fault.filter(|fault| breaks.contains(fault)) {
                     let partial = Bytes::from(text.into_bytes()).slice(..8);
                     // A caller that has gone needs no more events.
-                    let _ = sender.send(Ok(partial)).await;
-                    if matches!(fault, Fault::Break(_)) {
-                        let _ = sender.send(Err(Aborted)).await;
+                    let _ = sender.send(Piece::Data(partial)).await;
+                    if matches!(fault, Fault::UnframedBreak(_)) {
+                        let _ = sender.send(Piece::End).await;
                     }
                     return;
                 }
-                if sender.send(Ok(text.into())).await.is_err() {
+                if sender.send(Piece::Data(text.into())).await.is_err() {
                     return;
                 }
             }
+            // A caller that has gone needs no end.
+            let _ = sender.send(Piece::End).await;
         });
-        let mut response = Response::new(Body::Pieces(receiver));
+        let mut response = Response::new(response_body);
         let media = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(header::CONTENT_TYPE, media);
         response
