Pass no plain answer on that ends inside an event

A service without engines whose stream of events ended with its connection, inside an event, was passed on by the gateway with a length, as a complete answer.

The gateway reads plain answers to the end of the body, which without a length or chunks is also where a crash ends it. Found by looking for the cause wherever an answer is read.

The boundaries of events move out of the gateway, and a scanner that buffers nothing tells whether a stream may end. A plain answer that is no stream of events and has no length cannot be told from one whose connection was closed early; a reset can.

--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -31,6 +31,9 @@
     /// The answer is too large or was cut off.
     #[error("answer unreadable: {0}")]
     Unreadable(Box<dyn std::error::Error + Send + Sync>),
+    /// The answer is a stream of events that ended inside one.
+    #[error("answer ended inside an event")]
+    Truncated,
 }
 
 /// HTTP/1.1 client of one server, with a connection per call. Dropping an answer's body
--- a/crates/lib/src/gateway/events.rs
+++ b/crates/lib/src/events.rs
@@ -1,14 +1,15 @@
-//! Splits a stream of server-sent events at event boundaries.
+//! Boundaries of events in a stream of server-sent events.
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
+use http::{header, HeaderMap};
 
 /// Buffers bytes and returns complete events unchanged.
 ///
 /// # Examples
 ///
 /// ```
-/// use cranberryridge::gateway::events::Splitter;
+/// use cranberryridge::events::Splitter;
 /// let mut splitter = Splitter::default();
 /// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
 /// assert_eq!(splitter.take_events().as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
@@ -51,25 +52,11 @@
     }
 
     /// Returns whether the bytes after the last complete event belong to another
-    /// one. Blank lines and complete comments do not.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge::gateway::events::Splitter;
-    /// let mut splitter = Splitter::default();
-    /// splitter.push(b": comment\n");
-    /// assert!(!splitter.is_inside_event());
-    /// splitter.push(b"id: 1\n");
-    /// assert!(splitter.is_inside_event());
-    /// ```
+    /// one.
     pub fn is_inside_event(&self) -> bool {
-        let mut lines = self.buffer.split_inclusive(|byte| *byte == b'\n');
-        lines.any(|line| {
-            let is_blank = matches!(line, b"\n" | b"\r\n");
-            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
-            !is_blank && !is_comment
-        })
+        let mut scanner = Scanner::default();
+        scanner.push(&self.buffer);
+        scanner.is_inside_event()
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -100,6 +87,70 @@
     }
 }
 
+/// Follows a stream without buffering it, and tells whether it may end here. A
+/// stream that ends inside an event was broken off, however it is framed.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge::events::Scanner;
+/// let mut scanner = Scanner::default();
+/// scanner.push(b"id: 1\ndata: a\n\n: comment\n");
+/// assert!(!scanner.is_inside_event());
+/// scanner.push(b"id: 2\n");
+/// assert!(scanner.is_inside_event());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scanner {
+    /// Whether a field of the current event has ended.
+    has_field: bool,
+    /// First byte of the current line, or `None` at its start.
+    line_start: Option<u8>,
+}
+
+impl Scanner {
+    /// Advances over the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match (byte, self.line_start) {
+                (b'\n', Some(start)) => {
+                    self.has_field |= start != b':';
+                    self.line_start = None;
+                }
+                (b'\n', None) => self.has_field = false,
+                (b'\r', None) => {}
+                (byte, None) => self.line_start = Some(*byte),
+                (_, Some(_)) => {}
+            }
+        }
+    }
+
+    /// Returns whether the last event, or a line between events, has not ended.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_field || self.line_start.is_some()
+    }
+}
+
+/// Returns whether the headers announce a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media = headers.get(header::CONTENT_TYPE);
+    media.is_some_and(|media| {
+        let media = media.as_bytes().split(|byte| *byte == b';').next();
+        media.is_some_and(|media| {
+            media
+                .trim_ascii()
+                .eq_ignore_ascii_case(b"text/event-stream")
+        })
+    })
+}
+
+/// Returns whether a complete body is a stream of events that ends inside one.
+pub fn is_truncated(headers: &HeaderMap, body: &[u8]) -> bool {
+    let mut scanner = Scanner::default();
+    scanner.push(body);
+    is_event_stream(headers) && scanner.is_inside_event()
+}
+
 /// Returns the index after the empty line that ends the last event.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
     let ends = (0..bytes.len()).rev();
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -35,7 +35,6 @@
 use self::store::Host;
 
 pub mod dialect;
-pub mod events;
 pub mod follow;
 pub mod rebalance;
 pub mod schedule;
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http::{header, request, response, HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -22,6 +22,7 @@
 use super::Shared;
 use crate::client::{Client, Error};
 use crate::clock::Clock;
+use crate::events;
 use crate::net::Net;
 
 /// Timeout of connecting to an endpoint. It covers several round trips between
@@ -161,7 +162,7 @@
             shared.record_failure(shared.clock.now(), key, Failure::Broken);
             return match error {
                 Error::Connect(_) => Outcome::NotSent,
-                Error::Broken(_) | Error::Unreadable(_) => Outcome::Lost,
+                Error::Broken(_) | Error::Unreadable(_) | Error::Truncated => Outcome::Lost,
             };
         }
     };
@@ -218,15 +219,16 @@
     answer: Response<Incoming>,
 ) -> Option<(response::Parts, Bytes)> {
     let (head, body) = answer.into_parts();
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => Some((head, body.to_bytes())),
-        Err(error) => {
-            shared.metrics.count("endpoint.answer_cut");
-            slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
-            shared.record_failure(shared.clock.now(), key, Failure::Broken);
-            None
-        }
-    }
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let error = match body.map(Collected::to_bytes) {
+        Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
+        Ok(body) => return Some((head, body)),
+        Err(error) => Error::Unreadable(error),
+    };
+    shared.metrics.count("endpoint.answer_cut");
+    slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
+    shared.record_failure(shared.clock.now(), key, Failure::Broken);
+    None
 }
 
 /// Makes a control call to an endpoint. Returns `None` if no answer came within
--- a/crates/lib/src/lib.rs
+++ b/crates/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod entry;
+pub mod events;
 pub mod frame;
 pub mod gateway;
 pub mod logger;
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -55,6 +55,8 @@
     pub phase: Option<&'static str>,
     /// Duration of a plain call or of reading a prompt.
     pub service_time: Duration,
+    /// Whether the endpoint answers with a stream; engines do in any case.
+    pub is_streaming: bool,
     /// Number of events in a stream.
     pub stream_events: u32,
     /// Time between two events.
@@ -69,6 +71,7 @@
             id: "i-1".into(),
             phase: None,
             service_time: Duration::from_millis(20),
+            is_streaming: false,
             stream_events: 5,
             event_interval: Duration::from_millis(40),
             memory_tokens: 30_000,
@@ -399,7 +402,7 @@
         }
         let mut response = if is_prefill {
             self.prefill().await
-        } else if self.settings.phase.is_some() {
+        } else if self.settings.phase.is_some() || self.settings.is_streaming {
             self.stream(&head, fault, run)
         } else {
             tokio::time::sleep(self.settings.service_time).await;
