Relay no plain stream that ends inside an event as complete

Engines behind sidecars are not concerned, as their streams end with an event of their own.

The sidecar scans such answers as they pass and reports the call as lost, which breaks the caller's connection and keeps no answer.

--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -22,6 +22,7 @@
 use super::Shared;
 use crate::client::{Client, Error};
 use crate::clock::Clock;
+use crate::events::{self, Scanner};
 use crate::net::Net;
 use crate::stream;
 
@@ -201,6 +202,7 @@
         Err(error) => return report_lost(&error, streams).await,
     };
     let (head, mut body) = response.into_parts();
+    let mut scanner = events::is_event_stream(&head.headers).then(Scanner::default);
     let head = self::answer_head(&head);
     let mut connected = streams.sender.send(&Down::Head(head.clone())).await.is_ok();
     let mut kept = BytesMut::new();
@@ -211,6 +213,9 @@
             Ok(Err(_)) => continue,
             Err(error) => return report_lost(&Error::Broken(error), streams).await,
         };
+        if let Some(scanner) = &mut scanner {
+            scanner.push(&data);
+        }
         if kept.len() <= MAX_KEPT_BYTES {
             kept.extend_from_slice(&data);
         }
@@ -223,6 +228,9 @@
         }
         count += 1;
     }
+    if scanner.is_some_and(|scanner| scanner.is_inside_event()) {
+        return report_lost(&Error::Truncated, streams).await;
+    }
     let done = Down::Done(Done { attempt, count });
     if connected && streams.sender.send(&done).await.is_ok() {
         streams.sender.finish();
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{header, HeaderValue, Request, Response, Version};
 use serde_json::json;
 
-use cranberryridge::body::Body;
+use cranberryridge::body::{Body, Piece};
 use cranberryridge::net::Net;
 
 use crate::ledger::Ledger;
@@ -17,6 +17,13 @@
 /// Header with the tag under which the ledger records a run.
 pub const TAG_HEADER: &str = "x-tag";
 
+/// Header that asks for events instead of JSON, without a length or chunks: the number of
+/// bytes of [`EVENTS`] to send.
+pub const EVENT_BYTES_HEADER: &str = "x-event-bytes";
+
+/// Events that are sent on request.
+pub const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
 /// A plain service. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Plain {
@@ -69,6 +76,10 @@
         let tag = tag.unwrap_or_default().to_owned();
         self.settings.ledger.record_run(&tag);
         tokio::time::sleep(self.settings.service_time).await;
+        let event_bytes = request.headers().get(EVENT_BYTES_HEADER);
+        if let Some(bytes) = event_bytes.and_then(|bytes| bytes.to_str().ok()?.parse().ok()) {
+            return unframed_events(bytes).await;
+        }
         let answer = json!({
             "tag": tag,
             "method": request.method().as_str(),
@@ -78,3 +89,17 @@
         Response::new(Body::full(answer.to_string()))
     }
 }
+
+/// Returns the first bytes of [`EVENTS`] in a response that ends with its connection.
+async fn unframed_events(bytes: usize) -> Response<Body> {
+    let (sender, body) = Body::channel(2);
+    // The channel has room for both.
+    let _ = sender.send(Piece::Data(EVENTS[..bytes].into())).await;
+    let _ = sender.send(Piece::End).await;
+    let mut response = Response::new(body);
+    // HTTP/1.0 has no chunks.
+    *response.version_mut() = Version::HTTP_10;
+    let media = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, media);
+    response
+}
--- a/crates/standin/tests/path.rs
+++ b/crates/standin/tests/path.rs
@@ -14,6 +14,7 @@
 use cranberryridge::wire::id::Version;
 use cranberryridge_standin::engine::expected_answer;
 use cranberryridge_standin::fleet::{Fleet, Plan};
+use cranberryridge_standin::plain::{EVENTS, EVENT_BYTES_HEADER};
 
 /// Starts a small deployment and waits until it is ready.
 async fn fleet() -> (Memory, Fleet<Memory, Tokio>) {
@@ -123,3 +124,22 @@
     let answer = fetch(&net, &fleet, "/nowhere", &json!({})).await;
     assert_eq!(answer.headers()["x-cranberryridge-code"], "1001");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_plain_stream_that_ends_inside_an_event_is_not_passed_on_as_complete() {
+    let (net, fleet) = fleet().await;
+    let client = Client::new(net.clone(), fleet.entries[0].address());
+    for bytes in 0..=EVENTS.len() {
+        let mut request = post("/services/orders/book", &json!({}));
+        let headers = request.headers_mut();
+        headers.insert(EVENT_BYTES_HEADER, bytes.into());
+        let answer = client.send(request).await.unwrap();
+        let body = answer.into_body().collect().await.ok();
+        let body = body.map(|body| body.to_bytes());
+        if EVENTS[..bytes].ends_with("\n\n") || bytes == 0 {
+            assert_eq!(body.as_deref(), Some(EVENTS[..bytes].as_bytes()));
+        } else {
+            assert_eq!(body, None, "{bytes} bytes");
+        }
+    }
+}
