Take a connection that closes before the first event for no stream

A run that crashed between its head and its first event, in an answer without a length, reached its caller as a complete stream without events.

Evidence: the new test got 200 with an empty body before, now 502, and for a resumable stream the whole answer from another engine. An empty answer that says by its chunks that it is complete is still passed on.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -361,11 +361,13 @@
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
     let (head, mut body) = answer.into_parts();
-    call.record.framing = Some(Framing::of(&head.headers));
+    let framing = Framing::of(&head.headers);
+    call.record.framing = Some(framing);
     let first_chunk = match next_chunk(&mut body).await {
         Chunk::Data(bytes) => Some(bytes),
-        Chunk::End => None,
-        Chunk::Broken => {
+        Chunk::End if framing != Framing::Connection => None,
+        // A crash before the first event ends the connection as well.
+        Chunk::End | Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
             shared.record_failure(shared.clock.now(), key, Failure::Broken);
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -101,6 +101,8 @@
     /// As [`Fault::Unframed`], but ends a stream after this many events, in the
     /// middle of the next one.
     UnframedBreak(u32),
+    /// As [`Fault::Unframed`], but ends a stream before its first event.
+    UnframedEmpty,
     /// Answers with the id of another attempt.
     Foreign,
     /// Answers without the response stamp.
@@ -109,6 +111,16 @@
     Encoded,
 }
 
+impl Fault {
+    /// Returns whether the answer has neither a length nor chunks.
+    fn is_unframed(self) -> bool {
+        matches!(
+            self,
+            Self::Unframed | Self::UnframedBreak(_) | Self::UnframedEmpty
+        )
+    }
+}
+
 /// A request that an endpoint received.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -413,7 +425,7 @@
                 Response::new(Body::full(body))
             }
         };
-        if matches!(fault, Some(Fault::Unframed | Fault::UnframedBreak(_))) {
+        if fault.is_some_and(Fault::is_unframed) {
             // HTTP/1.0 has no chunks.
             *response.version_mut() = Version::HTTP_10;
         }
@@ -481,6 +493,9 @@
                     () = tokio::time::sleep(settings.event_interval) => {}
                     () = sender.closed() => return,
                 }
+                if fault == Some(Fault::UnframedEmpty) {
+                    break;
+                }
                 if let (Some(Fault::Pause(time)), 3) = (fault, event) {
                     tokio::time::sleep(Duration::from_millis(time)).await;
                 }
