Give a host its share of the fixed retries late, and take it early

Cause, found by reading and reproduced here: the shares of the fixed part do not add up to one while hosts come and go. - A process that starts again has forgotten what it spent, and spends its host's share once more. Processes that restart in series do so each time. - A host knows those that join up to one interval of announcements later, and until then goes on with a share for fewer hosts. The newcomers spend theirs at once. - A host that cannot read announcements for 35 s forgets all others.

The roster of hosts moves to the policy crate and tells each host its share. It is none until all others have read the host's first announcement and what a process before did no longer counts (12 s), and none after others may have removed the host (25 s). It is halved while announcements cannot be read. Retries that requests earn are not affected.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -21,6 +21,7 @@
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
 use cranberryridge_policy::gateway::queue::Queue;
+use cranberryridge_policy::gateway::roster;
 use cranberryridge_policy::gateway::route::Table;
 use cranberryridge_wire::{Map, Set};
 
@@ -91,6 +92,8 @@
     pub grace_period: Duration,
     /// Parameters of the retry budget.
     pub budget: budget::Settings,
+    /// Parameters of the announcements of hosts.
+    pub roster: roster::Settings,
     /// Parameters of predicting endpoints' response times.
     pub pool: pool::Settings,
     /// Parameters of moving engines between stages.
@@ -116,6 +119,7 @@
             lame_duck_period: Duration::from_secs(3),
             grace_period: Duration::from_secs(8),
             budget: budget::Settings::default(),
+            roster: roster::Settings::default(),
             pool: pool::Settings::default(),
             balance: balance::Settings::default(),
         }
@@ -205,6 +209,10 @@
 impl<N, C, D> Shared<N, C, D> {
     /// Creates a gateway that has no configuration and no endpoints.
     pub fn new(parts: Parts<N, C, D>) -> Arc<Self> {
+        let hosts = Mutex::new(Hosts::new(roster::Settings {
+            window: parts.settings.budget.window,
+            ..parts.settings.roster
+        }));
         Arc::new(Self {
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
@@ -217,7 +225,7 @@
             table: ArcSwap::default(),
             budgets: Mutex::default(),
             era: watch::Sender::default(),
-            hosts: Mutex::default(),
+            hosts,
             demands: watch::Sender::default(),
             capacity_freed: Notify::new(),
             store_recovered: Notify::new(),
@@ -372,7 +380,8 @@
     /// Spends one retry of a service's budget and returns whether the budget
     /// allows it.
     fn spend_retry(&self, now: Instant, service: &str) -> bool {
-        let spent = self.with_budget(service, |budget| budget.spend(now, self.host_count()));
+        let share = lock(&self.hosts).share(now);
+        let spent = self.with_budget(service, |budget| budget.spend(now, share));
         let counter = if spent {
             "retry.sent"
         } else {
@@ -441,5 +450,5 @@
 }
 
 /// Number of entry hosts that is assumed until the store lists some. It is high
-/// because too small a share of the retry budget is safer than too large a one.
+/// so that the predicted wait for capacity is not too short.
 const ASSUMED_HOST_COUNT: usize = 16;
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -3,16 +3,15 @@
 //! No request waits for the store: while it is unavailable, the last readings
 //! stay in force.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
 use rand::RngExt;
 
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, List};
+use cranberryridge_policy::gateway::roster::{self, Roster};
 use cranberryridge_policy::gateway::route::{Configuration, Table};
 use cranberryridge_policy::subset::{self, Member};
 
@@ -32,11 +31,6 @@
 /// force.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Interval at which this host announces itself. A host gets no requests
-/// from others before its announcement, and connections to one that is gone
-/// fail.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Delay between the first two announcements, so that hosts that start together
 /// soon find each other.
 const SECOND_ANNOUNCE_DELAY: Duration = Duration::from_secs(2);
@@ -46,10 +40,6 @@
 /// that started shortly before is unknown to others until then.
 const RESTORE_ANNOUNCE_DELAY_MS: std::ops::Range<u64> = 0..1500;
 
-/// Time after which a host without announcements counts as gone. Allows three
-/// lost announcements.
-const HOST_EXPIRY: Duration = Duration::from_secs(35);
-
 /// Number of hosts that are tried in turn as the scheduler of a service, in
 /// case some are unreachable.
 const SCHEDULER_CANDIDATES: usize = 3;
@@ -443,6 +433,7 @@
     let mut pause = SECOND_ANNOUNCE_DELAY;
     let mut eras = shared.era.subscribe();
     loop {
+        let sent_at = shared.clock.now();
         let host = shared.host();
         let announced = store.announce(&host);
         let announced = tokio::time::timeout(shared.settings.call_timeout, announced).await;
@@ -450,7 +441,11 @@
         if let Some(era) = announced.as_ref().and_then(|answer| answer.era) {
             shared.observe_era(era);
         }
-        if announced.is_none_or(|answer| answer.result.is_err()) {
+        if announced.is_some_and(|answer| answer.result.is_ok()) {
+            let mut hosts = lock(&shared.hosts);
+            hosts.roster.record(sent_at, host.name.clone(), host);
+            hosts.roster.record_announcement(sent_at);
+        } else {
             slog::debug!(shared.logger, "store: announcement failed");
         }
         let era_before = reader.era;
@@ -461,13 +456,12 @@
             let mut hosts = lock(&shared.hosts);
             for record in batch.page.records {
                 match record {
-                    Record::Host(host) if is_restored => hosts.record_restored(now, host),
-                    Record::Host(host) => hosts.record(now, host),
+                    Record::Host(host) => hosts.record(now, host, is_restored),
                     Record::Unreadable { key, reason } => log_unreadable(shared, &key, &reason),
                     _ => {}
                 }
             }
-            hosts.remove_expired(now);
+            hosts.roster.finish_reading(now);
             shared.pool().set_host_count(hosts.count());
         }
         // On a timeout, the host announces itself again.
@@ -480,37 +474,41 @@
                 tokio::time::sleep(Duration::from_millis(delay)).await;
             }
         }
-        pause = ANNOUNCE_INTERVAL;
+        pause = shared.settings.roster.announce_interval;
     }
 }
 
 /// The entry hosts with a recent announcement.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Hosts {
-    /// Hosts by name, with the time of their last announcement.
-    by_name: BTreeMap<CompactString, (Instant, Host)>,
+    roster: Roster<Host>,
 }
 
 impl Hosts {
-    fn record(&mut self, now: Instant, host: Host) {
-        self.by_name.insert(host.name.clone(), (now, host));
-    }
-
-    /// Records an announcement from an older copy of the store. It does not
-    /// replace a known one, which may be newer.
-    fn record_restored(&mut self, now: Instant, host: Host) {
-        self.by_name.entry(host.name.clone()).or_insert((now, host));
+    /// Creates a list without hosts.
+    pub fn new(settings: roster::Settings) -> Self {
+        Self {
+            roster: Roster::new(settings),
+        }
     }
 
-    /// Removes hosts without an announcement for [`HOST_EXPIRY`].
-    fn remove_expired(&mut self, now: Instant) {
-        let is_gone = |at: Instant| now.saturating_duration_since(at) >= HOST_EXPIRY;
-        self.by_name.retain(|_, (at, _)| !is_gone(*at));
+    /// Records an announcement, from an older copy of the store if `is_restored`.
+    fn record(&mut self, now: Instant, host: Host, is_restored: bool) {
+        if is_restored {
+            self.roster.record_restored(now, host.name.clone(), host);
+        } else {
+            self.roster.record(now, host.name.clone(), host);
+        }
     }
 
     /// Returns the number of known hosts.
     pub fn count(&self) -> usize {
-        self.by_name.len()
+        self.roster.count()
+    }
+
+    /// Returns the part of a limit of all hosts that this host may use.
+    pub fn share(&self, now: Instant) -> f64 {
+        self.roster.share(now)
     }
 
     /// Returns the addresses of a service's scheduler and its substitutes, in
@@ -524,7 +522,7 @@
     /// domain and its substitutes, in order of preference. One host reads for
     /// all domains if there are few hosts.
     pub fn readers(&self, domain: &str) -> Vec<SocketAddr> {
-        if self.by_name.len() <= MAX_SINGLE_READER_HOSTS {
+        if self.count() <= MAX_SINGLE_READER_HOSTS {
             return self.choose("", |_| true);
         }
         self.choose(domain, |host| host.domain == domain)
@@ -535,7 +533,7 @@
     /// out.
     fn choose(&self, key: &str, is_candidate: impl Fn(&Host) -> bool) -> Vec<SocketAddr> {
         let hosts = || {
-            let hosts = self.by_name.values().map(|(_, host)| host);
+            let hosts = self.roster.iter().map(|(_, host)| host);
             hosts.filter(|host| is_candidate(host))
         };
         let max_cores = hosts().map(|host| host.cores).fold(0.0, f64::max);
@@ -549,7 +547,7 @@
 
     /// Returns whether a known host runs a scheduler at this address.
     pub fn has_scheduler(&self, address: SocketAddr) -> bool {
-        let mut hosts = self.by_name.values().map(|(_, host)| host);
+        let mut hosts = self.roster.iter().map(|(_, host)| host);
         hosts.any(|host| host.scheduler == Some(address))
     }
 }
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod place;
 pub mod pool;
 pub mod queue;
+pub mod roster;
 pub mod route;
 pub mod schedule;
 pub mod surge;
--- a/crates/policy/src/gateway/budget.rs
+++ b/crates/policy/src/gateway/budget.rs
@@ -1,8 +1,7 @@
 //! Retry budget shared by all entry hosts.
 //!
-//! Each entry host spends what its own requests earn and an equal part of the
-//! fixed allowance. The parts exceed the allowance only if a host counts fewer
-//! hosts than there are.
+//! Each entry host spends what its own requests earn and its share of the fixed
+//! allowance, see [`Roster::share`](super::roster::Roster::share).
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -41,8 +40,8 @@
 /// use cranberryridge_policy::gateway::budget::{Budget, Settings};
 /// let settings = Settings { fixed_retries: 10.0, usable_share: 1.0, ..Settings::default() };
 /// let (mut budget, now) = (Budget::new(settings), Instant::now());
-/// assert!((0..5).all(|_| budget.spend(now, 2)));
-/// assert!(!budget.spend(now, 2));
+/// assert!((0..5).all(|_| budget.spend(now, 0.5)));
+/// assert!(!budget.spend(now, 0.5));
 /// ```
 #[derive(Debug)]
 pub struct Budget {
@@ -69,13 +68,13 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one retry and returns true if this host's part of the budget allows
-    /// it, where `hosts` is the number of entry hosts.
-    pub fn spend(&mut self, now: Instant, hosts: usize) -> bool {
+    /// Spends one retry and returns true if the budget allows it, where `share` is
+    /// this host's part of the fixed retries, from 0 to 1.
+    pub fn spend(&mut self, now: Instant, share: f64) -> bool {
         expire(&mut self.requests, now, self.settings.window);
         expire(&mut self.retries, now, self.settings.window);
         let earned = self.settings.retries_per_request * self.requests.len() as f64;
-        let fixed = self.settings.fixed_retries / hosts.max(1) as f64;
+        let fixed = self.settings.fixed_retries * share;
         let limit = (earned + fixed) * self.settings.usable_share;
         if (self.retries.len() + 1) as f64 > limit {
             return false;
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -117,7 +117,7 @@
         let now = begin + Duration::from_millis(step * 50);
         let budget = &mut budgets[(step % hosts as u64) as usize];
         budget.earn(now);
-        if budget.spend(now, hosts) {
+        if budget.spend(now, 1.0 / f64::from(hosts)) {
             retries.push(now);
         }
     }
