Count a refused prompt as a send of its request

A request whose prompt an engine had refused to read was then sent to a decode engine without paying for it from the retry budget: one repeat too many for each.

Cause: prompts and runs were counted apart, each with its first send for free. Only a first prompt that an engine accepts to read is no send.

The sends of a request are counted in one place of the policy crate, for plain requests too.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{watch, Notify};
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
-use cranberryridge_policy::gateway::budget::{self, Budget};
+use cranberryridge_policy::gateway::budget::{self, Budget, Sends};
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
@@ -377,12 +377,16 @@
         self.with_budget(service, |budget| budget.earn(now));
     }
 
-    /// Spends one retry of a service's budget and returns whether the budget
-    /// allows it.
-    fn spend_retry(&self, now: Instant, service: &str) -> bool {
+    /// Returns whether a request may be sent once more, and spends a retry of its
+    /// service's budget if the send is one.
+    fn pay_send(&self, now: Instant, service: &str, sends: &mut Sends) -> bool {
+        if !sends.is_next_retry() {
+            return true;
+        }
         let share = lock(&self.hosts).share(now);
         let spent = self.with_budget(service, |budget| budget.spend(now, share));
         let counter = if spent {
+            sends.record_payment();
             "retry.sent"
         } else {
             "retry.no_budget"
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
@@ -92,10 +93,8 @@
     current: Option<EndpointKey>,
     /// Number of endpoints that may have run the request.
     run_count: u32,
-    /// Whether the prompt was sent to a prefill endpoint.
-    prefill_sent: bool,
-    /// Whether the request was sent to a decode endpoint.
-    run_sent: bool,
+    /// Sends to endpoints so far.
+    sends: Sends,
     /// Endpoints that the request is not sent to again.
     excluded: Vec<EndpointKey>,
     /// Id of the last event that was sent to the caller.
@@ -259,7 +258,7 @@
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         return Ok(None);
     };
-    if progress.prefill_sent && !shared.spend_retry(started_at, &call.service) {
+    if !shared.pay_send(started_at, &call.service, &mut progress.sends) {
         return Err(Refusal::new(Code::RetryBudget));
     }
     let work = Work {
@@ -276,7 +275,10 @@
         last_event_id: None,
     };
     let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
-    progress.prefill_sent |= !matches!(outcome, Outcome::NotSent);
+    if !matches!(outcome, Outcome::NotSent) {
+        let is_read = matches!(&outcome, Outcome::Answer(answer) if answer.status().is_success());
+        progress.sends.record_prefill(is_read);
+    }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
             let answer = exchange::read_answer(&shared, key, answer).await;
@@ -316,7 +318,7 @@
             .add_call("room", &reservation.endpoint.id, "leaving");
         return Ok(Attempt::NotRun(cache));
     };
-    if progress.run_sent && !shared.spend_retry(started_at, &call.service) {
+    if !shared.pay_send(started_at, &call.service, &mut progress.sends) {
         return Err(Refusal::new(Code::RetryBudget));
     }
     let expected = shared.pool().predict_prefill_time(started_at, key, need);
@@ -334,7 +336,9 @@
     progress.may_have_run = true;
     progress.current = Some(key);
     let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
-    progress.run_sent |= !matches!(outcome, Outcome::NotSent);
+    if !matches!(outcome, Outcome::NotSent) {
+        progress.sends.record();
+    }
     let stage = if cache.is_some() { "decode" } else { "whole" };
     let answer = match outcome {
         Outcome::NotSent | Outcome::NotRun => {
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -6,6 +6,7 @@
 use http::{response, Response, StatusCode};
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::Kind;
 use cranberryridge_wire::code::Code;
@@ -77,16 +78,13 @@
     progress: &mut Progress,
 ) -> Result<Answer, Refusal> {
     let mut failure = None;
-    let mut sent_count = 0;
+    let mut sends = Sends::default();
     loop {
         let Some(key) = choose(call, progress) else {
             return failure.ok_or_else(|| refuse(call));
         };
-        if sent_count > 0
-            && !call
-                .shared
-                .spend_retry(call.shared.clock.now(), &call.service)
-        {
+        let now = call.shared.clock.now();
+        if !call.shared.pay_send(now, &call.service, &mut sends) {
             return failure.ok_or(Refusal::new(Code::RetryBudget));
         }
         let attempt = try_endpoint(call, progress, key).await;
@@ -94,7 +92,9 @@
         let ran = !matches!(attempt, Attempt::NotRun | Attempt::NotSent);
         progress.may_have_run = ran || progress.run_count > 0;
         progress.run_count += u32::from(ran);
-        sent_count += u32::from(!matches!(attempt, Attempt::NotSent));
+        if !matches!(attempt, Attempt::NotSent) {
+            sends.record();
+        }
         let may_retry =
             call.route.kind == Kind::Idempotent && progress.run_count < call.route.max_attempts;
         match attempt {
--- a/crates/policy/src/gateway/budget.rs
+++ b/crates/policy/src/gateway/budget.rs
@@ -84,6 +84,54 @@
     }
 }
 
+/// Sends of one request to endpoints, each of which beyond the first is a retry. The
+/// first prompt read that an endpoint accepts does not count.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge_policy::gateway::budget::Sends;
+/// let mut sends = Sends::default();
+/// sends.record_prefill(true);
+/// assert!(!sends.is_next_retry());
+/// sends.record();
+/// assert!(sends.is_next_retry());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sends {
+    /// Sends that count.
+    counted: u32,
+    /// Retries that the budget has paid for.
+    paid: u32,
+    /// Whether an endpoint has accepted to read the prompt.
+    is_prompt_read: bool,
+}
+
+impl Sends {
+    /// Returns whether the next send has to be paid from the budget.
+    pub fn is_next_retry(&self) -> bool {
+        self.paid < self.counted
+    }
+
+    /// Records that the budget paid for the next send.
+    pub fn record_payment(&mut self) {
+        self.paid += 1;
+    }
+
+    /// Records a send, whether or not the endpoint accepted it.
+    pub fn record(&mut self) {
+        self.counted += 1;
+    }
+
+    /// Records a send that only has the prompt read.
+    pub fn record_prefill(&mut self, is_accepted: bool) {
+        if !is_accepted || self.is_prompt_read {
+            self.counted += 1;
+        }
+        self.is_prompt_read |= is_accepted;
+    }
+}
+
 /// Removes times older than the window.
 fn expire(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
     while times.front().is_some_and(|first| *first + window <= now) {
