Soak with series of overlapping faults, and check the retry budget there

Seeds from 2,000 on run four gateways (SOAK_GATEWAYS for more) and 24 callers, who also use a resumable route. Signals, restarts and changes of the configuration come in series that begin before those before them have ended; endpoints answer without a length, break off inside an event and refuse many requests in a row.

All seeds now check the retry budget of each service over sliding windows, from what callers sent and endpoints received.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -1,9 +1,11 @@
 //! Soak test of gateway processes under externally injected faults.
 //!
 //! `SOAK_SEEDS` is a comma-separated list of seeds, or `fresh:N` for N random
-//! ones. `SOAK_SECONDS` is the time for which each seed injects faults.
+//! ones. `SOAK_SECONDS` is the time for which each seed injects faults, and
+//! `SOAK_GATEWAYS` the number of gateways of seeds with series.
 
 mod soak {
+    pub mod budget;
     pub mod load;
     pub mod proxy;
     pub mod site;
@@ -36,13 +38,20 @@
 ];
 
 /// Further seeds that run if `SOAK_SEEDS` is not set.
-const DEFAULT_SEEDS: [u64; 2] = [1, 1002];
+const DEFAULT_SEEDS: [u64; 3] = [1, 1002, 2003];
 
 /// Seeds from this one on also let the store come back from an older copy, and
 /// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
 /// they once failed.
 const FIRST_SEED_WITH_COPIES: u64 = 1000;
 
+/// Seeds from this one on have more gateways, and inject signals, restarts, changes and
+/// answers without a length in series that overlap.
+const FIRST_SEED_WITH_SERIES: u64 = 2000;
+
+/// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
+const SERIES_GATEWAYS: u8 = 4;
+
 /// Number of seeds that run concurrently, each on its own addresses. Seeds that are
 /// equal modulo 200 share addresses and cannot run together.
 const MAX_PARALLEL_SEEDS: usize = 3;
@@ -54,6 +63,19 @@
 /// terminating process and its restart.
 const RECOVERY_TIME: Duration = Duration::from_secs(10);
 
+/// Faults that a series injects into runs at endpoints. Refusals are frequent, as each
+/// causes a retry.
+const SERIES_RUN_FAULTS: [Fault; 8] = [
+    Fault::Unframed,
+    Fault::UnframedBreak(0),
+    Fault::UnframedBreak(3),
+    Fault::UnframedEmpty,
+    Fault::Failure,
+    Fault::NotRun,
+    Fault::NotRun,
+    Fault::NotRun,
+];
+
 /// Faults that are injected into runs at endpoints.
 const RUN_FAULTS: [Fault; 7] = [
     Fault::NotRun,
@@ -93,19 +115,69 @@
     runtime.block_on(run_seed(seed));
 }
 
+/// What a seed injects, and where.
+struct Plan {
+    /// Number of gateways.
+    gateways: u8,
+    /// Number of concurrent callers.
+    callers: u64,
+    /// Routes that callers use.
+    routes: &'static [&'static str],
+    /// Network faults between gateways and endpoints.
+    modes: &'static [Mode],
+    /// Whether the store returns from copies and endpoints ask for rests.
+    has_copies: bool,
+    /// Whether faults also come in series.
+    has_series: bool,
+}
+
+impl Plan {
+    /// Returns the plan of a seed.
+    fn of(seed: u64) -> Self {
+        let has_series = seed >= FIRST_SEED_WITH_SERIES;
+        let gateways = std::env::var("SOAK_GATEWAYS").ok();
+        let gateways = gateways.map(|number| number.parse().unwrap());
+        Self {
+            gateways: if has_series {
+                gateways.unwrap_or(SERIES_GATEWAYS)
+            } else {
+                2
+            },
+            callers: if has_series { 24 } else { 8 },
+            routes: if has_series {
+                &["book", "read", "note", "list"]
+            } else {
+                &["book", "read", "note"]
+            },
+            // A proxy that was silent forwards all retries of that time at once.
+            modes: if has_series {
+                &[Mode::Delayed, Mode::RequestsOnly, Mode::Reset]
+            } else {
+                &[Mode::Delayed, Mode::Silent, Mode::RequestsOnly, Mode::Reset]
+            },
+            has_copies: seed >= FIRST_SEED_WITH_COPIES,
+            has_series,
+        }
+    }
+}
+
 /// Injects faults under load, lets the site recover and checks the results.
 async fn run_seed(seed: u64) {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut site = Site::start((seed % 200) as u8 + 20).await;
-    let load = Load::start(site.gateways(), random.random());
+    let plan = Plan::of(seed);
+    let mut site = Site::start((seed % 200) as u8 + 20, plan.gateways).await;
+    let load = Load::start(site.gateways(), random.random(), plan.callers, plan.routes);
     let seconds = std::env::var("SOAK_SECONDS").ok();
     let seconds = seconds.map_or(DEFAULT_FAULT_SECONDS, |seconds| seconds.parse().unwrap());
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
     while tokio::time::Instant::now() < end {
-        inject_fault(&mut site, &mut random);
-        if seed >= FIRST_SEED_WITH_COPIES {
+        inject_fault(&mut site, &mut random, plan.modes);
+        if plan.has_copies {
             inject_platform_fault(&mut site, &mut random);
         }
+        if plan.has_series {
+            inject_series(&mut site, &mut random).await;
+        }
         let delay = random.random_range(150..900);
         tokio::time::sleep(Duration::from_millis(delay)).await;
         site.restart_ended();
@@ -124,8 +196,7 @@
 }
 
 /// Injects or ends one random fault.
-fn inject_fault(site: &mut Site, random: &mut StdRng) {
-    let modes = [Mode::Delayed, Mode::Silent, Mode::RequestsOnly, Mode::Reset];
+fn inject_fault(site: &mut Site, random: &mut StdRng, modes: &[Mode]) {
     let gateway = random.random_range(0..site.process_count());
     let runner = random.random_range(0..site.runners.len());
     match random.random_range(0..12) {
@@ -169,3 +240,55 @@
         _ => {}
     }
 }
+
+/// Injects a series of faults that begin before those before them have ended.
+async fn inject_series(site: &mut Site, random: &mut StdRng) {
+    let first = random.random_range(0..site.process_count());
+    let gateways = (0..site.process_count()).map(|index| (first + index) % site.process_count());
+    let gateways = gateways.collect::<Vec<_>>();
+    let pause = Duration::from_millis(random.random_range(20..400));
+    match random.random_range(0..7) {
+        0 => {
+            for gateway in &gateways {
+                site.signal(*gateway, "TERM");
+                tokio::time::sleep(pause).await;
+                site.restart_ended();
+            }
+        }
+        1 => {
+            for name in ["TERM", "HUP", "KILL"] {
+                site.signal(first, name);
+                tokio::time::sleep(pause).await;
+            }
+        }
+        2 => {
+            site.signal(first, "STOP");
+            for gateway in &gateways[1..] {
+                site.signal(*gateway, "TERM");
+            }
+            tokio::time::sleep(4 * pause).await;
+            site.signal(first, "CONT");
+        }
+        3 => {
+            for gateway in gateways.iter().take(5) {
+                site.publish_configuration();
+                site.signal(*gateway, "KILL");
+                tokio::time::sleep(pause).await;
+                site.restart_ended();
+            }
+        }
+        4 => {
+            for gateway in &gateways {
+                site.signal(*gateway, "KILL");
+            }
+        }
+        _ => {
+            for runner in &site.runners {
+                for _ in 0..random.random_range(1..1000) {
+                    let fault = SERIES_RUN_FAULTS.choose(random).copied();
+                    runner.inject(fault.unwrap_or(Fault::NotRun));
+                }
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -14,9 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-
-/// Number of concurrent callers.
-const CALLERS: u64 = 8;
+use tokio::time::Instant;
 
 /// Time for which a caller waits for a complete answer.
 const CALL_DEADLINE: Duration = Duration::from_millis(2500);
@@ -28,6 +26,8 @@
     pub attempt: String,
     /// Name of the route.
     pub route: &'static str,
+    /// Time at which the caller sent the request.
+    pub sent_at: Instant,
     /// Status of the answer, if one arrived.
     pub status: Option<u16>,
     /// Body of the answer, if it is complete.
@@ -50,7 +50,12 @@
 
 impl Load {
     /// Starts callers that send requests to random gateways.
-    pub fn start(gateways: Vec<SocketAddr>, seed: u64) -> Self {
+    pub fn start(
+        gateways: Vec<SocketAddr>,
+        seed: u64,
+        callers: u64,
+        routes: &[&'static str],
+    ) -> Self {
         let mut load = Self {
             callers: Vec::new(),
             rows: Arc::default(),
@@ -58,21 +63,23 @@
             faults_over: Arc::default(),
         };
         let next_attempt = Arc::new(AtomicU64::new(0));
-        for caller in 0..CALLERS {
+        for caller in 0..callers {
             let (rows, stop, faults_over) = (
                 load.rows.clone(),
                 load.stop.clone(),
                 load.faults_over.clone(),
             );
             let (gateways, next_attempt) = (gateways.clone(), next_attempt.clone());
+            let routes = routes.to_vec();
             load.callers.push(tokio::spawn(async move {
                 let mut random = StdRng::seed_from_u64(seed ^ caller);
                 let mut connection_slot = None;
                 while !stop.load(Ordering::SeqCst) {
                     let attempt = format!("a{}", next_attempt.fetch_add(1, Ordering::SeqCst));
-                    let route = ["book", "read", "note"][random.random_range(0..3)];
+                    let route = routes[random.random_range(0..routes.len())];
                     let after_faults = faults_over.load(Ordering::SeqCst);
                     let gateway = gateways[random.random_range(0..gateways.len())];
+                    let sent_at = Instant::now();
                     let call = send(&mut connection_slot, gateway, route, &attempt);
                     let result = tokio::time::timeout(CALL_DEADLINE, call).await;
                     if !matches!(result, Ok((Some(_), Some(_)))) {
@@ -82,6 +89,7 @@
                     rows.lock().unwrap().push(Row {
                         attempt,
                         route,
+                        sent_at,
                         status,
                         body,
                         after_faults,
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -14,9 +14,16 @@
 use cranberryridge_standin::server::Server;
 use cranberryridge_standin::store::{self, Store};
 
+use super::budget::{assert_within_budget, FIXED_RETRIES};
 use super::load::Row;
 use super::proxy::{Mode, Proxy};
 
+/// Hosts of the gateways begin with this one.
+const FIRST_GATEWAY_HOST: u8 = 2;
+
+/// Hosts of the endpoints begin with this one.
+const FIRST_RUNNER_HOST: u8 = 240;
+
 /// Minimum share of requests served after the faults are over.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
@@ -51,7 +58,7 @@
 
 impl Site {
     /// Starts everything and waits until the gateways accept connections.
-    pub async fn start(subnet: u8) -> Self {
+    pub async fn start(subnet: u8, gateways: u8) -> Self {
         let at = |host, port| SocketAddr::from(([127, 0, subnet, host], port));
         let store = Store::default();
         let mut servers = vec![store.serve(&Tcp, at(1, 7001)).await.unwrap()];
@@ -59,7 +66,7 @@
         let mut entries = Vec::new();
         let phases = [None, None, Some("prefill"), Some("decode"), Some("decode")];
         for (index, phase) in phases.into_iter().enumerate() {
-            let host = 10 + index as u8;
+            let host = FIRST_RUNNER_HOST + index as u8;
             let runner = Runner::new(runner::Settings {
                 id: format!("i-{index}"),
                 phase,
@@ -92,7 +99,7 @@
             version: 0,
         };
         site.publish_configuration();
-        for host in [2, 3] {
+        for host in (FIRST_GATEWAY_HOST..FIRST_RUNNER_HOST).take(gateways.into()) {
             let settings = site.write_settings(host);
             let child = start_gateway(&settings);
             site.processes.push(Process { settings, child });
@@ -112,7 +119,8 @@
             "nodeName = \"front-{host}\"\nzone = \"a\"\nheartbeatMs = 1200\n\
              ip = \"{ip}\"\nportRange = [7003, 7010]\n\
              [listen]\nfront = \"{ip}:7001\"\nready = \"{ip}:7002\"\n\
-             [limits]\nmemoryMb = 110\ncpuShare = 0.2\ncores = 1\n[contractParams]\nbudgetExtra = 50\n\
+             [limits]\nmemoryMb = 110\ncpuShare = 0.2\ncores = 1\n[contractParams]\n\
+             budgetExtra = {FIXED_RETRIES}\n\
              [platform]\naddress = \"127.0.{}.1:7001\"\n",
             self.subnet
         );
@@ -124,8 +132,10 @@
 
     /// Addresses of the gateways for callers.
     pub fn gateways(&self) -> Vec<SocketAddr> {
-        let hosts = [2, 3].map(|host| SocketAddr::from(([127, 0, self.subnet, host], 7001)));
-        hosts.to_vec()
+        let hosts = (FIRST_GATEWAY_HOST..).take(self.processes.len());
+        hosts
+            .map(|host| SocketAddr::from(([127, 0, self.subnet, host], 7001)))
+            .collect()
     }
 
     /// Number of gateways.
@@ -177,12 +187,15 @@
                 "service": service, "attempts": attempts, "gapAimMs": 300,
             })
         };
+        let mut resumable = route("list", "streaming", "model", 2);
+        resumable["resumable"] = true.into();
         let configuration = json!({
             "version": self.version,
             "routes": [
                 route("read", "idempotent", "orders", 2),
                 route("book", "non_idempotent", "orders", 1),
                 route("note", "streaming", "model", 1),
+                resumable,
             ],
             "services": [{ "name": "orders" }, { "name": "model", "engine": {
                 "slots": 64, "kvCapacity": 30000, "stride": 11, "holdMs": 2000.0,
@@ -217,14 +230,15 @@
         let expected_note = expected_note.collect::<String>();
         for row in rows {
             let ran = runs.get(&row.attempt).copied().unwrap_or_default();
-            let max_runs = if row.route == "read" { 2 } else { 1 };
+            let is_repeatable = ["read", "list"].contains(&row.route);
+            let max_runs = if is_repeatable { 2 } else { 1 };
             assert!(ran <= max_runs, "seed {seed}: {row:?} ran {ran} times");
-            if matches!(row.status, Some(429 | 503)) && row.route != "read" {
+            if matches!(row.status, Some(429 | 503)) && !is_repeatable {
                 assert_eq!(ran, 0, "seed {seed}: {row:?} ran");
             }
             if let (Some(200), Some(body)) = (row.status, &row.body) {
                 let expected = match row.route {
-                    "note" => expected_note.clone(),
+                    "note" | "list" => expected_note.clone(),
                     "book" => "POST /book/7?a=b".into(),
                     _ => "GET /read/7?a=b".into(),
                 };
@@ -240,6 +254,7 @@
                 "seed {seed}: {id} still reserves"
             );
         }
+        assert_within_budget(seed, rows, &self.runners);
         let after_faults = rows
             .iter()
             .filter(|row| row.after_faults)
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -135,6 +135,8 @@
     /// Whether the endpoint ran the request. A prefill or a refusal doesn't
     /// count.
     pub ran: bool,
+    /// Whether the endpoint accepted to read a prompt.
+    pub is_prefill: bool,
 }
 
 /// Resources of a run in progress.
@@ -395,6 +397,7 @@
             body,
             received_at: Instant::now(),
             ran: refused.is_none() && !is_prefill,
+            is_prefill: refused.is_none() && is_prefill,
         });
         let attempt = match fault {
             Some(Fault::Foreign) => "another",
