--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -56,6 +56,7 @@
         match outcome {
             Outcome::Complete => {
                 run.reservation.record_completion();
+                drop(run);
                 // A caller that has disconnected after the last event needs no end.
                 let _ = reply.finish().await;
                 return call.record.set_outcome("streamed", call.record.status);
