Refuse requests that crash endpoints, at all gateways

A request that crashes each endpoint that runs it was sent again by every gateway it came to: 24 times after its third crash in a test, where three are allowed.

Cause: the gateway counted a lost run against its endpoint only. Entries with sidecars have barred such requests for long.

A gateway that loses a run connects to its endpoint once more; one that refuses has crashed. Crashes go into the table that sidecars use, and to the linked hosts by a new message. On the platform equal requests of many callers have one digest, so a crash counts only for a request that arrived after the one counted before; the test of endpoints that crash together under equal requests fails without this rule.

--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -18,6 +18,9 @@
     ("Code", "crate::code::Code"),
 ];
 
+/// Types of a module that are those of another module, with their paths.
+const SHARED: &[(&str, &str, &str)] = &[("schedule", "Suspect", "crate::message::Suspect")];
+
 /// Names of the generated modules, which are also the names of the schema files.
 const MODULES: &[&str] = &["message", "record", "schedule", "setting"];
 
@@ -71,7 +74,10 @@
 
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
-    for (name, replacement) in HAND_WRITTEN {
+    let shared = SHARED.iter().filter(|(user, ..)| *user == module);
+    let shared = shared.map(|(_, name, path)| (name, path));
+    let hand_written = HAND_WRITTEN.iter().map(|(name, path)| (name, path));
+    for (name, replacement) in hand_written.chain(shared) {
         settings.with_replacement(*name, *replacement, std::iter::empty());
     }
 
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -34,6 +34,7 @@
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
 use self::store::Host;
+use self::suspects::Suspects;
 
 pub mod dialect;
 pub mod follow;
@@ -48,6 +49,7 @@
 mod plain;
 mod record;
 mod refusal;
+mod suspects;
 
 /// Parameters of a gateway.
 #[derive(Clone, Debug)]
@@ -146,6 +148,8 @@
     pool: Mutex<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<Map<CompactString, Budget>>,
+    /// Requests that were running when an endpoint crashed.
+    suspects: Suspects,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -224,6 +228,7 @@
             metrics: parts.metrics,
             table: ArcSwap::default(),
             budgets: Mutex::default(),
+            suspects: Suspects::default(),
             era: watch::Sender::default(),
             hosts,
             demands: watch::Sender::default(),
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{header, request, response, HeaderMap, Request, Response};
@@ -17,6 +17,7 @@
 
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
+use cranberryridge_wire::id::Digest;
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
 use super::Shared;
@@ -28,7 +29,7 @@
 /// Timeout of connecting to an endpoint. It covers several round trips between
 /// failure domains. A lost SYN is retransmitted only after a second, and
 /// another endpoint is reached sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -42,6 +43,10 @@
     pub body: Bytes,
     /// Id that the caller gave this attempt.
     pub attempt_id: compact_str::CompactString,
+    /// Time at which the request arrived.
+    pub arrival: Instant,
+    /// Identifies the request, which has the same one in all attempts of its caller.
+    pub digest: Digest,
 }
 
 /// How the end of an answer is marked.
@@ -138,7 +143,7 @@
 
 /// Sends a request to an endpoint and waits for the response head.
 pub async fn send<N: Net, C: Clock, D: Dialect>(
-    shared: &Shared<N, C, D>,
+    shared: &Arc<Shared<N, C, D>>,
     input: &Input,
     key: EndpointKey,
     endpoint: &Endpoint,
@@ -162,7 +167,10 @@
             shared.record_failure(shared.clock.now(), key, Failure::Broken);
             return match error {
                 Error::Connect(_) => Outcome::NotSent,
-                Error::Broken(_) | Error::Unreadable(_) | Error::Truncated => Outcome::Lost,
+                Error::Broken(_) | Error::Unreadable(_) | Error::Truncated => {
+                    shared.investigate_loss(input, endpoint.address);
+                    Outcome::Lost
+                }
             };
         }
     };
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -360,6 +360,7 @@
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
         let Some((head, body)) = exchange::read_answer(&shared, key, answer).await else {
+            shared.investigate_loss(&call.input, endpoint.address);
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
@@ -373,6 +374,7 @@
         // A crash before the first event ends the connection as well.
         Chunk::End | Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
+            shared.investigate_loss(&call.input, endpoint.address);
             shared.record_failure(shared.clock.now(), key, Failure::Broken);
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -57,6 +57,8 @@
             Outcome::Complete => {
                 run.reservation.record_completion();
                 drop(run);
+                let now = call.shared.clock.now();
+                call.shared.suspects.record_success(now, call.input.digest);
                 // A caller that has disconnected after the last event needs no end.
                 let _ = reply.finish().await;
                 return call.record.set_outcome("streamed", call.record.status);
@@ -71,6 +73,7 @@
         let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
+        shared.investigate_loss(&call.input, run.reservation.endpoint.address);
         splitter.discard();
         progress.excluded.push(key);
         progress.last_event_id = splitter.last_id().map(CompactString::from);
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -173,9 +173,13 @@
                 let now = shared.clock.now();
                 let took = now.saturating_duration_since(started_at);
                 shared.pool().record_answer_time(now, key, took);
+                shared.suspects.record_success(now, call.input.digest);
                 Attempt::Done(answer)
             }
-            None => Attempt::Lost,
+            None => {
+                shared.investigate_loss(&call.input, endpoint.address);
+                Attempt::Lost
+            }
         },
         Outcome::NotSent => Attempt::NotSent,
         Outcome::NotRun => Attempt::NotRun,
--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::Response;
+use http::{Response, StatusCode};
 use rand::RngExt;
 
 use cranberryridge_wire::code::Code;
@@ -63,7 +63,11 @@
         let mut problem = Problem::new(self.code);
         problem.retry_after = self.retry_after;
         let mut response = problem.response();
-        if matches!(self.code.status(), 429 | 503) {
+        if self.code == Code::Barred {
+            // Only 429 and 503 say that a request has not run.
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        if matches!(response.status().as_u16(), 429 | 503) {
             dialect.set_retry_after(response.headers_mut(), self.retry_after);
         }
         response
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -144,6 +144,7 @@
     let mut demand_timer = tokio::time::interval(DEMAND_INTERVAL);
     let mut moving = shared.moving_engines.subscribe();
     let mut leaving = shared.leaving_endpoints.subscribe();
+    let mut suspects = shared.suspects.subscribe();
     // Leaving endpoints that the linked hosts were told of.
     let mut told = Set::default();
     loop {
@@ -186,6 +187,15 @@
                 }
                 told = after;
             }
+            _ = suspects.changed() => {
+                suspects.mark_unchanged();
+                for suspect in shared.suspects.recent_changes(shared.clock.now()) {
+                    let numbers = links.keys().copied().collect::<Vec<_>>();
+                    for number in numbers {
+                        send(&mut links, number, Down::Suspect(suspect.clone()));
+                    }
+                }
+            }
             event = inbox.recv() => {
                 let Some(event) = event else { return };
                 arrived = handle_event(shared, &mut schedule, &mut links, event);
@@ -236,6 +246,9 @@
         Up::Beat => {}
         Up::Greet(greeting) => {
             slog::debug!(shared.logger, "scheduler: host linked"; "host" => %greeting.host);
+            for suspect in shared.suspects.snapshot(now) {
+                send(links, link, Down::Suspect(suspect));
+            }
         }
         Up::Follow => {
             let endpoints = shared.listed_endpoints.borrow().clone();
@@ -283,6 +296,7 @@
         Up::Trouble(trouble) => {
             schedule.record_failure(now, &trouble.endpoint, to_failure(trouble.kind))
         }
+        Up::Suspect(suspect) => shared.suspects.merge(now, &suspect),
         Up::Notice(notice) => {
             let rest = Duration::from(notice.rest).min(MAX_WAIT);
             schedule.record_notice(now, &notice.endpoint, notice.leaving, rest);
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -140,7 +140,14 @@
             }
             Ok(Some(Down::Refusal(refusal))) => return Assignment::Refused(refusal.wait.into()),
             Ok(
-                Some(Down::Unknown(_) | Down::Beat(_) | Down::Listing(_) | Down::Leaving(_)) | None,
+                Some(
+                    Down::Unknown(_)
+                    | Down::Beat(_)
+                    | Down::Listing(_)
+                    | Down::Leaving(_)
+                    | Down::Suspect(_),
+                )
+                | None,
             ) => {
                 return Assignment::NoScheduler;
             }
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -11,6 +11,7 @@
 
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::pool::Failure;
+use cranberryridge_wire::message::Suspect;
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::{Map, Set};
 
@@ -223,6 +224,16 @@
         }
     }
 
+    /// Reports a request that was running when an endpoint crashed to all linked
+    /// hosts, which tell those that are linked to them.
+    pub fn report_suspect(&self, suspect: &Suspect) {
+        for link in lock(&self.by_address).values() {
+            if link.sender.try_send(Up::Suspect(suspect.clone())).is_err() {
+                link.reset.notify_one();
+            }
+        }
+    }
+
     /// Reports this host's leases to a service's new scheduler.
     fn restore_leases(&self, link: &Link, service: &str) {
         let leases = lock(&self.leases);
@@ -348,6 +359,10 @@
                 shared.record_leaving(&endpoint);
                 return;
             }
+            Down::Suspect(suspect) => {
+                drop(state);
+                return shared.suspects.merge(shared.clock.now(), &suspect);
+            }
             Down::Queued(number) | Down::Unknown(number) => number,
             Down::Grant(ref grant) => grant.number,
             Down::Refusal(ref refusal) => refusal.number,
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -22,8 +22,9 @@
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::gateway::route::{Limits, Route};
 use cranberryridge_wire::code::Code;
+use cranberryridge_wire::id::Digest;
 
-use super::dialect::{Description, Dialect};
+use super::dialect::Dialect;
 use super::exchange::Input;
 use super::record::Record;
 use super::refusal::Refusal;
@@ -324,9 +325,14 @@
     };
     let service = record.service.clone();
     shared.earn_retry(now, &service);
+    let input = prepare_input(&shared, head, body, &record);
+    if let Some(time) = shared.suspects.barred_for(now, input.digest) {
+        let refusal = Refusal::at_earliest(Code::Barred, time);
+        return refuse(&shared, &mut record, refusal);
+    }
     let engine = shared.table.load().engine(&service);
     let mut call = Call {
-        input: prepare_input(&shared, head, body, &record.description),
+        input,
         shared: shared.clone(),
         record,
         route,
@@ -388,17 +394,26 @@
 }
 
 /// Prepares a request for sending to endpoints.
-fn prepare_input<N, C, D: Dialect>(
+fn prepare_input<N, C: Clock, D: Dialect>(
     shared: &Shared<N, C, D>,
     mut head: http::request::Parts,
     body: Bytes,
-    description: &Description,
+    record: &Record<C>,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
+    let host = head.headers.get(header::HOST);
+    let digest = Digest::of(&[
+        head.method.as_str().as_bytes(),
+        host.map(HeaderValue::as_bytes).unwrap_or_default(),
+        head.uri.to_string().as_bytes(),
+        &body,
+    ]);
     Input {
         head,
         body,
-        attempt_id: description.attempt_id.clone(),
+        attempt_id: record.description.attempt_id.clone(),
+        arrival: record.arrival,
+        digest,
     }
 }
 
--- a/crates/lib/src/sidecar/control.rs
+++ b/crates/lib/src/sidecar/control.rs
@@ -306,7 +306,9 @@
             Command::RecordCrash(digest) => {
                 self.suspects.record_crash(now, self.incarnation, digest)
             }
-            Command::RecordSuccess(digest) => self.suspects.record_success(now, digest),
+            Command::RecordSuccess(digest) => {
+                self.suspects.record_success(now, digest);
+            }
             Command::MergeSuspect(suspect) => {
                 self.suspects.merge_peer(now, &suspect);
             }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! Each sidecar counts only the crashes that it saw itself. Counts from several sidecars
-//! therefore add up, and a count received twice counts once. A request that runs to its
+//! Each sidecar or gateway counts only the crashes that it saw itself. Counts from several
+//! of them therefore add up, and a count received twice counts once. A request that runs to its
 //! end after a crash is cleared of that crash.
 
 use std::time::{Duration, Instant};
@@ -98,19 +98,41 @@
         self.merge(now, now, digest, count);
     }
 
+    /// Counts a crash for a request that arrived at `arrival`, unless an earlier crash was
+    /// counted since. Returns whether it counts.
+    ///
+    /// Without the caller's identity, equal requests of many callers have one digest. Those
+    /// that run side by side when several endpoints crash then count once, and only a
+    /// request that comes again after a crash counts again.
+    pub fn record_repeated_crash(
+        &mut self,
+        now: Instant,
+        arrival: Instant,
+        origin: Incarnation,
+        digest: Digest,
+    ) -> bool {
+        let row = self.rows.get(&digest);
+        if row.is_some_and(|row| arrival <= row.last_crash) {
+            return false;
+        }
+        self.record_crash(now, origin, digest);
+        true
+    }
+
     /// Records that a request ran to its end, so it did not cause the crashes so far. A
-    /// barred request stays barred.
-    pub fn record_success(&mut self, now: Instant, digest: Digest) {
+    /// barred request stays barred. Returns whether this changed the table.
+    pub fn record_success(&mut self, now: Instant, digest: Digest) -> bool {
         let Some(row) = self.rows.get_mut(&digest) else {
-            return;
+            return false;
         };
         if row.is_barred(now) || row.uncleared_crashes() == 0 {
-            return;
+            return false;
         }
         for count in &mut row.counts {
             count.cleared = count.crashes;
         }
         row.changed_at = now;
+        true
     }
 
     /// Merges a count from a peer. Returns whether it changed the table.
@@ -130,6 +152,12 @@
         row.is_some_and(|row| row.is_barred(now))
     }
 
+    /// Returns the time for which a request must not run, or `None` if it may.
+    pub fn barred_for(&self, now: Instant, digest: Digest) -> Option<Duration> {
+        let row = self.rows.get(&digest).filter(|row| row.is_barred(now))?;
+        Some((row.last_crash + RETENTION).saturating_duration_since(now))
+    }
+
     /// All requests that must not run.
     pub fn barred(&self, now: Instant) -> Set<Digest> {
         let rows = self.rows.iter().filter(|(_, row)| row.is_barred(now));
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -28,7 +28,9 @@
     send_changes(now, &b, &mut entry);
     assert!(entry.is_barred(now, REQUEST));
     assert!(entry.barred(now).contains(&REQUEST));
+    assert_eq!(entry.barred_for(now, REQUEST), Some(RETENTION));
     assert!(!entry.is_barred(now + RETENTION, REQUEST));
+    assert_eq!(entry.barred_for(now + RETENTION, REQUEST), None);
 }
 
 #[test]
@@ -68,3 +70,17 @@
         "the barred go last"
     );
 }
+
+#[test]
+fn requests_that_arrived_before_a_crash_count_once() {
+    let begin = Instant::now();
+    let mut table = Table::default();
+    let mut record = |arrival: u64, crash: u64| {
+        let at = |second| begin + Duration::from_secs(second);
+        table.record_repeated_crash(at(crash), at(arrival), Incarnation(1), REQUEST)
+    };
+    assert!(record(0, 2));
+    assert!(!record(1, 3), "it arrived before the first crash");
+    assert!(record(4, 5));
+    assert!(table.is_barred(begin + Duration::from_secs(5), REQUEST));
+}
