Count a crash under equal requests once over all gateways

Two gateways that served equal requests of several callers while their endpoints crashed counted one crash each, which added up and barred the request for ten minutes.

A change is told once to each linked host. Before, each change was sent along with all others of the last three seconds, and many crashes at once would have filled the queues of the links, which closes them.

--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -180,22 +180,12 @@
                 let after = leaving.borrow_and_update().clone();
                 for endpoint in after.difference(&told) {
                     schedule.record_notice(shared.clock.now(), endpoint, true, Duration::ZERO);
-                    let numbers = links.keys().copied().collect::<Vec<_>>();
-                    for number in numbers {
-                        send(&mut links, number, Down::Leaving(endpoint.clone()));
-                    }
+                    send_to_all(&mut links, &Down::Leaving(endpoint.clone()));
                 }
                 told = after;
             }
-            _ = suspects.changed() => {
-                suspects.mark_unchanged();
-                for suspect in shared.suspects.recent_changes(shared.clock.now()) {
-                    let numbers = links.keys().copied().collect::<Vec<_>>();
-                    for number in numbers {
-                        send(&mut links, number, Down::Suspect(suspect.clone()));
-                    }
-                }
-            }
+            // What a slow subscriber misses is told to hosts that link later.
+            Ok(suspect) = suspects.recv() => send_to_all(&mut links, &Down::Suspect(suspect)),
             event = inbox.recv() => {
                 let Some(event) = event else { return };
                 arrived = handle_event(shared, &mut schedule, &mut links, event);
@@ -357,6 +347,11 @@
     }
 }
 
+/// Sends a message on all links, and closes those whose queue is full.
+fn send_to_all(links: &mut Map<u64, Peer>, message: &Down) {
+    links.retain(|_, peer| peer.sender.try_send(message.clone()).is_ok());
+}
+
 /// Sends a message to all hosts that follow the endpoints.
 fn broadcast(links: &mut Map<u64, Peer>, message: &Down) {
     links.retain(|_, peer| {
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -402,10 +402,12 @@
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
     let host = head.headers.get(header::HOST);
+    let path = head.uri.path_and_query();
     let digest = Digest::of(&[
         head.method.as_str().as_bytes(),
         host.map(HeaderValue::as_bytes).unwrap_or_default(),
-        head.uri.to_string().as_bytes(),
+        path.map(|path| path.as_str().as_bytes())
+            .unwrap_or_default(),
         &body,
     ]);
     Input {
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
+use tokio::sync::broadcast;
 
 use cranberryridge_policy::suspect::{Table, MAX_CHANGES};
 use cranberryridge_wire::id::{Digest, Incarnation};
@@ -18,21 +18,25 @@
 use crate::clock::Clock;
 use crate::net::Net;
 
-/// Crash counts of requests, with a notification of changes.
+/// Origin of the crashes that gateways count. All have the same, so that of two counts of
+/// one request the higher stands.
+const GATEWAYS: Incarnation = Incarnation(0);
+
+/// Maximum number of changes that wait to be told to other hosts.
+const MAX_QUEUED_CHANGES: usize = 256;
+
+/// Crash counts of requests, and their changes.
 #[derive(Debug)]
 pub struct Suspects {
     table: Mutex<Table>,
-    /// Identifies the crashes that this process observed.
-    incarnation: Incarnation,
-    changed: watch::Sender<()>,
+    changes: broadcast::Sender<Suspect>,
 }
 
 impl Default for Suspects {
     fn default() -> Self {
         Self {
             table: Mutex::default(),
-            incarnation: Incarnation(rand::random()),
-            changed: watch::Sender::default(),
+            changes: broadcast::Sender::new(MAX_QUEUED_CHANGES),
         }
     }
 }
@@ -42,24 +46,27 @@
     /// `arrival`. Returns what other hosts have to know.
     pub fn record_crash(&self, now: Instant, arrival: Instant, digest: Digest) -> Vec<Suspect> {
         let mut table = lock(&self.table);
-        if !table.record_repeated_crash(now, arrival, self.incarnation, digest) {
+        if !table.record_repeated_crash(now, arrival, GATEWAYS, digest) {
             return Vec::new();
         }
-        self.changed.send_replace(());
-        table.recent_changes(now)
+        let counts = table.counts(now, digest);
+        self.announce(&counts);
+        counts
     }
 
     /// Clears a request of earlier crashes, since it ran to its end.
     pub fn record_success(&self, now: Instant, digest: Digest) {
-        if lock(&self.table).record_success(now, digest) {
-            self.changed.send_replace(());
+        let mut table = lock(&self.table);
+        if table.record_success(now, digest) {
+            self.announce(&table.counts(now, digest));
         }
     }
 
     /// Merges a count that another host sent.
     pub fn merge(&self, now: Instant, suspect: &Suspect) {
-        if lock(&self.table).merge_peer(now, suspect) {
-            self.changed.send_replace(());
+        let mut table = lock(&self.table);
+        if table.merge_peer(now, suspect) {
+            self.announce(&table.counts(now, suspect.digest));
         }
     }
 
@@ -68,23 +75,25 @@
         lock(&self.table).barred_for(now, digest)
     }
 
-    /// Returns a receiver that is notified of changes.
-    pub fn subscribe(&self) -> watch::Receiver<()> {
-        self.changed.subscribe()
+    /// Returns a receiver of further changes, of which it may miss some if it is slow.
+    pub fn subscribe(&self) -> broadcast::Receiver<Suspect> {
+        self.changes.subscribe()
     }
 
-    /// Returns the changes of the last seconds.
-    pub fn recent_changes(&self, now: Instant) -> Vec<Suspect> {
-        lock(&self.table).recent_changes(now)
-    }
-
-    /// Returns the counts for a host that has just connected, as many as fit in its
-    /// queue of messages.
+    /// Returns counts for a host that has just connected, as many as fit in its queue of
+    /// messages.
     pub fn snapshot(&self, now: Instant) -> Vec<Suspect> {
         let mut suspects = lock(&self.table).all(now);
         suspects.truncate(MAX_CHANGES);
         suspects
     }
+
+    /// Passes changes to the subscribers, of which there may be none.
+    fn announce(&self, changes: &[Suspect]) {
+        for suspect in changes {
+            let _ = self.changes.send(suspect.clone());
+        }
+    }
 }
 
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! Each sidecar or gateway counts only the crashes that it saw itself. Counts from several
-//! of them therefore add up, and a count received twice counts once. A request that runs to its
-//! end after a crash is cleared of that crash.
+//! Each sidecar counts only the crashes that it saw itself. Counts from several sidecars
+//! therefore add up, and a count received twice counts once. All gateways count as one, so
+//! that crashes which several saw at once do not add up. A request that runs to its end
+//! after a crash is cleared of that crash.
 
 use std::time::{Duration, Instant};
 
@@ -76,6 +77,18 @@
             .sum()
     }
 
+    /// Messages with the counts.
+    fn suspects(&self, now: Instant, digest: Digest) -> impl Iterator<Item = Suspect> + '_ {
+        let age = now.saturating_duration_since(self.last_crash);
+        self.counts.iter().map(move |count| Suspect {
+            digest,
+            origin: count.origin,
+            crashes: count.crashes,
+            cleared: count.cleared,
+            age: age.into(),
+        })
+    }
+
     /// Whether the request must not run.
     fn is_barred(&self, now: Instant) -> bool {
         self.uncleared_crashes() >= BARRING_CRASHES && now < self.last_crash + RETENTION
@@ -164,6 +177,14 @@
         rows.map(|(digest, _)| *digest).collect()
     }
 
+    /// The counts of one request.
+    pub fn counts(&self, now: Instant, digest: Digest) -> Vec<Suspect> {
+        let row = self.rows.get_key_value(&digest);
+        row.into_iter()
+            .flat_map(|(digest, row)| row.suspects(now, *digest))
+            .collect()
+    }
+
     /// Recent changes, for the next report.
     pub fn recent_changes(&self, now: Instant) -> Vec<Suspect> {
         let is_recent = |row: &Row| now < row.changed_at + GOSSIP_DURATION;
@@ -183,15 +204,7 @@
         limit: usize,
     ) -> Vec<Suspect> {
         let rows = self.rows.iter().filter(|(_, row)| filter(row));
-        let suspects = rows.flat_map(|(digest, row)| {
-            row.counts.iter().map(move |count| Suspect {
-                digest: *digest,
-                origin: count.origin,
-                crashes: count.crashes,
-                cleared: count.cleared,
-                age: now.saturating_duration_since(row.last_crash).into(),
-            })
-        });
+        let suspects = rows.flat_map(|(digest, row)| row.suspects(now, *digest));
         suspects.take(limit).collect()
     }
 
