Reset connections in the soak's proxies where they are to be reset

The gateway's log has framing connection and partial_bytes 0: the endpoint gave no length, and its connection ended in order between two events.

Cause: the proxies of the soak. Those that were to reset a connection dropped it, which closes it in order unless bytes are unread, and they turned a reset of one side into an orderly end of the other. An answer without a length that is closed in order between two events cannot be told from a complete one; one that is reset can, and is.

The proxies now reset both sides, and pass a reset on as one. The checks are unchanged.

--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -1,10 +1,11 @@
 //! TCP proxy on loopback that injects network faults.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -62,44 +63,53 @@
 }
 
 /// Forwards a connection to the server.
-async fn forward(caller: TcpStream, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
-    let Ok(server_stream) = TcpStream::connect(server).await else {
+async fn forward(mut caller: TcpStream, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    let Ok(mut server) = TcpStream::connect(server).await else {
         return;
     };
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_server, to_server) = server_stream.into_split();
-    let up = copy(from_caller, to_server, mode.clone(), Mode::RequestsOnly);
-    let down = copy(from_server, to_caller, mode.clone(), Mode::Open);
-    // Dropping the halves while bytes are unread resets the connections.
-    tokio::select! {
-        _ = async { tokio::join!(up, down) } => {}
-        _ = mode.wait_for(|mode| *mode == Mode::Reset) => {}
+    let is_reset = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_server, to_server) = server.split();
+        let up = copy(from_caller, to_server, mode.clone(), Mode::RequestsOnly);
+        let down = copy(from_server, to_caller, mode.clone(), Mode::Open);
+        tokio::select! {
+            ended = async { tokio::try_join!(up, down) } => ended.is_err(),
+            _ = mode.wait_for(|mode| *mode == Mode::Reset) => true,
+        }
+    };
+    if is_reset {
+        // Without this, a connection whose bytes have all been read is closed in order.
+        caller.set_zero_linger().unwrap();
+        server.set_zero_linger().unwrap();
     }
 }
 
-/// Copies one direction of a connection. Besides the open and delayed modes, it
-/// also forwards in the mode `also_open`.
+/// Copies one direction of a connection up to its end. Besides the open and delayed
+/// modes, it also forwards in the mode `also_open`.
+///
+/// # Errors
+///
+/// Fails if either connection breaks.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut mode: watch::Receiver<Mode>,
     also_open: Mode,
-) {
+) -> io::Result<()> {
     let mut buffer = [0; 16 * 1024];
     loop {
-        let Ok(read) = from.read(&mut buffer).await else {
-            return;
-        };
+        let read = from.read(&mut buffer).await?;
         let is_open =
             |mode: &Mode| matches!(mode, Mode::Open | Mode::Delayed) || *mode == also_open;
         let Ok(current) = mode.wait_for(is_open).await.map(|mode| *mode) else {
-            return;
+            return Ok(());
         };
         if current == Mode::Delayed {
             tokio::time::sleep(DELAY).await;
         }
-        if read == 0 || to.write_all(&buffer[..read]).await.is_err() {
-            return;
+        if read == 0 {
+            return to.shutdown().await;
         }
+        to.write_all(&buffer[..read]).await?;
     }
 }
