Count only a refused connection as the crash of an endpoint

Cause: the probe after a lost run took any error of its connection for a crash. A proxy that resets a connection right after it was accepted makes connecting fail as well. The soak's requests are all equal, so that two such errors barred them all.

Only a refused connection says that nobody listens.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -25,7 +25,7 @@
 use soak::site::Site;
 
 /// Seeds that failed in the past, each with its cause. They run by default.
-const REGRESSION_SEEDS: [u64; 7] = [
+const REGRESSION_SEEDS: [u64; 8] = [
     // A claim whose answer was lost counted as a move. All engines of the
     // service were then ordered to move at once, and none was left to serve.
     24, 37, 53,
@@ -38,6 +38,9 @@
     // The proxies closed connections in order where they were to reset them, which ends an
     // answer without a length like its last event.
     2147,
+    // A reset of a connection that had just been accepted counted as a crash of its
+    // endpoint, so that requests were barred.
+    2198,
 ];
 
 /// Further seeds that run if `SOAK_SEEDS` is not set.
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -3,6 +3,7 @@
 //! A request that crashes its endpoints comes again at any host. Hosts tell each other
 //! over their links, so that it is refused everywhere after a few crashes.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -99,12 +100,14 @@
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
     /// Finds out in the background whether an endpoint that lost a request has crashed,
     /// and counts it against the request. An endpoint that refuses connections has
-    /// crashed. One that does not answer may be behind a network fault.
+    /// crashed. One that does not answer, or resets a connection that it accepted, may be
+    /// behind a network fault.
     pub(super) fn investigate_loss(self: &Arc<Self>, input: &Input, at: SocketAddr) {
         let (shared, arrival, digest) = (self.clone(), input.arrival, input.digest);
         tokio::spawn(async move {
             let connected = tokio::time::timeout(CONNECT_TIMEOUT, shared.net.connect(at)).await;
-            if !matches!(connected, Ok(Err(_))) {
+            let refused = io::ErrorKind::ConnectionRefused;
+            if !matches!(connected, Ok(Err(error)) if error.kind() == refused) {
                 return;
             }
             shared.metrics.count("request.crashed_endpoint");
