Log the caller of a request, and crashes counted against it

A request that crashes endpoints could not be followed through the logs: they named neither the caller of a request nor when a crash was counted or cleared. The network tells the address of a connection's other end, and two messages name the digest.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -57,8 +57,7 @@
             Outcome::Complete => {
                 run.reservation.record_completion();
                 drop(run);
-                let now = call.shared.clock.now();
-                call.shared.suspects.record_success(now, call.input.digest);
+                call.shared.record_success(&call.input);
                 // A caller that has disconnected after the last event needs no end.
                 let _ = reply.finish().await;
                 return call.record.set_outcome("streamed", call.record.status);
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -173,7 +173,7 @@
                 let now = shared.clock.now();
                 let took = now.saturating_duration_since(started_at);
                 shared.pool().record_answer_time(now, key, took);
-                shared.suspects.record_success(now, call.input.digest);
+                shared.record_success(&call.input);
                 Attempt::Done(answer)
             }
             None => {
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -1,5 +1,6 @@
 //! Log line of a request, written when the request ends.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -17,6 +18,8 @@
     logger: Logger,
     metrics: Metrics,
     clock: C,
+    /// IP address of the caller, if known.
+    pub caller: Option<IpAddr>,
     /// Version of the configuration that the route was found in.
     pub configuration_version: u64,
     /// Name of the route, or empty if no route or service was found.
@@ -57,6 +60,7 @@
             logger,
             metrics,
             clock,
+            caller: None,
             configuration_version: 0,
             route: CompactString::default(),
             service: CompactString::default(),
@@ -123,6 +127,7 @@
             .count(&format!("request.{}", self.outcome.replace(' ', "_")));
         slog::info!(self.logger, "gateway: request over";
             "request" => %self.description.attempt_id,
+            "caller" => self.caller.map(|caller| caller.to_string()),
             "route" => %self.route,
             "service" => %self.service,
             "configuration" => self.configuration_version,
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
+use std::net::IpAddr;
 use std::pin::{pin, Pin};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -225,12 +226,13 @@
     stream: N::Stream,
 ) {
     let _guard = shared.connections.enter();
+    let caller = shared.net.peer(&stream);
     let limits = shared.table.load().limits();
     let activity = Activity::new(shared.clock.now());
     let service = service_fn(|request| {
         let (shared, guard) = (shared.clone(), activity.begin_request());
         async move {
-            let response = answer(shared.clone(), request).await;
+            let response = answer(shared.clone(), caller, request).await;
             Ok::<_, Infallible>(response.map(|body| guard.track(body, shared.clock.clone())))
         }
     });
@@ -289,9 +291,10 @@
 /// after its answer, so that its caller reconnects to another host.
 async fn answer<N: Net, C: Clock, D: Dialect>(
     shared: Arc<Shared<N, C, D>>,
+    caller: Option<IpAddr>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let mut response = respond(shared.clone(), request).await;
+    let mut response = respond(shared.clone(), caller, request).await;
     if *shared.draining.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -302,6 +305,7 @@
 /// Reads a request and forwards it, or answers it with a refusal.
 async fn respond<N: Net, C: Clock, D: Dialect>(
     shared: Arc<Shared<N, C, D>>,
+    caller: Option<IpAddr>,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
@@ -311,6 +315,7 @@
         shared.clock.clone(),
         shared.dialect.describe(&head),
     );
+    record.caller = caller;
     let route = match find_route(&shared, &head, &mut record) {
         Ok(route) => route,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -55,12 +55,15 @@
         counts
     }
 
-    /// Clears a request of earlier crashes, since it ran to its end.
-    pub fn record_success(&self, now: Instant, digest: Digest) {
+    /// Clears a request of earlier crashes, since it ran to its end. Returns whether it
+    /// had any.
+    pub fn record_success(&self, now: Instant, digest: Digest) -> bool {
         let mut table = lock(&self.table);
-        if table.record_success(now, digest) {
+        let is_cleared = table.record_success(now, digest);
+        if is_cleared {
             self.announce(&table.counts(now, digest));
         }
+        is_cleared
     }
 
     /// Merges a count that another host sent.
@@ -104,6 +107,7 @@
     /// behind a network fault.
     pub(super) fn investigate_loss(self: &Arc<Self>, input: &Input, at: SocketAddr) {
         let (shared, arrival, digest) = (self.clone(), input.arrival, input.digest);
+        let attempt_id = input.attempt_id.clone();
         tokio::spawn(async move {
             let connected = tokio::time::timeout(CONNECT_TIMEOUT, shared.net.connect(at)).await;
             let refused = io::ErrorKind::ConnectionRefused;
@@ -112,9 +116,21 @@
             }
             shared.metrics.count("request.crashed_endpoint");
             let now = shared.clock.now();
-            for suspect in shared.suspects.record_crash(now, arrival, digest) {
+            let suspects = shared.suspects.record_crash(now, arrival, digest);
+            slog::info!(shared.logger, "request: crashed an endpoint";
+                "request" => %attempt_id, "digest" => %digest, "address" => %at,
+                "counted" => !suspects.is_empty());
+            for suspect in suspects {
                 shared.links.report_suspect(&suspect);
             }
         });
     }
+
+    /// Clears a request of earlier crashes, since it ran to its end.
+    pub(super) fn record_success(&self, input: &Input) {
+        if self.suspects.record_success(self.clock.now(), input.digest) {
+            slog::info!(self.logger, "request: cleared of crashes";
+                "request" => %input.attempt_id, "digest" => %input.digest);
+        }
+    }
 }
--- a/crates/lib/src/net.rs
+++ b/crates/lib/src/net.rs
@@ -24,6 +24,12 @@
     /// Listens at an address.
     fn bind(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>> + Send;
 
+    /// Returns the IP address of the other end of a connection, or `None` if the network
+    /// has no addresses or the connection is closed.
+    fn peer(&self, _stream: &Self::Stream) -> Option<IpAddr> {
+        None
+    }
+
     /// Returns a handle that connects and listens as `host`. Only networks that simulate
     /// several hosts in one process tell hosts apart; others return a clone.
     fn for_host(&self, _host: IpAddr) -> Self {
@@ -62,6 +68,11 @@
         let address = listener.local_addr()?;
         Ok(Listener { listener, address })
     }
+
+    fn peer(&self, stream: &TcpStream) -> Option<IpAddr> {
+        let address = stream.peer_addr().ok()?;
+        Some(address.ip().to_canonical())
+    }
 }
 
 /// A TCP listener with its bound address.
--- a/crates/lib/src/net/memory.rs
+++ b/crates/lib/src/net/memory.rs
@@ -246,6 +246,10 @@
         })
     }
 
+    fn peer(&self, stream: &Stream) -> Option<IpAddr> {
+        Some(stream.peer())
+    }
+
     fn for_host(&self, host: IpAddr) -> Self {
         Self {
             host: self.lock().host(host),
--- a/crates/lib/src/net/memory/pipe.rs
+++ b/crates/lib/src/net/memory/pipe.rs
@@ -128,6 +128,11 @@
         &self.pipe
     }
 
+    /// Returns the address of the host at the other end.
+    pub(super) fn peer(&self) -> IpAddr {
+        self.pipe.hosts[1 - self.end].address
+    }
+
     fn is_frozen(&self) -> bool {
         self.pipe.hosts[self.end].frozen.load(Ordering::Relaxed)
     }
--- a/crates/lib/src/net/tls.rs
+++ b/crates/lib/src/net/tls.rs
@@ -2,7 +2,7 @@
 //! towards callers.
 
 use std::io::{self, Error, ErrorKind};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -167,6 +167,13 @@
         });
         Ok(Listener { address, receiver })
     }
+
+    fn peer(&self, stream: &Self::Stream) -> Option<IpAddr> {
+        match stream {
+            Stream::Plain(stream) => self.inner.peer(stream),
+            Stream::Tls(stream) => self.inner.peer(stream.get_ref().0),
+        }
+    }
 }
 
 /// Performs the handshake with one client. A connection whose handshake fails is dropped.
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -88,6 +88,12 @@
     }
 }
 
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.0[0], self.0[1])
+    }
+}
+
 /// Reads bytes as a big-endian integer.
 fn read_u64_be(bytes: &[u8]) -> u64 {
     bytes
