Tell requests of different callers apart that crash endpoints

Callers saw a request that crashes its endpoints sent without end, and lookups refused as barred for 600 s that had never crashed anything. Cause: the digest of a request had host, method, path and body, but not its caller, so that the success of an equal request of another cleared the crashes, and crashes of one barred the other. The digest has the address of the caller's connection now.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -45,7 +45,7 @@
     pub attempt_id: compact_str::CompactString,
     /// Time at which the request arrived.
     pub arrival: Instant,
-    /// Identifies the request, which has the same one in all attempts of its caller.
+    /// Digest of the caller and the request, the same in all of the caller's attempts.
     pub digest: Digest,
 }
 
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -408,7 +408,9 @@
     shared.dialect.strip_headers(&mut head.headers);
     let host = head.headers.get(header::HOST);
     let path = head.uri.path_and_query();
+    let caller = record.caller.map(|caller| caller.to_string());
     let digest = Digest::of(&[
+        caller.unwrap_or_default().as_bytes(),
         head.method.as_str().as_bytes(),
         host.map(HeaderValue::as_bytes).unwrap_or_default(),
         path.map(|path| path.as_str().as_bytes())
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -114,9 +114,9 @@
     /// Counts a crash for a request that arrived at `arrival`, unless an earlier crash was
     /// counted since. Returns whether it counts.
     ///
-    /// Without the caller's identity, equal requests of many callers have one digest. Those
-    /// that run side by side when several endpoints crash then count once, and only a
-    /// request that comes again after a crash counts again.
+    /// Equal requests that run side by side when several endpoints crash count once, and
+    /// only a request that comes again after a crash counts again. Callers behind one
+    /// address have one digest.
     pub fn record_repeated_crash(
         &mut self,
         now: Instant,
