Record a lost run in one place

Five places recorded the failure of an endpoint and then looked for its crash; a prompt whose answer broke off after the head was not looked into. Shared::record_lost_run does both, also for answers that are read as a whole. Link::send replaces three copies of a loop body. No other change of behaviour.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -164,14 +164,12 @@
             shared.metrics.count("endpoint.unreachable");
             slog::debug!(shared.logger, "gateway: attempt failed";
                 "request" => %input.attempt_id, "endpoint" => %endpoint.id, "error" => %error);
-            shared.record_failure(shared.clock.now(), key, Failure::Broken);
-            return match error {
-                Error::Connect(_) => Outcome::NotSent,
-                Error::Broken(_) | Error::Unreadable(_) | Error::Truncated => {
-                    shared.investigate_loss(input, endpoint.address);
-                    Outcome::Lost
-                }
-            };
+            if matches!(error, Error::Connect(_)) {
+                shared.record_failure(shared.clock.now(), key, Failure::Broken);
+                return Outcome::NotSent;
+            }
+            shared.record_lost_run(input, key, endpoint.address);
+            return Outcome::Lost;
         }
     };
     classify(shared, input, key, parameters.stage, answer)
@@ -220,10 +218,13 @@
 }
 
 /// Reads an answer completely, so that a truncated one is never forwarded as
-/// complete. Returns `None` if it is truncated or too large.
-pub async fn read_answer<N, C: Clock, D: Dialect>(
-    shared: &Shared<N, C, D>,
+/// complete. Returns `None` if it is truncated or too large, which counts as a lost
+/// run.
+pub async fn read_answer<N: Net, C: Clock, D: Dialect>(
+    shared: &Arc<Shared<N, C, D>>,
+    input: &Input,
     key: EndpointKey,
+    endpoint: &Endpoint,
     answer: Response<Incoming>,
 ) -> Option<(response::Parts, Bytes)> {
     let (head, body) = answer.into_parts();
@@ -235,7 +236,7 @@
     };
     shared.metrics.count("endpoint.answer_cut");
     slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
-    shared.record_failure(shared.clock.now(), key, Failure::Broken);
+    shared.record_lost_run(input, key, endpoint.address);
     None
 }
 
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -17,7 +17,7 @@
 
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
-use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
+use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
 use cranberryridge_wire::code::Code;
 
@@ -281,8 +281,10 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
-            let answer = exchange::read_answer(&shared, key, answer).await;
-            answer.and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
+            let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+            answer
+                .await
+                .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
         }
         _ => None,
     };
@@ -359,8 +361,8 @@
     }
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
-        let Some((head, body)) = exchange::read_answer(&shared, key, answer).await else {
-            shared.investigate_loss(&call.input, endpoint.address);
+        let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+        let Some((head, body)) = answer.await else {
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
@@ -374,8 +376,7 @@
         // A crash before the first event ends the connection as well.
         Chunk::End | Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
-            shared.investigate_loss(&call.input, endpoint.address);
-            shared.record_failure(shared.clock.now(), key, Failure::Broken);
+            shared.record_lost_run(&call.input, key, endpoint.address);
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         }
     };
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,6 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::gateway::pool::Failure;
 use cranberryridge_policy::gateway::route::Engine;
 
 use super::{is_retry_allowed, next_chunk, start_run, Answer, Chunk, Progress, Run};
@@ -68,11 +67,10 @@
             Outcome::Broken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
-        shared.record_failure(shared.clock.now(), key, Failure::Broken);
+        shared.record_lost_run(&call.input, key, run.reservation.endpoint.address);
         let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
-        shared.investigate_loss(&call.input, run.reservation.endpoint.address);
         splitter.discard();
         progress.excluded.push(key);
         progress.last_event_id = splitter.last_id().map(CompactString::from);
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -167,20 +167,20 @@
         call.record.framing = Some(Framing::of(answer.headers()));
     }
     let attempt = match outcome {
-        Outcome::Answer(answer) => match exchange::read_answer(&shared, key, answer).await {
-            Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
-            Some(answer) => {
-                let now = shared.clock.now();
-                let took = now.saturating_duration_since(started_at);
-                shared.pool().record_answer_time(now, key, took);
-                shared.record_success(&call.input);
-                Attempt::Done(answer)
+        Outcome::Answer(answer) => {
+            let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+            match answer.await {
+                Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
+                Some(answer) => {
+                    let now = shared.clock.now();
+                    let took = now.saturating_duration_since(started_at);
+                    shared.pool().record_answer_time(now, key, took);
+                    shared.record_success(&call.input);
+                    Attempt::Done(answer)
+                }
+                None => Attempt::Lost,
             }
-            None => {
-                shared.investigate_loss(&call.input, endpoint.address);
-                Attempt::Lost
-            }
-        },
+        }
         Outcome::NotSent => Attempt::NotSent,
         Outcome::NotRun => Attempt::NotRun,
         Outcome::Lost => Attempt::Lost,
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -182,10 +182,8 @@
     pub(super) fn send(&self, service: &str, message: &Up) {
         for link in lock(&self.by_address).values() {
             let is_scheduler = lock(&link.state).services.contains(service);
-            // A lost message would leave the scheduler's accounting wrong for
-            // as long as the link lasts.
-            if is_scheduler && link.sender.try_send(message.clone()).is_err() {
-                link.reset.notify_one();
+            if is_scheduler {
+                link.send(message.clone());
             }
         }
     }
@@ -228,9 +226,7 @@
     /// hosts, which tell those that are linked to them.
     pub fn report_suspect(&self, suspect: &Suspect) {
         for link in lock(&self.by_address).values() {
-            if link.sender.try_send(Up::Suspect(suspect.clone())).is_err() {
-                link.reset.notify_one();
-            }
+            link.send(Up::Suspect(suspect.clone()));
         }
     }
 
@@ -238,9 +234,7 @@
     fn restore_leases(&self, link: &Link, service: &str) {
         let leases = lock(&self.leases);
         for lease in leases.values().filter(|lease| lease.service == service) {
-            if link.sender.try_send(Up::Lease(lease.clone())).is_err() {
-                link.reset.notify_one();
-            }
+            link.send(Up::Lease(lease.clone()));
         }
     }
 
@@ -252,6 +246,16 @@
     }
 }
 
+impl Link {
+    /// Sends a message, or opens the connection anew if the queue is full. A lost message
+    /// would leave the scheduler's accounting wrong for as long as the connection lasts.
+    fn send(&self, message: Up) {
+        if self.sender.try_send(message).is_err() {
+            self.reset.notify_one();
+        }
+    }
+}
+
 /// Keeps a link open until it is idle or its host is no longer a scheduler.
 async fn run<N: Net, C: Clock, D: Send + Sync + 'static>(
     shared: Arc<Shared<N, C, D>>,
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::broadcast;
 
+use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::suspect::{Table, MAX_CHANGES};
 use cranberryridge_wire::id::{Digest, Incarnation};
 use cranberryridge_wire::message::Suspect;
@@ -101,11 +102,22 @@
 }
 
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
+    /// Records that an endpoint may have run a request and gave no valid answer.
+    pub(super) fn record_lost_run(
+        self: &Arc<Self>,
+        input: &Input,
+        key: EndpointKey,
+        at: SocketAddr,
+    ) {
+        self.record_failure(self.clock.now(), key, Failure::Broken);
+        self.investigate_loss(input, at);
+    }
+
     /// Finds out in the background whether an endpoint that lost a request has crashed,
     /// and counts it against the request. An endpoint that refuses connections has
     /// crashed. One that does not answer, or resets a connection that it accepted, may be
     /// behind a network fault.
-    pub(super) fn investigate_loss(self: &Arc<Self>, input: &Input, at: SocketAddr) {
+    fn investigate_loss(self: &Arc<Self>, input: &Input, at: SocketAddr) {
         let (shared, arrival, digest) = (self.clone(), input.arrival, input.digest);
         let attempt_id = input.attempt_id.clone();
         tokio::spawn(async move {
