Send no request again that its second crash has barred

A request that crashes its endpoints took down four before it was refused: its second attempt was lost, and sent to another endpoint before the first was known to have crashed.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -168,7 +168,7 @@
                 shared.record_failure(shared.clock.now(), key, Failure::Broken);
                 return Outcome::NotSent;
             }
-            shared.record_lost_run(input, key, endpoint.address);
+            shared.record_lost_run(input, key, endpoint.address).await;
             return Outcome::Lost;
         }
     };
@@ -236,7 +236,7 @@
     };
     shared.metrics.count("endpoint.answer_cut");
     slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
-    shared.record_lost_run(input, key, endpoint.address);
+    shared.record_lost_run(input, key, endpoint.address).await;
     None
 }
 
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -376,7 +376,9 @@
         // A crash before the first event ends the connection as well.
         Chunk::End | Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
-            shared.record_lost_run(&call.input, key, endpoint.address);
+            shared
+                .record_lost_run(&call.input, key, endpoint.address)
+                .await;
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         }
     };
@@ -416,7 +418,9 @@
     call: &Call<N, C, D>,
     progress: &Progress,
 ) -> bool {
-    call.route.kind == Kind::ResumableStream && progress.run_count < call.route.max_attempts
+    call.route.kind == Kind::ResumableStream
+        && progress.run_count < call.route.max_attempts
+        && !call.shared.is_barred(&call.input)
 }
 
 /// Result of reading from a body.
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -67,7 +67,8 @@
             Outcome::Broken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
-        shared.record_lost_run(&call.input, key, run.reservation.endpoint.address);
+        let address = run.reservation.endpoint.address;
+        shared.record_lost_run(&call.input, key, address).await;
         let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -95,8 +95,9 @@
         if !matches!(attempt, Attempt::NotSent) {
             sends.record();
         }
-        let may_retry =
-            call.route.kind == Kind::Idempotent && progress.run_count < call.route.max_attempts;
+        let may_retry = call.route.kind == Kind::Idempotent
+            && progress.run_count < call.route.max_attempts
+            && !call.shared.is_barred(&call.input);
         match attempt {
             Attempt::Done(answer) => return Ok(answer),
             Attempt::Failed(answer) if may_retry => failure = Some(answer),
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Whether a request was running when an endpoint crashed and has not been cleared.
+    pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
+        lock(&self.table).is_suspect(now, digest)
+    }
+
     /// Returns the time for which a request must not run, or `None` if it may.
     pub fn barred_for(&self, now: Instant, digest: Digest) -> Option<Duration> {
         lock(&self.table).barred_for(now, digest)
@@ -102,40 +107,48 @@
 }
 
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
-    /// Records that an endpoint may have run a request and gave no valid answer.
-    pub(super) fn record_lost_run(
+    /// Records that an endpoint may have run a request and gave no valid answer. If the
+    /// request has crashed an endpoint before, waits until it is known whether it has
+    /// crashed this one, so that it is not sent again once it is barred.
+    pub(super) async fn record_lost_run(
         self: &Arc<Self>,
         input: &Input,
         key: EndpointKey,
         at: SocketAddr,
     ) {
-        self.record_failure(self.clock.now(), key, Failure::Broken);
-        self.investigate_loss(input, at);
+        let now = self.clock.now();
+        self.record_failure(now, key, Failure::Broken);
+        let investigation = tokio::spawn(self.clone().investigate_loss(input.clone(), at));
+        if self.suspects.is_suspect(now, input.digest) {
+            // The task does not panic, and nothing aborts it.
+            let _ = investigation.await;
+        }
+    }
+
+    /// Finds out whether an endpoint that lost a request has crashed, and counts it against
+    /// the request. An endpoint that refuses connections has crashed. One that does not
+    /// answer, or resets a connection that it accepted, may be behind a network fault.
+    async fn investigate_loss(self: Arc<Self>, input: Input, at: SocketAddr) {
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.net.connect(at)).await;
+        let refused = io::ErrorKind::ConnectionRefused;
+        if !matches!(connected, Ok(Err(error)) if error.kind() == refused) {
+            return;
+        }
+        self.metrics.count("request.crashed_endpoint");
+        let now = self.clock.now();
+        let suspects = self.suspects.record_crash(now, input.arrival, input.digest);
+        slog::info!(self.logger, "request: crashed an endpoint";
+            "request" => %input.attempt_id, "digest" => %input.digest, "address" => %at,
+            "counted" => !suspects.is_empty());
+        for suspect in suspects {
+            self.links.report_suspect(&suspect);
+        }
     }
 
-    /// Finds out in the background whether an endpoint that lost a request has crashed,
-    /// and counts it against the request. An endpoint that refuses connections has
-    /// crashed. One that does not answer, or resets a connection that it accepted, may be
-    /// behind a network fault.
-    fn investigate_loss(self: &Arc<Self>, input: &Input, at: SocketAddr) {
-        let (shared, arrival, digest) = (self.clone(), input.arrival, input.digest);
-        let attempt_id = input.attempt_id.clone();
-        tokio::spawn(async move {
-            let connected = tokio::time::timeout(CONNECT_TIMEOUT, shared.net.connect(at)).await;
-            let refused = io::ErrorKind::ConnectionRefused;
-            if !matches!(connected, Ok(Err(error)) if error.kind() == refused) {
-                return;
-            }
-            shared.metrics.count("request.crashed_endpoint");
-            let now = shared.clock.now();
-            let suspects = shared.suspects.record_crash(now, arrival, digest);
-            slog::info!(shared.logger, "request: crashed an endpoint";
-                "request" => %attempt_id, "digest" => %digest, "address" => %at,
-                "counted" => !suspects.is_empty());
-            for suspect in suspects {
-                shared.links.report_suspect(&suspect);
-            }
-        });
+    /// Whether a request must not run, as it has crashed endpoints.
+    pub(super) fn is_barred(&self, input: &Input) -> bool {
+        let barred_for = self.suspects.barred_for(self.clock.now(), input.digest);
+        barred_for.is_some()
     }
 
     /// Clears a request of earlier crashes, since it ran to its end.
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -159,6 +159,12 @@
         self.merge(now, last_crash, suspect.digest, count)
     }
 
+    /// Whether a request was running when an endpoint crashed and has not been cleared.
+    pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
+        let row = self.rows.get(&digest);
+        row.is_some_and(|row| row.uncleared_crashes() > 0 && now < row.last_crash + RETENTION)
+    }
+
     /// Whether a request must not run.
     pub fn is_barred(&self, now: Instant, digest: Digest) -> bool {
         let row = self.rows.get(&digest);
