Name the status of a barred request in its problem document

The gateway refuses a barred request with 503, but the document in the body said 422: the status was set beside the problem. A problem has its status now, by default that of its code. The check failed before: 422 instead of 503.

--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -62,11 +62,11 @@
     pub fn response<D: Dialect>(&self, dialect: &D) -> Response<Body> {
         let mut problem = Problem::new(self.code);
         problem.retry_after = self.retry_after;
-        let mut response = problem.response();
         if self.code == Code::Barred {
             // Only 429 and 503 say that a request has not run.
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
         }
+        let mut response = problem.response();
         if matches!(response.status().as_u16(), 429 | 503) {
             dialect.set_retry_after(response.headers_mut(), self.retry_after);
         }
--- a/crates/lib/src/problem.rs
+++ b/crates/lib/src/problem.rs
@@ -18,8 +18,10 @@
 /// A refusal or failure of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
-    /// Result code, which determines status, title and class.
+    /// Result code, which determines title and class.
     pub code: Code,
+    /// HTTP status, by default that of the code.
+    pub status: u16,
     /// When the caller may retry; zero if unknown.
     pub retry_after: Duration,
     /// Details about this request; may be empty.
@@ -39,6 +41,7 @@
     pub fn new(code: Code) -> Self {
         Self {
             code,
+            status: code.status(),
             retry_after: Duration::ZERO,
             detail: String::new(),
         }
@@ -55,7 +58,7 @@
     /// Returns the problem as an HTTP response.
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::full(self.document().to_string()));
-        let status = StatusCode::from_u16(self.code.status());
+        let status = StatusCode::from_u16(self.status);
         *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = response.headers_mut();
         let media = HeaderValue::from_static("application/problem+json");
@@ -75,7 +78,7 @@
         json!({
             "type": format!("urn:cranberryridge:code:{}", self.code.number()),
             "title": self.code.text(),
-            "status": self.code.status(),
+            "status": self.status,
             "detail": self.detail,
             "code": self.code.number(),
             "class": self.code.class().as_str(),
@@ -89,7 +92,7 @@
 
     /// Whole seconds until a retry; `None` if a later retry does not help.
     fn retry_after_seconds(&self) -> Option<u64> {
-        let can_retry = matches!(self.code.status(), 429 | 503) || self.code == Code::KeyRunning;
+        let can_retry = matches!(self.status, 429 | 503) || self.code == Code::KeyRunning;
         can_retry.then(|| {
             self.retry_after.as_secs() + u64::from(self.retry_after.subsec_nanos() > 0).max(1)
         })
