--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -6,12 +6,13 @@
 //! could not be retried. Closing the connection also tells the endpoint that
 //! its caller has disconnected.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{header, request, response, HeaderMap, Request, Response};
+use http::uri::PathAndQuery;
+use http::{header, request, response, HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 
@@ -45,8 +46,31 @@
     pub attempt_id: compact_str::CompactString,
     /// Time at which the request arrived.
     pub arrival: Instant,
-    /// Digest of the caller and the request, the same in all of the caller's attempts.
-    pub digest: Digest,
+    /// IP address of the caller, if known.
+    pub caller: Option<IpAddr>,
+    /// Digest, once it was needed.
+    pub digest: OnceLock<Digest>,
+}
+
+impl Input {
+    /// Returns the digest of the caller and the request, which is the same in all of the
+    /// caller's attempts.
+    pub fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| {
+            let caller = self.caller.map(|caller| caller.to_string());
+            let host = self.head.headers.get(header::HOST);
+            let path = self.head.uri.path_and_query();
+            Digest::of(&[
+                caller.unwrap_or_default().as_bytes(),
+                self.head.method.as_str().as_bytes(),
+                host.map(HeaderValue::as_bytes).unwrap_or_default(),
+                path.map(PathAndQuery::as_str)
+                    .unwrap_or_default()
+                    .as_bytes(),
+                &self.body,
+            ])
+        })
+    }
 }
 
 /// How the end of an answer is marked.
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 use std::pin::{pin, Pin};
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -23,7 +23,6 @@
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::gateway::route::{Limits, Route};
 use cranberryridge_wire::code::Code;
-use cranberryridge_wire::id::Digest;
 
 use super::dialect::Dialect;
 use super::exchange::Input;
@@ -331,7 +330,7 @@
     let service = record.service.clone();
     shared.earn_retry(now, &service);
     let input = prepare_input(&shared, head, body, &record);
-    if let Some(time) = shared.suspects.barred_for(now, input.digest) {
+    if let Some(time) = shared.barred_for(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
         return refuse(&shared, &mut record, refusal);
     }
@@ -406,23 +405,13 @@
     record: &Record<C>,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
-    let host = head.headers.get(header::HOST);
-    let path = head.uri.path_and_query();
-    let caller = record.caller.map(|caller| caller.to_string());
-    let digest = Digest::of(&[
-        caller.unwrap_or_default().as_bytes(),
-        head.method.as_str().as_bytes(),
-        host.map(HeaderValue::as_bytes).unwrap_or_default(),
-        path.map(|path| path.as_str().as_bytes())
-            .unwrap_or_default(),
-        &body,
-    ]);
     Input {
         head,
         body,
         attempt_id: record.description.attempt_id.clone(),
         arrival: record.arrival,
-        digest,
+        caller: record.caller,
+        digest: OnceLock::new(),
     }
 }
 
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Whether no request is known, so that no digest is needed.
+    pub fn is_empty(&self, now: Instant) -> bool {
+        lock(&self.table).is_empty(now)
+    }
+
     /// Whether a request was running when an endpoint crashed and has not been cleared.
     pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
         lock(&self.table).is_suspect(now, digest)
@@ -119,7 +124,7 @@
         let now = self.clock.now();
         self.record_failure(now, key, Failure::Broken);
         let investigation = tokio::spawn(self.clone().investigate_loss(input.clone(), at));
-        if self.suspects.is_suspect(now, input.digest) {
+        if self.suspects.is_suspect(now, input.digest()) {
             // The task does not panic, and nothing aborts it.
             let _ = investigation.await;
         }
@@ -136,26 +141,36 @@
         }
         self.metrics.count("request.crashed_endpoint");
         let now = self.clock.now();
-        let suspects = self.suspects.record_crash(now, input.arrival, input.digest);
+        let digest = input.digest();
+        let suspects = self.suspects.record_crash(now, input.arrival, digest);
         slog::info!(self.logger, "request: crashed an endpoint";
-            "request" => %input.attempt_id, "digest" => %input.digest, "address" => %at,
+            "request" => %input.attempt_id, "digest" => %digest, "address" => %at,
             "counted" => !suspects.is_empty());
         for suspect in suspects {
             self.links.report_suspect(&suspect);
         }
     }
 
-    /// Whether a request must not run, as it has crashed endpoints.
-    pub(super) fn is_barred(&self, input: &Input) -> bool {
-        let barred_for = self.suspects.barred_for(self.clock.now(), input.digest);
-        barred_for.is_some()
+    /// Returns the time for which a request must not run, as it has crashed endpoints, or
+    /// `None` if it may run.
+    pub(super) fn barred_for(&self, input: &Input) -> Option<Duration> {
+        let now = self.clock.now();
+        if self.suspects.is_empty(now) {
+            return None;
+        }
+        self.suspects.barred_for(now, input.digest())
     }
 
     /// Clears a request of earlier crashes, since it ran to its end.
     pub(super) fn record_success(&self, input: &Input) {
-        if self.suspects.record_success(self.clock.now(), input.digest) {
+        let now = self.clock.now();
+        if self.suspects.is_empty(now) {
+            return;
+        }
+        let digest = input.digest();
+        if self.suspects.record_success(now, digest) {
             slog::info!(self.logger, "request: cleared of crashes";
-                "request" => %input.attempt_id, "digest" => %input.digest);
+                "request" => %input.attempt_id, "digest" => %digest);
         }
     }
 }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -46,6 +46,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     rows: Map<Digest, Row>,
+    /// Time of the last crash of any request.
+    last_crash: Option<Instant>,
 }
 
 /// Crash counts of one request.
@@ -159,6 +161,11 @@
         self.merge(now, last_crash, suspect.digest, count)
     }
 
+    /// Whether all requests in the table have expired.
+    pub fn is_empty(&self, now: Instant) -> bool {
+        self.last_crash.is_none_or(|at| now >= at + RETENTION)
+    }
+
     /// Whether a request was running when an endpoint crashed and has not been cleared.
     pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
         let row = self.rows.get(&digest);
@@ -222,6 +229,7 @@
             }
             self.evict(now);
         }
+        self.last_crash = self.last_crash.max(Some(last_crash));
         let row = self.rows.entry(digest).or_insert(Row {
             counts: Vec::new(),
             last_crash,
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -84,3 +84,12 @@
     assert!(record(4, 5));
     assert!(table.is_barred(begin + Duration::from_secs(5), REQUEST));
 }
+
+#[test]
+fn a_table_is_empty_once_its_last_crash_has_expired() {
+    let (mut table, now) = (Table::default(), Instant::now());
+    assert!(table.is_empty(now));
+    table.record_crash(now, Incarnation(1), Digest([1, 2]));
+    assert!(!table.is_empty(now + RETENTION / 2));
+    assert!(table.is_empty(now + RETENTION));
+}
