Count crashes by the caller's address, and bar a request for all after three

So equal requests share a digest again, and crashes count by address: a success clears those of its own address alone; two bar the request for that address, three for all.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
 
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
-use cranberryridge_wire::id::Digest;
+use cranberryridge_wire::id::{Digest, Incarnation};
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
 use super::Shared;
@@ -53,15 +53,18 @@
 }
 
 impl Input {
-    /// Returns the digest of the caller and the request, which is the same in all of the
-    /// caller's attempts.
+    /// Returns a number that stands for the caller's address.
+    pub fn origin(&self) -> Incarnation {
+        let caller = self.caller.map(|caller| caller.to_string());
+        Incarnation(Digest::of(&[caller.unwrap_or_default().as_bytes()]).0[0])
+    }
+
+    /// Returns the digest of the request, which equal requests of all callers share.
     pub fn digest(&self) -> Digest {
         *self.digest.get_or_init(|| {
-            let caller = self.caller.map(|caller| caller.to_string());
             let host = self.head.headers.get(header::HOST);
             let path = self.head.uri.path_and_query();
             Digest::of(&[
-                caller.unwrap_or_default().as_bytes(),
                 self.head.method.as_str().as_bytes(),
                 host.map(HeaderValue::as_bytes).unwrap_or_default(),
                 path.map(PathAndQuery::as_str)
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -420,7 +420,7 @@
 ) -> bool {
     call.route.kind == Kind::ResumableStream
         && progress.run_count < call.route.max_attempts
-        && call.shared.barred_for(&call.input).is_none()
+        && call.shared.may_resend(&call.input)
 }
 
 /// Result of reading from a body.
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -97,7 +97,7 @@
         }
         let may_retry = call.route.kind == Kind::Idempotent
             && progress.run_count < call.route.max_attempts
-            && call.shared.barred_for(&call.input).is_none();
+            && call.shared.may_resend(&call.input);
         match attempt {
             Attempt::Done(answer) => return Ok(answer),
             Attempt::Failed(answer) if may_retry => failure = Some(answer),
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -330,7 +330,7 @@
     let service = record.service.clone();
     shared.earn_retry(now, &service);
     let input = prepare_input(&shared, head, body, &record);
-    if let Some(time) = shared.barred_for(&input) {
+    if let Some(time) = shared.barred_time(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
         return refuse(&shared, &mut record, refusal);
     }
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -11,8 +11,7 @@
 use tokio::sync::broadcast;
 
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
-use cranberryridge_policy::suspect::{Table, MAX_CHANGES};
-use cranberryridge_wire::id::{Digest, Incarnation};
+use cranberryridge_policy::suspect::{Table, BARRING_CRASHES, MAX_CHANGES};
 use cranberryridge_wire::message::Suspect;
 
 use super::exchange::{Input, CONNECT_TIMEOUT};
@@ -20,10 +19,6 @@
 use crate::clock::Clock;
 use crate::net::Net;
 
-/// Origin of the crashes that gateways count. All have the same, so that of two counts of
-/// one request the higher stands.
-const GATEWAYS: Incarnation = Incarnation(0);
-
 /// Maximum number of changes that wait to be told to other hosts.
 const MAX_QUEUED_CHANGES: usize = 256;
 
@@ -44,11 +39,12 @@
 }
 
 impl Suspects {
-    /// Counts a crash that this host observed while it served a request that arrived at
-    /// `arrival`. Returns what other hosts have to know.
-    pub fn record_crash(&self, now: Instant, arrival: Instant, digest: Digest) -> Vec<Suspect> {
+    /// Counts a crash that this host observed while it served a request. Returns what other
+    /// hosts have to know.
+    fn record_crash(&self, now: Instant, input: &Input) -> Vec<Suspect> {
         let mut table = lock(&self.table);
-        if !table.record_repeated_crash(now, arrival, GATEWAYS, digest) {
+        let (origin, digest) = (input.origin(), input.digest());
+        if !table.record_repeated_crash(now, input.arrival, origin, digest) {
             return Vec::new();
         }
         let counts = table.counts(now, digest);
@@ -58,11 +54,11 @@
 
     /// Clears a request of earlier crashes, since it ran to its end. Returns whether it
     /// had any.
-    pub fn record_success(&self, now: Instant, digest: Digest) -> bool {
+    fn record_success(&self, now: Instant, input: &Input) -> bool {
         let mut table = lock(&self.table);
-        let is_cleared = table.record_success(now, digest);
+        let is_cleared = table.record_caller_success(now, input.origin(), input.digest());
         if is_cleared {
-            self.announce(&table.counts(now, digest));
+            self.announce(&table.counts(now, input.digest()));
         }
         is_cleared
     }
@@ -76,18 +72,18 @@
     }
 
     /// Whether no request is known, so that no digest is needed.
-    pub fn is_empty(&self, now: Instant) -> bool {
+    fn is_empty(&self, now: Instant) -> bool {
         lock(&self.table).is_empty(now)
     }
 
-    /// Whether a request was running when an endpoint crashed and has not been cleared.
-    pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
-        lock(&self.table).is_suspect(now, digest)
+    /// Returns the number of crashes that count against a request and equal ones.
+    fn crash_count(&self, now: Instant, input: &Input) -> u32 {
+        lock(&self.table).crash_count(now, input.digest())
     }
 
     /// Returns the time for which a request must not run, or `None` if it may.
-    pub fn barred_for(&self, now: Instant, digest: Digest) -> Option<Duration> {
-        lock(&self.table).barred_for(now, digest)
+    fn barred_time(&self, now: Instant, input: &Input) -> Option<Duration> {
+        lock(&self.table).barred_time(now, input.origin(), input.digest())
     }
 
     /// Returns a receiver of further changes, of which it may miss some if it is slow.
@@ -124,7 +120,7 @@
         let now = self.clock.now();
         self.record_failure(now, key, Failure::Broken);
         let investigation = tokio::spawn(self.clone().investigate_loss(input.clone(), at));
-        if self.suspects.is_suspect(now, input.digest()) {
+        if self.suspects.crash_count(now, input) > 0 {
             // The task does not panic, and nothing aborts it.
             let _ = investigation.await;
         }
@@ -141,10 +137,9 @@
         }
         self.metrics.count("request.crashed_endpoint");
         let now = self.clock.now();
-        let digest = input.digest();
-        let suspects = self.suspects.record_crash(now, input.arrival, digest);
+        let suspects = self.suspects.record_crash(now, &input);
         slog::info!(self.logger, "request: crashed an endpoint";
-            "request" => %input.attempt_id, "digest" => %digest, "address" => %at,
+            "request" => %input.attempt_id, "digest" => %input.digest(), "address" => %at,
             "counted" => !suspects.is_empty());
         for suspect in suspects {
             self.links.report_suspect(&suspect);
@@ -153,12 +148,19 @@
 
     /// Returns the time for which a request must not run, as it has crashed endpoints, or
     /// `None` if it may run.
-    pub(super) fn barred_for(&self, input: &Input) -> Option<Duration> {
+    pub(super) fn barred_time(&self, input: &Input) -> Option<Duration> {
         let now = self.clock.now();
         if self.suspects.is_empty(now) {
             return None;
         }
-        self.suspects.barred_for(now, input.digest())
+        self.suspects.barred_time(now, input)
+    }
+
+    /// Whether a lost request may be sent to another endpoint. One that has crashed
+    /// several is left to its caller.
+    pub(super) fn may_resend(&self, input: &Input) -> bool {
+        let now = self.clock.now();
+        self.suspects.is_empty(now) || self.suspects.crash_count(now, input) < BARRING_CRASHES
     }
 
     /// Clears a request of earlier crashes, since it ran to its end.
@@ -167,10 +169,9 @@
         if self.suspects.is_empty(now) {
             return;
         }
-        let digest = input.digest();
-        if self.suspects.record_success(now, digest) {
+        if self.suspects.record_success(now, input) {
             slog::info!(self.logger, "request: cleared of crashes";
-                "request" => %input.attempt_id, "digest" => %digest);
+                "request" => %input.attempt_id, "digest" => %input.digest());
         }
     }
 }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -1,9 +1,13 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! Each sidecar counts only the crashes that it saw itself. Counts from several sidecars
-//! therefore add up, and a count received twice counts once. All gateways count as one, so
-//! that crashes which several saw at once do not add up. A request that runs to its end
-//! after a crash is cleared of that crash.
+//! Each origin counts crashes by itself. Counts of several origins therefore add up, and a
+//! count received twice counts once. A request that runs to its end after a crash is
+//! cleared of that crash.
+//!
+//! Sidecars know their callers, whose name is part of the digest, and are an origin each.
+//! Gateways know only the addresses that requests come from. Their digests are of the
+//! request alone, and the origin is the address: a request is barred for one address, or
+//! for all once it has crashed endpoints for several.
 
 use std::time::{Duration, Instant};
 
@@ -14,6 +18,10 @@
 /// Number of crashes after which a request is barred.
 pub const BARRING_CRASHES: u32 = 2;
 
+/// Number of crashes after which a request is barred for all callers, whichever of them
+/// sent it.
+pub const SHARED_BARRING_CRASHES: u32 = 3;
+
 /// Time after its last crash during which a request stays suspect or barred.
 pub const RETENTION: Duration = Duration::from_secs(600);
 
@@ -26,7 +34,7 @@
 /// Maximum number of requests in a table.
 pub const MAX_REQUESTS: usize = 4096;
 
-/// Maximum number of sidecars whose counts are kept for one request.
+/// Maximum number of origins whose counts are kept for one request.
 const MAX_ORIGINS: usize = 4;
 
 /// Crash counts by request digest.
@@ -53,30 +61,42 @@
 /// Crash counts of one request.
 #[derive(Clone, Debug)]
 struct Row {
-    /// Counts of each sidecar that saw a crash.
+    /// Counts of each origin.
     counts: Vec<Count>,
     /// Time of the last crash.
     last_crash: Instant,
     changed_at: Instant,
 }
 
-/// Crashes seen by one sidecar.
+/// Crashes counted by one origin.
 #[derive(Clone, Copy, Debug)]
 struct Count {
-    /// Incarnation of the sidecar.
+    /// Incarnation of the sidecar, or number of the caller's address.
     origin: Incarnation,
     crashes: u32,
     /// Crashes of which the request was cleared.
     cleared: u32,
 }
 
-impl Row {
+impl Count {
     /// Number of crashes of which the request was not cleared.
     fn uncleared_crashes(&self) -> u32 {
-        let counts = self.counts.iter();
-        counts
-            .map(|count| count.crashes.saturating_sub(count.cleared))
-            .sum()
+        self.crashes.saturating_sub(self.cleared)
+    }
+}
+
+impl Row {
+    /// Number of crashes of which the request was not cleared, over all origins.
+    fn uncleared_crashes(&self) -> u32 {
+        self.counts.iter().map(Count::uncleared_crashes).sum()
+    }
+
+    /// Whether the request must not run for a caller's address.
+    fn is_barred_for(&self, now: Instant, origin: Incarnation) -> bool {
+        let mut own = self.counts.iter().filter(|count| count.origin == origin);
+        let is_dangerous = own.any(|count| count.uncleared_crashes() >= BARRING_CRASHES)
+            || self.uncleared_crashes() >= SHARED_BARRING_CRASHES;
+        is_dangerous && now < self.last_crash + RETENTION
     }
 
     /// Messages with the counts.
@@ -117,8 +137,7 @@
     /// counted since. Returns whether it counts.
     ///
     /// Equal requests that run side by side when several endpoints crash count once, and
-    /// only a request that comes again after a crash counts again. Callers behind one
-    /// address have one digest.
+    /// only a request that comes again after a crash counts again.
     pub fn record_repeated_crash(
         &mut self,
         now: Instant,
@@ -150,6 +169,30 @@
         true
     }
 
+    /// Records that a request ran to its end for a caller's address, so that address's
+    /// request did not cause the crashes counted for it. If it is barred, it stays so.
+    /// Returns whether this changed the table.
+    pub fn record_caller_success(
+        &mut self,
+        now: Instant,
+        origin: Incarnation,
+        digest: Digest,
+    ) -> bool {
+        let Some(row) = self.rows.get_mut(&digest) else {
+            return false;
+        };
+        if row.is_barred_for(now, origin) {
+            return false;
+        }
+        let mut own = row.counts.iter_mut().filter(|count| count.origin == origin);
+        let Some(count) = own.find(|count| count.uncleared_crashes() > 0) else {
+            return false;
+        };
+        count.cleared = count.crashes;
+        row.changed_at = now;
+        true
+    }
+
     /// Merges a count from a peer. Returns whether it changed the table.
     pub fn merge_peer(&mut self, now: Instant, suspect: &Suspect) -> bool {
         let last_crash = now.checked_sub(suspect.age.into()).unwrap_or(now);
@@ -166,10 +209,11 @@
         self.last_crash.is_none_or(|at| now >= at + RETENTION)
     }
 
-    /// Whether a request was running when an endpoint crashed and has not been cleared.
-    pub fn is_suspect(&self, now: Instant, digest: Digest) -> bool {
+    /// Returns the number of crashes of which a request was not cleared, over all origins.
+    pub fn crash_count(&self, now: Instant, digest: Digest) -> u32 {
         let row = self.rows.get(&digest);
-        row.is_some_and(|row| row.uncleared_crashes() > 0 && now < row.last_crash + RETENTION)
+        let row = row.filter(|row| now < row.last_crash + RETENTION);
+        row.map_or(0, Row::uncleared_crashes)
     }
 
     /// Whether a request must not run.
@@ -178,9 +222,16 @@
         row.is_some_and(|row| row.is_barred(now))
     }
 
-    /// Returns the time for which a request must not run, or `None` if it may.
-    pub fn barred_for(&self, now: Instant, digest: Digest) -> Option<Duration> {
-        let row = self.rows.get(&digest).filter(|row| row.is_barred(now))?;
+    /// Returns the time for which a request must not run for a caller's address, or `None`
+    /// if it may.
+    pub fn barred_time(
+        &self,
+        now: Instant,
+        origin: Incarnation,
+        digest: Digest,
+    ) -> Option<Duration> {
+        let row = self.rows.get(&digest);
+        let row = row.filter(|row| row.is_barred_for(now, origin))?;
         Some((row.last_crash + RETENTION).saturating_duration_since(now))
     }
 
@@ -221,7 +272,7 @@
         suspects.take(limit).collect()
     }
 
-    /// Merges a count. Of two counts by the same sidecar the higher one wins.
+    /// Merges a count. Of two counts by the same origin the higher one wins.
     fn merge(&mut self, now: Instant, last_crash: Instant, digest: Digest, count: Count) -> bool {
         if !self.rows.contains_key(&digest) {
             if now >= last_crash + RETENTION {
@@ -241,7 +292,10 @@
             .find(|known| known.origin == count.origin);
         let Some(known) = known else {
             if row.counts.len() >= MAX_ORIGINS {
-                return false;
+                // A cleared count no longer matters.
+                let cleared = row.counts.iter().position(|c| c.uncleared_crashes() == 0);
+                let Some(cleared) = cleared else { return false };
+                row.counts.swap_remove(cleared);
             }
             row.counts.push(count);
             row.last_crash = row.last_crash.max(last_crash);
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use cranberryridge_policy::suspect::{Table, GOSSIP_DURATION, MAX_REQUESTS, RETENTION};
+use cranberryridge_policy::suspect::{
+    Table, GOSSIP_DURATION, MAX_REQUESTS, RETENTION, SHARED_BARRING_CRASHES,
+};
 use cranberryridge_wire::id::{Digest, Incarnation};
 
 /// Digest of the request under test.
@@ -28,9 +30,9 @@
     send_changes(now, &b, &mut entry);
     assert!(entry.is_barred(now, REQUEST));
     assert!(entry.barred(now).contains(&REQUEST));
-    assert_eq!(entry.barred_for(now, REQUEST), Some(RETENTION));
-    assert!(!entry.is_barred(now + RETENTION, REQUEST));
-    assert_eq!(entry.barred_for(now + RETENTION, REQUEST), None);
+    let end = now + RETENTION;
+    assert!(entry.is_barred(end - Duration::from_nanos(1), REQUEST));
+    assert!(!entry.is_barred(end, REQUEST));
 }
 
 #[test]
@@ -93,3 +95,51 @@
     assert!(!table.is_empty(now + RETENTION / 2));
     assert!(table.is_empty(now + RETENTION));
 }
+
+#[test]
+fn the_success_of_one_caller_clears_no_crash_of_another() {
+    let (mut table, now) = (Table::default(), Instant::now());
+    let (caller, other) = (Incarnation(1), Incarnation(2));
+    for _ in 0..2 {
+        assert!(table.barred_time(now, caller, REQUEST).is_none());
+        table.record_crash(now, caller, REQUEST);
+        table.record_caller_success(now, other, REQUEST);
+    }
+    assert_eq!(table.barred_time(now, caller, REQUEST), Some(RETENTION));
+    assert!(table.barred_time(now, other, REQUEST).is_none());
+}
+
+#[test]
+fn a_caller_whose_request_succeeds_is_cleared() {
+    let (mut table, now) = (Table::default(), Instant::now());
+    let caller = Incarnation(1);
+    for _ in 0..5 {
+        table.record_crash(now, caller, REQUEST);
+        assert!(table.record_caller_success(now, caller, REQUEST));
+    }
+    assert_eq!(table.crash_count(now, REQUEST), 0);
+    assert!(table.barred_time(now, caller, REQUEST).is_none());
+}
+
+#[test]
+fn a_request_that_crashed_endpoints_for_several_callers_is_barred_for_all() {
+    let (mut table, now) = (Table::default(), Instant::now());
+    for caller in 1..=SHARED_BARRING_CRASHES {
+        assert!(table.barred_time(now, Incarnation(99), REQUEST).is_none());
+        table.record_crash(now, Incarnation(u64::from(caller)), REQUEST);
+    }
+    assert!(table.barred_time(now, Incarnation(99), REQUEST).is_some());
+}
+
+#[test]
+fn cleared_callers_leave_room_for_others() {
+    let (mut table, now) = (Table::default(), Instant::now());
+    for caller in 0..20 {
+        table.record_crash(now, Incarnation(caller), REQUEST);
+        table.record_caller_success(now, Incarnation(caller), REQUEST);
+    }
+    for caller in 20..20 + u64::from(SHARED_BARRING_CRASHES) {
+        table.record_crash(now, Incarnation(caller), REQUEST);
+    }
+    assert!(table.barred_time(now, Incarnation(99), REQUEST).is_some());
+}
