Refuse no request as not run that an endpoint may have run

Callers got 503, which promises that a request has not run, for requests that had run: after a lost run there was no other endpoint, or no retry left. Such a request ends as endpoint_lost with 502 now. Requests that may run only once were not concerned, as they end after a lost run.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -122,6 +122,7 @@
         Err(Refusal::new(Code::Overdue))
     });
     match result {
+        Err(refusal) if progress.may_have_run => Err((call, refusal.after_run())),
         Err(refusal) => Err((call, refusal)),
         Ok(Answer::Failure(mut head, body)) => {
             call.shared.dialect.strip_headers(&mut head.headers);
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -48,7 +48,9 @@
     let mut progress = Progress::default();
     let result = timeout_at(deadline, try_endpoints(call, &mut progress)).await;
     let (mut head, body) = match result {
-        Ok(answer) => answer?,
+        Ok(Ok(answer)) => answer,
+        Ok(Err(refusal)) if progress.may_have_run => return Err(refusal.after_run()),
+        Ok(Err(refusal)) => return Err(refusal),
         Err(_) if progress.may_have_run => {
             call.record_overdue(progress.current);
             return Err(Refusal::new(Code::Overdue));
--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -57,6 +57,15 @@
         Self { code, retry_after }
     }
 
+    /// Returns the refusal of a request that an endpoint may have run. One that would say
+    /// that it has not run gives way to [`Code::EndpointLost`].
+    pub fn after_run(self) -> Self {
+        if matches!(self.code.status(), 429 | 503) {
+            return Self::new(Code::EndpointLost);
+        }
+        self
+    }
+
     /// Creates the response, with the dialect's retry header if the status is
     /// 429 or 503.
     pub fn response<D: Dialect>(&self, dialect: &D) -> Response<Body> {
