Bound the heads and documents that the gateway reads

An endpoint or the store may send bytes without end that are no answer. A head was bounded at 400 kB, but interim heads before it not at all: 16 MB of them were read until the test's endpoint stopped, and would have been until the caller's deadline. Reservations, reports and answers to orders were read up to 64 MB, prompts up to 4 MB, and an answer in chunks of one byte was kept as one small object a byte.

--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -1,12 +1,13 @@
-//! Bodies of responses to callers.
+//! Bodies of responses.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::sync::mpsc;
 
 /// Body of a response, either complete or sent in pieces.
@@ -28,6 +29,27 @@
     is_ended: bool,
 }
 
+/// Reads a body into one buffer, so that parts of a few bytes each take no more memory
+/// than their bytes.
+///
+/// # Errors
+///
+/// Fails if the body is incomplete or larger than `limit` bytes.
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = Limited::new(body, limit);
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(part) = frame?.into_data() {
+            buffer.extend_from_slice(&part);
+        }
+    }
+    Ok(buffer.freeze())
+}
+
 /// Part of a body that is sent in pieces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -6,14 +6,18 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use crate::body;
 use crate::net::Net;
 
-/// Maximum size of a body that [`Client::fetch`] reads.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+mod head;
+
+/// Default maximum size of a body that [`Client::fetch`] reads, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Default connect timeout. TCP repeats a lost SYN packet after one and after three
 /// seconds, so this allows for two repeats.
@@ -43,15 +47,18 @@
     net: N,
     server: SocketAddr,
     connect_timeout: Duration,
+    max_body_bytes: usize,
 }
 
 impl<N: Net> Client<N> {
-    /// Creates a client of the server at an address, with a connect timeout of 5 s.
+    /// Creates a client of the server at an address, with a connect timeout of 5 s and
+    /// bodies of up to 8 MiB.
     pub fn new(net: N, server: SocketAddr) -> Self {
         Self {
             net,
             server,
             connect_timeout: CONNECT_TIMEOUT,
+            max_body_bytes: MAX_BODY_BYTES,
         }
     }
 
@@ -63,12 +70,20 @@
         }
     }
 
+    /// Replaces the maximum size of a body that [`Client::fetch`] reads, in bytes.
+    pub fn with_max_body_bytes(self, max_body_bytes: usize) -> Self {
+        Self {
+            max_body_bytes,
+            ..self
+        }
+    }
+
     /// Sends a request and returns the answer once its headers have arrived.
     ///
     /// # Errors
     ///
     /// [`Error::Connect`] if nothing was sent, [`Error::Broken`] if the request may have
-    /// been sent.
+    /// been sent, also if the head of the answer is larger than 64 KiB.
     pub async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
@@ -77,8 +92,11 @@
             tokio::time::timeout(self.connect_timeout, self.net.connect(self.server)).await;
         let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = stream.map_err(Error::Connect)?;
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        let (stream, bound) = head::bound(stream);
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(head::MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         tokio::spawn(connection);
         if !request.headers().contains_key(http::header::HOST) {
             let host = self.server.to_string();
@@ -86,7 +104,9 @@
                 request.headers_mut().insert(http::header::HOST, host);
             }
         }
-        Ok(sender.send_request(request).await?)
+        let answer = sender.send_request(request).await?;
+        bound.lift();
+        Ok(answer)
     }
 
     /// Sends a request and reads the whole answer.
@@ -94,11 +114,11 @@
     /// # Errors
     ///
     /// As [`Client::send`], and [`Error::Unreadable`] if the body is incomplete or larger
-    /// than 64 MiB.
+    /// than allowed.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let body = body.map_err(Error::Unreadable)?.to_bytes();
+        let body = body::read(body, self.max_body_bytes).await;
+        let body = body.map_err(Error::Unreadable)?;
         Ok(Response::from_parts(head, body))
     }
 }
--- /dev/null
+++ b/crates/lib/src/client/head.rs
@@ -0,0 +1,97 @@
+//! Bound on what is read before the head of an answer is complete.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Maximum size of a head, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Bytes that may be read before the head is known to be complete. Besides the head, the
+/// HTTP library may have read ahead up to three buffers of the body by then.
+const MAX_READ_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
+/// A connection that fails if the peer sends too much before the head of its answer is
+/// complete. The HTTP library bounds each head, but not the number of interim ones.
+#[derive(Debug)]
+pub struct Stream<S> {
+    inner: S,
+    /// Bytes that were read so far.
+    read_bytes: usize,
+    is_complete: Arc<AtomicBool>,
+}
+
+/// Ends the bound of a connection.
+#[derive(Debug)]
+pub struct Bound(Arc<AtomicBool>);
+
+impl Bound {
+    /// Records that the head is complete.
+    pub fn lift(self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Bounds a new connection.
+pub fn bound<S>(inner: S) -> (Stream<S>, Bound) {
+    let is_complete = Arc::new(AtomicBool::new(false));
+    let stream = Stream {
+        inner,
+        read_bytes: 0,
+        is_complete: is_complete.clone(),
+    };
+    (stream, Bound(is_complete))
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Stream<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.read_bytes > MAX_READ_BYTES && !this.is_complete.load(Ordering::Relaxed) {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "head too long");
+            return Poll::Ready(Err(error));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut this.inner).poll_read(cx, buffer))?;
+        let read = buffer.filled().len() - before;
+        this.read_bytes = this.read_bytes.saturating_add(read);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Stream<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().inner).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().inner).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{header, request, response, HeaderMap, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Collected, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -22,6 +22,7 @@
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
 use super::Shared;
+use crate::body;
 use crate::client::{Client, Error};
 use crate::clock::Clock;
 use crate::events;
@@ -35,6 +36,9 @@
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of an answer that the gateway reads itself, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
+
 /// A caller's request as sent to endpoints.
 #[derive(Clone, Debug)]
 pub struct Input {
@@ -253,10 +257,10 @@
     key: EndpointKey,
     endpoint: &Endpoint,
     answer: Response<Incoming>,
+    max_bytes: usize,
 ) -> Option<(response::Parts, Bytes)> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let error = match body.map(Collected::to_bytes) {
+    let error = match body::read(body, max_bytes).await {
         Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
         Ok(body) => return Some((head, body)),
         Err(error) => Error::Unreadable(error),
@@ -276,7 +280,9 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Option<Response<Bytes>> {
-    let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
+    let client = Client::new(shared.net.clone(), at)
+        .with_connect_timeout(CONNECT_TIMEOUT)
+        .with_max_body_bytes(MAX_DOCUMENT_BYTES);
     let answer = tokio::time::timeout(limit, client.fetch(request)).await;
     let (head, body) = answer.ok()?.ok()?.into_parts();
     let now = shared.clock.now();
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -23,6 +23,7 @@
 
 use super::dialect::{Dialect, Parameters, Stage};
 use super::exchange::{self, Framing, InFlight, Outcome};
+use super::exchange::{MAX_ANSWER_BYTES, MAX_DOCUMENT_BYTES};
 use super::refusal::Refusal;
 use super::serve::Call;
 use crate::body::Body;
@@ -282,7 +283,14 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
-            let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+            let answer = exchange::read_answer(
+                &shared,
+                &call.input,
+                key,
+                &endpoint,
+                answer,
+                MAX_DOCUMENT_BYTES,
+            );
             answer
                 .await
                 .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
@@ -362,7 +370,14 @@
     }
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
-        let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+        let answer = exchange::read_answer(
+            &shared,
+            &call.input,
+            key,
+            &endpoint,
+            answer,
+            MAX_ANSWER_BYTES,
+        );
         let Some((head, body)) = answer.await else {
             return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
         };
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -12,7 +12,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, Framing, InFlight, Outcome};
+use super::exchange::{self, Framing, InFlight, Outcome, MAX_ANSWER_BYTES};
 use super::refusal::Refusal;
 use super::serve::Call;
 use crate::body::Body;
@@ -171,7 +171,14 @@
     }
     let attempt = match outcome {
         Outcome::Answer(answer) => {
-            let answer = exchange::read_answer(&shared, &call.input, key, &endpoint, answer);
+            let answer = exchange::read_answer(
+                &shared,
+                &call.input,
+                key,
+                &endpoint,
+                answer,
+                MAX_ANSWER_BYTES,
+            );
             match answer.await {
                 Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
                 Some(answer) => {
--- /dev/null
+++ b/crates/standin/src/flood.rs
@@ -0,0 +1,196 @@
+//! Endpoint whose answers to some calls never end.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
+
+use cranberryridge::net::{Listen, Net};
+
+/// Bytes after which a connection stays open and sends nothing more, so that a test of a
+/// reader without a bound ends.
+pub const MAX_SENT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Size of one write of a flood without pauses.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// Length of a request head without its empty line at which reading it ends.
+const MAX_REQUEST_BYTES: usize = 1024 * 1024;
+
+/// Which calls get an answer without end, and what it consists of.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Text in the requests that get the answer. All others are passed on to the endpoint
+    /// behind. If empty, each connection gets it without a request.
+    pub trigger: String,
+    /// Beginning of the answer.
+    pub prefix: String,
+    /// Repeated until the caller closes the connection.
+    pub filler: String,
+    /// Pause before each repetition.
+    pub pause: Duration,
+}
+
+/// An endpoint in front of another one. Clones share their counts.
+#[derive(Clone, Debug, Default)]
+pub struct Flood {
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// Answers without end that were begun.
+    answers: AtomicUsize,
+    /// Beginnings of the answers without end whose connection is open, by number.
+    open: Mutex<BTreeMap<usize, Instant>>,
+    /// Longest time that a connection was open.
+    longest_open: Mutex<Duration>,
+    /// Most bytes that one connection took.
+    max_sent_bytes: AtomicUsize,
+}
+
+impl Flood {
+    /// Listens at an address, and passes other calls on to `behind`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is in use.
+    pub async fn start<N: Net>(
+        net: &N,
+        at: SocketAddr,
+        behind: SocketAddr,
+        settings: Settings,
+    ) -> io::Result<Self> {
+        let flood = Self::default();
+        let mut listener = net.bind(at).await?;
+        let (counts, net) = (flood.counts.clone(), net.clone());
+        tokio::spawn(async move {
+            while let Ok(stream) = listener.accept().await {
+                let (net, settings, counts) = (net.clone(), settings.clone(), counts.clone());
+                // A broken connection ends its own task only.
+                tokio::spawn(async move { serve(&net, stream, behind, &settings, &counts).await });
+            }
+        });
+        Ok(flood)
+    }
+
+    /// Returns the number of answers without end that were begun.
+    pub fn answer_count(&self) -> usize {
+        self.counts.answers.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of answers without end whose connection is open.
+    pub fn open_count(&self) -> usize {
+        lock(&self.counts.open).len()
+    }
+
+    /// Returns the longest time for which a connection of an answer without end was or is
+    /// open.
+    pub fn longest_open(&self) -> Duration {
+        let open = lock(&self.counts.open);
+        let open = open.values().map(Instant::elapsed).max();
+        open.unwrap_or_default()
+            .max(*lock(&self.counts.longest_open))
+    }
+
+    /// Returns the most bytes that one connection took.
+    pub fn max_sent_bytes(&self) -> usize {
+        self.counts.max_sent_bytes.load(Ordering::SeqCst)
+    }
+}
+
+/// Serves one connection.
+async fn serve<N: Net>(
+    net: &N,
+    mut stream: N::Stream,
+    behind: SocketAddr,
+    settings: &Settings,
+    counts: &Counts,
+) -> io::Result<()> {
+    let request = if settings.trigger.is_empty() {
+        Vec::new()
+    } else {
+        read_request(&mut stream).await?
+    };
+    if !String::from_utf8_lossy(&request).contains(&settings.trigger) {
+        let mut onward = net.connect(behind).await?;
+        onward.write_all(&request).await?;
+        tokio::io::copy_bidirectional(&mut stream, &mut onward).await?;
+        return Ok(());
+    }
+    let number = counts.answers.fetch_add(1, Ordering::SeqCst);
+    let began_at = Instant::now();
+    lock(&counts.open).insert(number, began_at);
+    send_without_end(stream, settings, counts).await;
+    lock(&counts.open).remove(&number);
+    let mut longest_open = lock(&counts.longest_open);
+    *longest_open = began_at.elapsed().max(*longest_open);
+    Ok(())
+}
+
+/// Locks a mutex and ignores poisoning, as counts stay usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends the answer until the caller closes the connection.
+async fn send_without_end<S>(stream: S, settings: &Settings, counts: &Counts)
+where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite,
+{
+    let (mut reader, mut writer) = tokio::io::split(stream);
+    let send = async {
+        let filler = if settings.pause.is_zero() {
+            let count = WRITE_BYTES.div_ceil(settings.filler.len().max(1));
+            settings.filler.repeat(count)
+        } else {
+            settings.filler.clone()
+        };
+        let mut sent = settings.prefix.len();
+        let mut written = writer.write_all(settings.prefix.as_bytes()).await;
+        while written.is_ok() && sent < MAX_SENT_BYTES {
+            tokio::time::sleep(settings.pause).await;
+            written = writer.write_all(filler.as_bytes()).await;
+            sent += filler.len();
+            counts.max_sent_bytes.fetch_max(sent, Ordering::SeqCst);
+        }
+        if written.is_ok() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let closed = async {
+        let mut rest = [0; 1024];
+        while matches!(reader.read(&mut rest).await, Ok(1..)) {}
+    };
+    tokio::select! {
+        () = send => {}
+        () = closed => {}
+    }
+}
+
+/// Reads a request with its body.
+async fn read_request<S: tokio::io::AsyncRead + Unpin>(stream: &mut S) -> io::Result<Vec<u8>> {
+    let mut request = Vec::new();
+    while request.len() < MAX_REQUEST_BYTES {
+        if stream.read_buf(&mut request).await? == 0 {
+            break;
+        }
+        let text = String::from_utf8_lossy(&request).to_ascii_lowercase();
+        let Some(head_end) = text.find("\r\n\r\n") else {
+            continue;
+        };
+        let length = text[..head_end].lines().find_map(|line| {
+            let value = line.strip_prefix("content-length:")?;
+            value.trim().parse::<usize>().ok()
+        });
+        if request.len() >= head_end + 4 + length.unwrap_or(0) {
+            break;
+        }
+    }
+    Ok(request)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod engine;
 pub mod fleet;
+pub mod flood;
 pub mod hosts;
 pub mod ledger;
 pub mod log;
