Bound the events of a stream, and the time until the next one

An engine that sends an event without end filled the gateway's memory (256 MB were seen), and bytes that are no event, or comments, kept a stream open for as long as they came: callers had no end of their answer 60 s later, with 2.8 s left to wait. An event has 64 KiB at most. The timeout of a silent stream runs until the next event with a field, and until the first one the request's deadline holds. A run that exceeds either is broken: resumed elsewhere where allowed, else cut off at once.

--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -4,6 +4,9 @@
 use compact_str::CompactString;
 use http::{header, HeaderMap};
 
+/// Maximum size of an event, in bytes.
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
+
 /// Buffers bytes and returns complete events unchanged.
 ///
 /// # Examples
@@ -26,6 +29,8 @@
     last_id: Option<CompactString>,
     /// Number of events with an id that the last call took.
     taken_count: u32,
+    /// Whether the last call took a field, and not only comments and empty lines.
+    has_taken_field: bool,
 }
 
 impl Splitter {
@@ -45,6 +50,8 @@
         self.searched_bytes = self.buffer.len();
         let (count, id) = scan_ids(&events);
         self.taken_count = count;
+        let mut lines = events.split(|byte| *byte == b'\n');
+        self.has_taken_field = lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]));
         if let Some(id) = id {
             self.last_id = Some(id.into());
         }
@@ -59,6 +66,11 @@
         scanner.is_inside_event()
     }
 
+    /// Returns whether the bytes after the last complete event are more than an event has.
+    pub fn is_overlong(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.buffer.len()
@@ -81,6 +93,12 @@
         self.taken_count
     }
 
+    /// Returns whether what was taken last has a field, and not only comments and empty
+    /// lines.
+    pub fn has_taken_field(&self) -> bool {
+        self.has_taken_field
+    }
+
     /// Returns the last event id that was taken.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -132,11 +132,20 @@
     let idle_timeout = timeout.unwrap_or(call.route.timeout);
     let mut chunk = run.first_chunk.take();
     let mut last_events_at = call.shared.clock.now();
+    let mut deadline = if call.record.event_count > 0 {
+        last_events_at + idle_timeout
+    } else {
+        call.deadline
+    };
     loop {
         if let Some(bytes) = chunk {
             splitter.push(&bytes);
-            if let Some(events) = splitter.take_events() {
-                let now = call.shared.clock.now();
+            let events = splitter.take_events();
+            let now = call.shared.clock.now();
+            if events.is_some() && splitter.has_taken_field() {
+                deadline = now + idle_timeout;
+            }
+            if let Some(events) = events {
                 let gap = now.saturating_duration_since(last_events_at);
                 last_events_at = now;
                 if call.record.event_count > 0 {
@@ -149,10 +158,17 @@
                     return Outcome::CallerGone;
                 }
             }
+            // Bytes that are no event may come so fast that the timeout below is never
+            // polled.
+            if splitter.is_overlong() || now >= deadline {
+                call.record.partial_bytes = splitter.partial_bytes();
+                call.shared.metrics.count("endpoint.endless_event");
+                return Outcome::Broken;
+            }
         }
         let next = tokio::select! {
             biased;
-            next = tokio::time::timeout(idle_timeout, next_chunk(&mut run.body)) => next,
+            next = timeout_at(deadline.into(), next_chunk(&mut run.body)) => next,
             () = reply.closed() => return Outcome::CallerGone,
         };
         if !matches!(next, Ok(Chunk::Data(_))) {
