Bound what a sidecar reads of its endpoints

An engine or a service behind a sidecar may send bytes without end that are no answer. A call that is not idempotent was read on without end after its entry had left, so that its connection and its place stayed taken; the same with a head that comes byte by byte. An event has 64 KiB at most, a run 8 MiB, documents 256 KiB; a state has 5 s, a head 30 s from its first byte; the body of an answer is read on for 30 s without the entry, as long as it may be kept for its key.

--- a/crates/lib/src/client/head.rs
+++ b/crates/lib/src/client/head.rs
@@ -1,12 +1,15 @@
 //! Bound on what is read before the head of an answer is complete.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
 
 /// Maximum size of a head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -15,13 +18,18 @@
 /// HTTP library may have read ahead up to three buffers of the body by then.
 const MAX_READ_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
-/// A connection that fails if the peer sends too much before the head of its answer is
-/// complete. The HTTP library bounds each head, but not the number of interim ones.
+/// Time in which a head that has begun to arrive must be complete.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A connection that fails if the peer sends too much, or for too long, before the head of
+/// its answer is complete. The HTTP library bounds each head, but not the number of interim ones.
 #[derive(Debug)]
 pub struct Stream<S> {
     inner: S,
     /// Bytes that were read so far.
     read_bytes: usize,
+    /// Runs from the first byte on until the head is complete.
+    timer: Option<Pin<Box<Sleep>>>,
     is_complete: Arc<AtomicBool>,
 }
 
@@ -42,6 +50,7 @@
     let stream = Stream {
         inner,
         read_bytes: 0,
+        timer: None,
         is_complete: is_complete.clone(),
     };
     (stream, Bound(is_complete))
@@ -54,13 +63,22 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.read_bytes > MAX_READ_BYTES && !this.is_complete.load(Ordering::Relaxed) {
+        if this.is_complete.load(Ordering::Relaxed) {
+            this.timer = None;
+        } else if this.read_bytes > MAX_READ_BYTES {
             let error = io::Error::new(io::ErrorKind::InvalidData, "head too long");
             return Poll::Ready(Err(error));
+        } else if let Some(timer) = &mut this.timer {
+            if timer.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut this.inner).poll_read(cx, buffer))?;
         let read = buffer.filled().len() - before;
+        if this.read_bytes == 0 && read > 0 {
+            this.timer = Some(Box::pin(tokio::time::sleep(HEAD_TIMEOUT)));
+        }
         this.read_bytes = this.read_bytes.saturating_add(read);
         Poll::Ready(Ok(()))
     }
--- a/crates/lib/src/sidecar/engine.rs
+++ b/crates/lib/src/sidecar/engine.rs
@@ -1,13 +1,16 @@
 //! Interface to model engines, and its implementation over HTTP.
 
 use std::future::Future;
-use std::pin::pin;
+use std::pin::{pin, Pin};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use eventsource_stream::{EventStream, Eventsource};
-use futures::StreamExt;
+use futures::{Stream, StreamExt};
 use http::{header, Method, Request, StatusCode};
 use http_body_util::{BodyDataStream, Full};
 use hyper::body::Incoming;
@@ -18,11 +21,15 @@
 use cranberryridge_wire::message::Ticket;
 
 use crate::client::{self, Client};
+use crate::events::MAX_EVENT_BYTES;
 use crate::net::Net;
 
 /// Time without progress after which a decode fails as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of an answer that is no stream, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
+
 /// Timeout of a cancellation and of a listing.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -171,9 +178,14 @@
         if answer.status() != StatusCode::OK {
             return Err(refusal(answer.status(), b""));
         }
-        let data = BodyDataStream::new(answer.into_body());
+        let unparsed_bytes = Arc::new(AtomicUsize::new(0));
+        let data = Data {
+            inner: BodyDataStream::new(answer.into_body()),
+            unparsed_bytes: unparsed_bytes.clone(),
+        };
         Ok(Events {
             inner: data.eventsource(),
+            unparsed_bytes,
         })
     }
 
@@ -199,12 +211,39 @@
 
 /// Server-sent events of an answer.
 pub struct Events {
-    inner: EventStream<BodyDataStream<Incoming>>,
+    inner: EventStream<Data>,
+    /// Bytes that were read since the last event.
+    unparsed_bytes: Arc<AtomicUsize>,
+}
+
+/// Bytes of an answer. Fails if an event is too long, as the parser keeps all of it.
+struct Data {
+    inner: BodyDataStream<Incoming>,
+    /// Bytes that were read since the last event.
+    unparsed_bytes: Arc<AtomicUsize>,
+}
+
+impl Stream for Data {
+    type Item = Result<Bytes, client::Error>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        if this.unparsed_bytes.load(Ordering::Relaxed) > MAX_EVENT_BYTES {
+            let error = client::Error::Unreadable("event too long".into());
+            return Poll::Ready(Some(Err(error)));
+        }
+        let data = ready!(this.inner.poll_next_unpin(cx));
+        if let Some(Ok(data)) = &data {
+            this.unparsed_bytes.fetch_add(data.len(), Ordering::Relaxed);
+        }
+        Poll::Ready(data.map(|data| data.map_err(client::Error::from)))
+    }
 }
 
 impl Answer for Events {
     async fn next(&mut self) -> Result<Option<Blob>, Error> {
         let event = tokio::time::timeout(STALL_TIMEOUT, pin!(self.inner.next())).await;
+        self.unparsed_bytes.store(0, Ordering::Relaxed);
         match event.map_err(|_| Error::Stalled)? {
             Some(Ok(event)) if event.data == "[DONE]" => Ok(None),
             Some(Ok(event)) => Ok(Some(event.data.into_bytes().into())),
--- a/crates/lib/src/sidecar/model.rs
+++ b/crates/lib/src/sidecar/model.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{admit, Streams};
 use super::control::Permit;
-use super::engine::{Answer, Engine, Error, Http, Job};
+use super::engine::{Answer, Engine, Error, Http, Job, MAX_DOCUMENT_BYTES};
 use super::registry::{Progress, Run};
 use super::{Shared, RESUME_GRACE_PERIOD};
 use crate::client::Client;
@@ -311,7 +311,9 @@
 ) -> Result<(), Error> {
     let mut answer = engine.decode(job, ticket).await?;
     while let Some(event) = answer.next().await? {
-        run.push(event);
+        if !run.push(event) {
+            return Err(Error::Broken("answer too long".into()));
+        }
     }
     Ok(())
 }
@@ -385,7 +387,8 @@
 fn engine<N: Net, C>(shared: &Shared<N, C>, index: usize) -> Option<Http<N>> {
     let endpoint = shared.settings.endpoints.get(index)?;
     let address = endpoint.address.parse().ok()?;
-    Some(Http::new(Client::new(shared.net.clone(), address)))
+    let client = Client::new(shared.net.clone(), address);
+    Some(Http::new(client.with_max_body_bytes(MAX_DOCUMENT_BYTES)))
 }
 
 /// Creates an attempt's job for its engine. `leg` is `p` for a prefill and `d` for a
--- a/crates/lib/src/sidecar/orders.rs
+++ b/crates/lib/src/sidecar/orders.rs
@@ -13,6 +13,7 @@
 use cranberryridge_policy::order::{Command, Reconciler, State, Step};
 use cranberryridge_wire::record::{Action, Order, Record};
 
+use super::engine::MAX_DOCUMENT_BYTES;
 use crate::client::{self, Client};
 use crate::config::Sink;
 use crate::metrics::Metrics;
@@ -27,6 +28,9 @@
 /// lost; the state that is read next shows whether the order took effect.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Maximum time that an engine may take to report its state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// An order with its offset in the log.
 #[derive(Clone, Debug)]
 pub struct LogOrder {
@@ -118,6 +122,7 @@
     metrics: Metrics,
     logger: Logger,
 ) {
+    let client = client.with_max_body_bytes(MAX_DOCUMENT_BYTES);
     let mut reconciler = Reconciler::default();
     loop {
         tokio::select! {
@@ -181,7 +186,8 @@
 async fn read_state<N: Net>(client: &Client<N>) -> Result<State, client::Error> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = http::Uri::from_static("/orders");
-    let answer = client.fetch(request).await?;
+    let answer = tokio::time::timeout(STATE_TIMEOUT, client.fetch(request)).await;
+    let answer = answer.map_err(|error| client::Error::Unreadable(error.into()))??;
     let report = serde_json::from_slice::<Report>(answer.body());
     report
         .map(State::from)
--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -8,6 +8,7 @@
 use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use tokio::time::{sleep_until, Instant};
 
 use cranberryridge_policy::gate::Demand;
 use cranberryridge_policy::issue;
@@ -29,6 +30,10 @@
 /// Maximum size of the body of an answer that is kept for its key.
 const MAX_KEPT_BYTES: usize = 256 * 1024;
 
+/// Time for which the body of an answer is read on after its entry has left. The service
+/// has answered, so its call has run.
+const READ_ON_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Retry delay of a call that is refused because no more calls can be recorded.
 const FULL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -207,7 +212,22 @@
     let mut connected = streams.sender.send(&Down::Head(head.clone())).await.is_ok();
     let mut kept = BytesMut::new();
     let mut count = 0;
-    while let Some(frame) = body.frame().await {
+    let mut read_until = Instant::now();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            _ = streams.sender.cancelled(), if connected => {
+                connected = false;
+                read_until = Instant::now() + READ_ON_TIMEOUT;
+                if !read_to_end {
+                    return Outcome::Complete(None);
+                }
+                continue;
+            }
+            () = sleep_until(read_until), if !connected => return Outcome::Complete(None),
+        };
+        let Some(frame) = frame else { break };
         let data = match frame.map(hyper::body::Frame::into_data) {
             Ok(Ok(data)) => data,
             Ok(Err(_)) => continue,
@@ -222,8 +242,10 @@
         if connected {
             let piece = Down::Body(data.to_vec().into());
             connected = streams.sender.send(&piece).await.is_ok();
+            read_until = Instant::now() + READ_ON_TIMEOUT;
         }
-        if !connected && !read_to_end {
+        let is_kept = read_to_end && kept.len() <= MAX_KEPT_BYTES;
+        if !connected && !is_kept {
             return Outcome::Complete(None);
         }
         count += 1;
--- a/crates/lib/src/sidecar/registry.rs
+++ b/crates/lib/src/sidecar/registry.rs
@@ -12,6 +12,12 @@
 use cranberryridge_wire::message::Failure;
 use cranberryridge_wire::Map;
 
+/// Maximum size of an answer that is kept, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Memory that an event takes besides its data, in bytes.
+const EVENT_OVERHEAD_BYTES: usize = 64;
+
 /// Model answers by request and attempt. Clones share the state.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -36,15 +42,26 @@
 pub struct Progress {
     /// Data of the events so far, by position.
     pub events: Vec<Blob>,
+    /// Memory that the events take, in bytes.
+    size: usize,
     /// Result of the generation, once it has ended.
     pub end: Option<Result<(), Failure>>,
 }
 
 impl Run {
-    /// Appends the data of an event.
-    pub fn push(&self, event: Blob) {
-        self.progress
-            .send_modify(|progress| progress.events.push(event));
+    /// Appends the data of an event. Returns `false` if the answer is longer than one that
+    /// is kept.
+    pub fn push(&self, event: Blob) -> bool {
+        let size = event.0.len() + EVENT_OVERHEAD_BYTES;
+        let mut is_kept = false;
+        self.progress.send_modify(|progress| {
+            progress.size += size;
+            is_kept = progress.size <= MAX_ANSWER_BYTES;
+            if is_kept {
+                progress.events.push(event);
+            }
+        });
+        is_kept
     }
 
     /// Records the result of the generation and wakes all readers.
--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -1,6 +1,7 @@
 //! Endpoint whose answers to some calls never end.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -36,6 +37,94 @@
     pub pause: Duration,
 }
 
+/// An answer without end.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Name in messages of tests.
+    pub name: &'static str,
+    /// Beginning of the answer.
+    pub prefix: String,
+    /// Repeated without end.
+    pub filler: &'static str,
+}
+
+impl Answer {
+    /// Returns settings that send the answer to calls with `trigger`.
+    pub fn settings(&self, trigger: &str, pause: Duration) -> Settings {
+        Settings {
+            trigger: trigger.into(),
+            prefix: self.prefix.clone(),
+            filler: self.filler.into(),
+            pause,
+        }
+    }
+}
+
+/// A chunk of 32 bytes.
+const CHUNK: &str = "20\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+
+/// Answers whose head or body has no end. `head` is a head without the empty line.
+pub fn endless_answers(head: &str) -> Vec<Answer> {
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let answers = [
+        ("header", format!("{head}x-filler: "), "a"),
+        ("headers", head.into(), "x-filler: a\r\n"),
+        (
+            "interim heads",
+            String::new(),
+            "HTTP/1.1 100 Continue\r\n\r\n",
+        ),
+        ("no head", String::new(), "\0"),
+        ("body", format!("{head}\r\n"), "a"),
+        (
+            "length",
+            format!("{head}content-length: 99999999999\r\n\r\n"),
+            "a",
+        ),
+        ("chunks", format!("{head}{chunked}"), CHUNK),
+        ("extension", format!("{head}{chunked}1;"), "a"),
+        ("trailers", format!("{head}{chunked}0\r\n"), "x: a\r\n"),
+    ];
+    let answers = answers.into_iter().map(|(name, prefix, filler)| Answer {
+        name,
+        prefix,
+        filler,
+    });
+    answers.collect()
+}
+
+/// Pauses before each repetition: without, and slower than a caller waits.
+const PAUSES: [Duration; 2] = [Duration::ZERO, Duration::from_millis(50)];
+
+/// Runs a test for each answer, without and with pauses, each on a runtime with a paused
+/// clock. The test gets a name of the case.
+///
+/// # Panics
+///
+/// If a case panics.
+pub fn run_cases<F: Future<Output = ()>>(
+    answers: Vec<Answer>,
+    test: impl Fn(Answer, Duration, String) -> F + Sync,
+) {
+    let cases = answers
+        .iter()
+        .flat_map(|answer| PAUSES.map(|pause| (answer, pause)));
+    let run = |answer: &Answer, pause: Duration| {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().start_paused(true).build();
+        let case = format!("{}, {pause:?}", answer.name);
+        // A test may end at a runtime that cannot be built.
+        runtime.unwrap().block_on(test(answer.clone(), pause, case));
+    };
+    let failed = std::thread::scope(|scope| {
+        let threads = cases.map(|(answer, pause)| scope.spawn(move || run(answer, pause)));
+        let threads = threads.collect::<Vec<_>>();
+        let ended = threads.into_iter().map(|thread| thread.join());
+        ended.filter(Result::is_err).count()
+    });
+    assert_eq!(failed, 0, "failed cases, see above");
+}
+
 /// An endpoint in front of another one. Clones share their counts.
 #[derive(Clone, Debug, Default)]
 pub struct Flood {
