Bound the memory of all answers that a gateway reads at once

Each answer of a plain service has 4 MiB at most, but many at once had no bound: 40 of them without end took 147 MB, and a gateway of the order desk has 110 MB. The answers that are being read share a total of max_held_bytes (32 MiB), as request bodies do; one that exceeds it counts as lost. Allocation moves to a module of its own for this.

--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -30,12 +30,17 @@
 }
 
 /// Reads a body into one buffer, so that parts of a few bytes each take no more memory
-/// than their bytes.
+/// than their bytes. `reserve` is called with the size of each part.
 ///
 /// # Errors
 ///
-/// Fails if the body is incomplete or larger than `limit` bytes.
-pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
+/// Fails if the body is incomplete or larger than `limit` bytes, or if `reserve` returns
+/// `false`.
+pub async fn read<B>(
+    body: B,
+    limit: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -44,6 +49,9 @@
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(part) = frame?.into_data() {
+            if !reserve(part.len()) {
+                return Err("no memory left for bodies".into());
+            }
             buffer.extend_from_slice(&part);
         }
     }
--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -117,7 +117,7 @@
     /// than allowed.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body = body::read(body, self.max_body_bytes).await;
+        let body = body::read(body, self.max_body_bytes, |_| true).await;
         let body = body.map_err(Error::Unreadable)?;
         Ok(Response::from_parts(head, body))
     }
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -6,7 +6,6 @@
 //! traffic. They share the route table and the pool.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -31,6 +30,7 @@
 
 use self::dialect::Notice;
 use self::follow::Hosts;
+use self::held::Held;
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
 use self::store::Host;
@@ -46,6 +46,7 @@
 
 mod exchange;
 mod generate;
+mod held;
 mod plain;
 mod record;
 mod refusal;
@@ -70,7 +71,8 @@
     /// CPU limit of the host in cores. The hosts with the highest limits
     /// become schedulers.
     pub cores: f64,
-    /// Maximum total size of buffered request bodies, in bytes.
+    /// Maximum total size of buffered request bodies, and of answers that are
+    /// being read, in bytes each.
     pub max_held_bytes: usize,
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
@@ -187,8 +189,10 @@
     seen: watch::Sender<LastRead>,
     /// Hosts that follow this host's reads of the platform.
     followers: Tally,
-    /// Total size of buffered request bodies, in bytes.
-    held_bytes: AtomicUsize,
+    /// Bodies of requests that are buffered.
+    held_requests: Held,
+    /// Bodies of answers that are being read.
+    held_answers: Held,
     /// Open connections of callers.
     connections: Tally,
 }
@@ -217,6 +221,8 @@
             window: parts.settings.budget.window,
             ..parts.settings.roster
         }));
+        let held_requests = Held::new(parts.settings.max_held_bytes);
+        let held_answers = Held::new(parts.settings.max_held_bytes);
         Arc::new(Self {
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
@@ -245,7 +251,8 @@
             news: watch::Sender::default(),
             seen: watch::Sender::default(),
             followers: Tally::default(),
-            held_bytes: AtomicUsize::new(0),
+            held_requests,
+            held_answers,
             connections: Tally::default(),
         })
     }
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -249,8 +249,8 @@
 }
 
 /// Reads an answer completely, so that a truncated one is never forwarded as
-/// complete. Returns `None` if it is truncated or too large, which counts as a lost
-/// run.
+/// complete. Returns `None` if it is truncated or too large, or if the answers that are
+/// being read take too much memory. Each counts as a lost run.
 pub async fn read_answer<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
     input: &Input,
@@ -260,7 +260,10 @@
     max_bytes: usize,
 ) -> Option<(response::Parts, Bytes)> {
     let (head, body) = answer.into_parts();
-    let error = match body::read(body, max_bytes).await {
+    let mut allocation = shared.held_answers.allocation();
+    let body = body::read(body, max_bytes, |bytes| allocation.grow(bytes)).await;
+    drop(allocation);
+    let error = match body {
         Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
         Ok(body) => return Some((head, body)),
         Err(error) => Error::Unreadable(error),
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -4,7 +4,6 @@
 use std::future::{poll_fn, Future};
 use std::net::IpAddr;
 use std::pin::{pin, Pin};
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -26,6 +25,7 @@
 
 use super::dialect::Dialect;
 use super::exchange::Input;
+use super::held::Allocation;
 use super::record::Record;
 use super::refusal::Refusal;
 use super::{generate, plain, Shared};
@@ -322,7 +322,7 @@
     let now = record.arrival;
     let timeout = record.description.timeout.unwrap_or(route.timeout);
     let deadline = now + timeout.min(route.timeout);
-    let mut allocation = Allocation::new(&shared);
+    let mut allocation = shared.held_requests.allocation();
     let body = match read_body(&shared, body, deadline, &mut allocation).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
@@ -425,7 +425,7 @@
     shared: &Shared<N, C, D>,
     body: Incoming,
     deadline: Instant,
-    allocation: &mut Allocation<'_, N, C, D>,
+    allocation: &mut Allocation<'_>,
 ) -> Result<Bytes, Refusal> {
     let limit = shared.table.load().limits().max_body_bytes;
     let mut parts = Vec::new();
@@ -455,32 +455,3 @@
     }
     Ok(parts.concat().into())
 }
-
-/// Share of a request in the buffered bytes, until dropped.
-struct Allocation<'a, N, C, D> {
-    shared: &'a Shared<N, C, D>,
-    bytes: usize,
-}
-
-impl<'a, N, C, D> Allocation<'a, N, C, D> {
-    /// Creates an empty allocation.
-    fn new(shared: &'a Shared<N, C, D>) -> Self {
-        Self { shared, bytes: 0 }
-    }
-
-    /// Adds bytes and returns whether the total is within the limit. The bytes
-    /// are counted until the drop in either case.
-    fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let held = self.shared.held_bytes.fetch_add(bytes, Ordering::Relaxed);
-        held + bytes <= self.shared.settings.max_held_bytes
-    }
-}
-
-impl<N, C, D> Drop for Allocation<'_, N, C, D> {
-    fn drop(&mut self) {
-        self.shared
-            .held_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -141,6 +141,10 @@
     longest_open: Mutex<Duration>,
     /// Most bytes that one connection took.
     max_sent_bytes: AtomicUsize,
+    /// Bytes that the open connections took.
+    open_bytes: AtomicUsize,
+    /// Most bytes that the connections open at one time took.
+    max_open_bytes: AtomicUsize,
 }
 
 impl Flood {
@@ -191,6 +195,11 @@
     pub fn max_sent_bytes(&self) -> usize {
         self.counts.max_sent_bytes.load(Ordering::SeqCst)
     }
+
+    /// Returns the most bytes that the connections open at one time took.
+    pub fn max_open_bytes(&self) -> usize {
+        self.counts.max_open_bytes.load(Ordering::SeqCst)
+    }
 }
 
 /// Serves one connection.
@@ -233,6 +242,7 @@
     S: tokio::io::AsyncRead + tokio::io::AsyncWrite,
 {
     let (mut reader, mut writer) = tokio::io::split(stream);
+    let sent = AtomicUsize::new(0);
     let send = async {
         let filler = if settings.pause.is_zero() {
             let count = WRITE_BYTES.div_ceil(settings.filler.len().max(1));
@@ -240,13 +250,15 @@
         } else {
             settings.filler.clone()
         };
-        let mut sent = settings.prefix.len();
         let mut written = writer.write_all(settings.prefix.as_bytes()).await;
-        while written.is_ok() && sent < MAX_SENT_BYTES {
+        while written.is_ok() && sent.load(Ordering::SeqCst) < MAX_SENT_BYTES {
             tokio::time::sleep(settings.pause).await;
             written = writer.write_all(filler.as_bytes()).await;
-            sent += filler.len();
-            counts.max_sent_bytes.fetch_max(sent, Ordering::SeqCst);
+            let total = sent.fetch_add(filler.len(), Ordering::SeqCst) + filler.len();
+            counts.max_sent_bytes.fetch_max(total, Ordering::SeqCst);
+            let open = counts.open_bytes.fetch_add(filler.len(), Ordering::SeqCst);
+            let open = open + filler.len();
+            counts.max_open_bytes.fetch_max(open, Ordering::SeqCst);
         }
         if written.is_ok() {
             std::future::pending::<()>().await;
@@ -260,6 +272,8 @@
         () = send => {}
         () = closed => {}
     }
+    let sent = sent.load(Ordering::SeqCst);
+    counts.open_bytes.fetch_sub(sent, Ordering::SeqCst);
 }
 
 /// Reads a request with its body.
