Build the stand-ins without the paused clock of tests

The stand-ins' crate used a method of tokio that only test builds have, so that building it alone failed. Tests pass the runtime instead.

--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -1,7 +1,6 @@
 //! Endpoint whose answers to some calls never end.
 
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -96,25 +95,19 @@
 /// Pauses before each repetition: without, and slower than a caller waits.
 const PAUSES: [Duration; 2] = [Duration::ZERO, Duration::from_millis(50)];
 
-/// Runs a test for each answer, without and with pauses, each on a runtime with a paused
-/// clock. The test gets a name of the case.
+/// Runs a test for each answer, without and with pauses, each on a thread of its own. The
+/// test gets a name of the case.
 ///
 /// # Panics
 ///
 /// If a case panics.
-pub fn run_cases<F: Future<Output = ()>>(
-    answers: Vec<Answer>,
-    test: impl Fn(Answer, Duration, String) -> F + Sync,
-) {
+pub fn run_cases(answers: Vec<Answer>, test: impl Fn(Answer, Duration, String) + Sync) {
     let cases = answers
         .iter()
         .flat_map(|answer| PAUSES.map(|pause| (answer, pause)));
     let run = |answer: &Answer, pause: Duration| {
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        let runtime = builder.enable_all().start_paused(true).build();
         let case = format!("{}, {pause:?}", answer.name);
-        // A test may end at a runtime that cannot be built.
-        runtime.unwrap().block_on(test(answer.clone(), pause, case));
+        test(answer.clone(), pause, case);
     };
     let failed = std::thread::scope(|scope| {
         let threads = cases.map(|(answer, pause)| scope.spawn(move || run(answer, pause)));
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -2,6 +2,7 @@
 
 mod peer;
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -94,6 +95,13 @@
     flood
 }
 
+/// Runs a future on a runtime with a paused clock.
+fn block_on(test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    runtime.block_on(test);
+}
+
 /// Sends a request and reads its answer, of which the body is `None` if it broke off.
 /// Asserts that the end comes in time.
 async fn fetch_in_time(
@@ -156,33 +164,37 @@
 
 #[test]
 fn a_prompt_without_end_is_bounded() {
-    run_cases(endless_answers(HEAD), |answer, pause, case| async move {
-        let (net, fleet) = start_deployment().await;
-        let flood = flood_runner(&net, &fleet, 0, &answer, "do_remote_decode", pause).await;
-        let answer = fetch_in_time(&net, &fleet, completion("prompt", 20), &case).await;
-        assert_ne!(
-            answer.map(|answer| answer.status().as_u16()),
-            Some(200),
-            "{case}"
-        );
-        assert_ended(&flood, PART_BYTES, &case).await;
+    run_cases(endless_answers(HEAD), |answer, pause, case| {
+        block_on(async move {
+            let (net, fleet) = start_deployment().await;
+            let flood = flood_runner(&net, &fleet, 0, &answer, "do_remote_decode", pause).await;
+            let answer = fetch_in_time(&net, &fleet, completion("prompt", 20), &case).await;
+            assert_ne!(
+                answer.map(|answer| answer.status().as_u16()),
+                Some(200),
+                "{case}"
+            );
+            assert_ended(&flood, PART_BYTES, &case).await;
+        })
     });
 }
 
 #[test]
 fn a_stream_without_end_is_bounded() {
-    run_cases(endless_streams(), |answer, pause, case| async move {
-        let (net, fleet) = start_deployment().await;
-        let flood = flood_runner(&net, &fleet, 1, &answer, "do_remote_prefill", pause).await;
-        let name = answer.name;
-        fetch_in_time(&net, &fleet, completion("prompt", 20), &case).await;
-        // Events are kept, so that the stream may be resumed.
-        let max_bytes = if name == "events" {
-            RUN_BYTES
-        } else {
-            PART_BYTES
-        };
-        assert_ended(&flood, max_bytes, &case).await;
+    run_cases(endless_streams(), |answer, pause, case| {
+        block_on(async move {
+            let (net, fleet) = start_deployment().await;
+            let flood = flood_runner(&net, &fleet, 1, &answer, "do_remote_prefill", pause).await;
+            let name = answer.name;
+            fetch_in_time(&net, &fleet, completion("prompt", 20), &case).await;
+            // Events are kept, so that the stream may be resumed.
+            let max_bytes = if name == "events" {
+                RUN_BYTES
+            } else {
+                PART_BYTES
+            };
+            assert_ended(&flood, max_bytes, &case).await;
+        })
     });
 }
 
@@ -191,60 +203,66 @@
 
 #[test]
 fn a_list_without_end_is_bounded() {
-    run_cases(endless_answers(HEAD), |answer, pause, case| async move {
-        let (net, fleet) = start_deployment().await;
-        let flood = flood_runner(&net, &fleet, 1, &answer, "GET /requests", pause).await;
-        tokio::time::sleep(Duration::from_secs(5)).await;
-        assert!(flood.answer_count() > 0, "{case}: not called");
-        assert_bounded(&flood, PART_BYTES, &case);
-        let open = flood.longest_open();
-        assert!(open <= LIST_TIME, "{case}: open for {open:?}");
+    run_cases(endless_answers(HEAD), |answer, pause, case| {
+        block_on(async move {
+            let (net, fleet) = start_deployment().await;
+            let flood = flood_runner(&net, &fleet, 1, &answer, "GET /requests", pause).await;
+            tokio::time::sleep(Duration::from_secs(5)).await;
+            assert!(flood.answer_count() > 0, "{case}: not called");
+            assert_bounded(&flood, PART_BYTES, &case);
+            let open = flood.longest_open();
+            assert!(open <= LIST_TIME, "{case}: open for {open:?}");
+        })
     });
 }
 
 #[test]
 fn a_plain_answer_without_end_is_bounded() {
-    run_cases(endless_answers(HEAD), |answer, pause, case| async move {
-        let (net, fleet) = start_deployment().await;
-        let flood = flood_runner(&net, &fleet, 2, &answer, "POST /", pause).await;
-        let call = post("/services/orders/reserve", &json!({ "number": 1 }));
-        let answer = fetch_in_time(&net, &fleet, call, &case).await;
-        let is_complete = answer.is_some_and(|a| a.status() == 200 && a.body().is_some());
-        assert!(!is_complete, "{case}: complete");
-        // The body is passed on, and ends within the time in which the sidecar reads on
-        // without its entry.
-        tokio::time::sleep(Duration::from_secs(30)).await;
-        assert_ended(&flood, usize::MAX / 4, &case).await;
+    run_cases(endless_answers(HEAD), |answer, pause, case| {
+        block_on(async move {
+            let (net, fleet) = start_deployment().await;
+            let flood = flood_runner(&net, &fleet, 2, &answer, "POST /", pause).await;
+            let call = post("/services/orders/reserve", &json!({ "number": 1 }));
+            let answer = fetch_in_time(&net, &fleet, call, &case).await;
+            let is_complete = answer.is_some_and(|a| a.status() == 200 && a.body().is_some());
+            assert!(!is_complete, "{case}: complete");
+            // The body is passed on, and ends within the time in which the sidecar reads on
+            // without its entry.
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            assert_ended(&flood, usize::MAX / 4, &case).await;
+        })
     });
 }
 
 /// Runs the task that sends orders to an engine whose order interface does not end, and
 /// asserts that it is bounded.
 fn assert_orders_are_bounded(trigger: &'static str) {
-    run_cases(endless_answers(HEAD), |answer, pause, case| async move {
-        let net = Memory::default();
-        let engine = Engine::new(net.clone(), engine::Settings::default());
-        let at = SocketAddr::from(([127, 0, 0, 1], 7100));
-        let behind = SocketAddr::from(([127, 0, 0, 2], 7100));
-        let _server = engine.serve(behind).await.unwrap();
-        let flood = Flood::start(&net, at, behind, answer.settings(trigger, pause));
-        let flood = flood.await.unwrap();
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let client = Client::new(net.clone(), at);
-        let logger = cranberryridge::logger::silent();
-        tokio::spawn(orders::run(client, receiver, Metrics::default(), logger));
-        let order = Order {
-            sidecar: "s".into(),
-            endpoint: 0,
-            action: Action::Load,
-            target: "adapter".into(),
-        };
-        sender.send(LogOrder { offset: 1, order }).unwrap();
-        tokio::time::sleep(Duration::from_secs(20)).await;
-        assert!(flood.answer_count() > 0, "{case}: not called");
-        assert_bounded(&flood, PART_BYTES, &case);
-        let open = flood.longest_open();
-        assert!(open <= ORDER_TIME, "{case}: open for {open:?}");
+    run_cases(endless_answers(HEAD), |answer, pause, case| {
+        block_on(async move {
+            let net = Memory::default();
+            let engine = Engine::new(net.clone(), engine::Settings::default());
+            let at = SocketAddr::from(([127, 0, 0, 1], 7100));
+            let behind = SocketAddr::from(([127, 0, 0, 2], 7100));
+            let _server = engine.serve(behind).await.unwrap();
+            let flood = Flood::start(&net, at, behind, answer.settings(trigger, pause));
+            let flood = flood.await.unwrap();
+            let (sender, receiver) = mpsc::unbounded_channel();
+            let client = Client::new(net.clone(), at);
+            let logger = cranberryridge::logger::silent();
+            tokio::spawn(orders::run(client, receiver, Metrics::default(), logger));
+            let order = Order {
+                sidecar: "s".into(),
+                endpoint: 0,
+                action: Action::Load,
+                target: "adapter".into(),
+            };
+            sender.send(LogOrder { offset: 1, order }).unwrap();
+            tokio::time::sleep(Duration::from_secs(20)).await;
+            assert!(flood.answer_count() > 0, "{case}: not called");
+            assert_bounded(&flood, PART_BYTES, &case);
+            let open = flood.longest_open();
+            assert!(open <= ORDER_TIME, "{case}: open for {open:?}");
+        })
     });
 }
 
@@ -291,13 +309,15 @@
 #[test]
 fn a_page_of_the_log_without_end_is_bounded() {
     run_cases(endless_answers(HEAD), |answer, pause, case| {
-        assert_platform_is_bounded(0, LOG_PORT, answer, pause, case)
+        block_on(assert_platform_is_bounded(0, LOG_PORT, answer, pause, case))
     });
 }
 
 #[test]
 fn a_host_list_without_end_is_bounded() {
     run_cases(endless_answers(HEAD), |answer, pause, case| {
-        assert_platform_is_bounded(1, HOSTS_PORT, answer, pause, case)
+        block_on(assert_platform_is_bounded(
+            1, HOSTS_PORT, answer, pause, case,
+        ))
     });
 }
