Read the answers of calls in one method, and rename what two functions shared

Found in reading the change: record_lost_run was the name of two functions, the call of read_answer was spelled out three times, and the timeout of the next event began before its caller had taken the last one. No test changes.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use cranberryridge_wire::id::{Digest, Incarnation};
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
+use super::serve::Call;
 use super::Shared;
 use crate::body;
 use crate::client::{Client, Error};
@@ -248,30 +249,33 @@
     }
 }
 
-/// Reads an answer completely, so that a truncated one is never forwarded as
-/// complete. Returns `None` if it is truncated or too large, or if the answers that are
-/// being read take too much memory. Each counts as a lost run.
-pub async fn read_answer<N: Net, C: Clock, D: Dialect>(
-    shared: &Arc<Shared<N, C, D>>,
-    input: &Input,
-    key: EndpointKey,
-    endpoint: &Endpoint,
-    answer: Response<Incoming>,
-    max_bytes: usize,
-) -> Option<(response::Parts, Bytes)> {
-    let (head, body) = answer.into_parts();
-    let mut allocation = shared.held_answers.allocation();
-    let body = body::read(body, max_bytes, |bytes| allocation.grow(bytes)).await;
-    drop(allocation);
-    let error = match body {
-        Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
-        Ok(body) => return Some((head, body)),
-        Err(error) => Error::Unreadable(error),
-    };
-    shared.metrics.count("endpoint.answer_cut");
-    slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
-    shared.record_lost_run(input, key, endpoint.address).await;
-    None
+impl<N: Net, C: Clock, D: Dialect> Call<N, C, D> {
+    /// Reads an answer completely, so that a truncated one is never forwarded as
+    /// complete. Returns `None` if it is truncated or too large, or if the answers that
+    /// are being read take too much memory. Each counts as a lost run.
+    pub async fn read_answer(
+        &self,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        answer: Response<Incoming>,
+        max_bytes: usize,
+    ) -> Option<(response::Parts, Bytes)> {
+        let shared = &self.shared;
+        let (head, body) = answer.into_parts();
+        let mut allocation = shared.held_answers.allocation();
+        let body = body::read(body, max_bytes, |bytes| allocation.grow(bytes)).await;
+        drop(allocation);
+        let error = match body {
+            Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
+            Ok(body) => return Some((head, body)),
+            Err(error) => Error::Unreadable(error),
+        };
+        shared.metrics.count("endpoint.answer_cut");
+        slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
+        let lost = shared.record_lost_run(&self.input, key, endpoint.address);
+        lost.await;
+        None
+    }
 }
 
 /// Makes a control call to an endpoint. Returns `None` if no answer came within
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -283,14 +283,7 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
-            let answer = exchange::read_answer(
-                &shared,
-                &call.input,
-                key,
-                &endpoint,
-                answer,
-                MAX_DOCUMENT_BYTES,
-            );
+            let answer = call.read_answer(key, &endpoint, answer, MAX_DOCUMENT_BYTES);
             answer
                 .await
                 .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
@@ -360,7 +353,7 @@
         }
         Outcome::Lost => {
             call.record.add_call(stage, &endpoint.id, "lost");
-            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
+            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         }
         Outcome::Answer(answer) => answer,
     };
@@ -370,16 +363,9 @@
     }
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
-        let answer = exchange::read_answer(
-            &shared,
-            &call.input,
-            key,
-            &endpoint,
-            answer,
-            MAX_ANSWER_BYTES,
-        );
+        let answer = call.read_answer(key, &endpoint, answer, MAX_ANSWER_BYTES);
         let Some((head, body)) = answer.await else {
-            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
+            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
@@ -395,7 +381,7 @@
             shared
                 .record_lost_run(&call.input, key, endpoint.address)
                 .await;
-            return record_lost_run(call, progress, key).map(|()| Attempt::NotRun(None));
+            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         }
     };
     let took = shared.clock.now().saturating_duration_since(started_at);
@@ -411,12 +397,13 @@
     }))))
 }
 
-/// Records a run that was lost before its first event.
+/// Excludes the endpoint of a run that was lost before its first event, so that another
+/// one may be tried.
 ///
 /// # Errors
 ///
 /// Returns [`Code::EndpointLost`] if the request may not run again.
-fn record_lost_run<N: Net, C: Clock, D: Dialect>(
+fn retry_after_loss<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     progress: &mut Progress,
     key: EndpointKey,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -132,7 +132,8 @@
     let idle_timeout = timeout.unwrap_or(call.route.timeout);
     let mut chunk = run.first_chunk.take();
     let mut last_events_at = call.shared.clock.now();
-    let mut deadline = if call.record.event_count > 0 {
+    // Until the first event, the request's deadline holds.
+    let mut event_deadline = if call.record.event_count > 0 {
         last_events_at + idle_timeout
     } else {
         call.deadline
@@ -142,9 +143,6 @@
             splitter.push(&bytes);
             let events = splitter.take_events();
             let now = call.shared.clock.now();
-            if events.is_some() && splitter.has_taken_field() {
-                deadline = now + idle_timeout;
-            }
             if let Some(events) = events {
                 let gap = now.saturating_duration_since(last_events_at);
                 last_events_at = now;
@@ -157,10 +155,14 @@
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
                 }
+                // The caller may have taken the piece late.
+                if splitter.has_taken_field() {
+                    event_deadline = call.shared.clock.now() + idle_timeout;
+                }
             }
             // Bytes that are no event may come so fast that the timeout below is never
             // polled.
-            if splitter.is_overlong() || now >= deadline {
+            if splitter.is_overlong() || now >= event_deadline {
                 call.record.partial_bytes = splitter.partial_bytes();
                 call.shared.metrics.count("endpoint.endless_event");
                 return Outcome::Broken;
@@ -168,7 +170,7 @@
         }
         let next = tokio::select! {
             biased;
-            next = timeout_at(deadline.into(), next_chunk(&mut run.body)) => next,
+            next = timeout_at(event_deadline.into(), next_chunk(&mut run.body)) => next,
             () = reply.closed() => return Outcome::CallerGone,
         };
         if !matches!(next, Ok(Chunk::Data(_))) {
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -171,14 +171,7 @@
     }
     let attempt = match outcome {
         Outcome::Answer(answer) => {
-            let answer = exchange::read_answer(
-                &shared,
-                &call.input,
-                key,
-                &endpoint,
-                answer,
-                MAX_ANSWER_BYTES,
-            );
+            let answer = call.read_answer(key, &endpoint, answer, MAX_ANSWER_BYTES);
             match answer.await {
                 Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
                 Some(answer) => {
