Log the parts of a request's prompt

The record of the incident shows that each crash has another request, and not what these requests have in common. `gateway: request over` has the ids of the prompt's parts now, without the last one.

--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -70,6 +70,9 @@
     fn is_readiness_probe(&self, head: &request::Parts) -> bool;
 }
 
+/// Maximum number of a prompt's parts that are looked at.
+pub const MAX_SHARED_PARTS: usize = 64;
+
 /// Parameters in the head of a caller's request.
 #[derive(Clone, Debug, Default)]
 pub struct Description {
@@ -83,6 +86,9 @@
     pub max_output_tokens: u32,
     /// The caller's estimate of the answer's length in tokens.
     pub estimated_output_tokens: Option<u32>,
+    /// Ids of the prompt's parts in order, without the last one, which belongs to this
+    /// request or its session. At most [`MAX_SHARED_PARTS`].
+    pub shared_parts: Vec<CompactString>,
 }
 
 /// Parameters of an attempt at an endpoint.
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -135,6 +135,7 @@
             "status" => self.status,
             "first_ms" => first.map(|first| first.as_millis() as u64),
             "prompt" => self.description.prompt_tokens,
+            "parts" => self.description.shared_parts.join(","),
             "estimate" => self.description.estimated_output_tokens,
             "longest" => self.description.max_output_tokens,
             "events" => self.event_count,
