--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
 use serde_json::{json, Value};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use cranberryridge::body::{Body, Piece};
@@ -44,6 +45,10 @@
     control_calls: Arc<Mutex<Vec<Instant>>>,
     /// Time of the first refusal that stated a rest.
     first_rest: Arc<Mutex<Option<Instant>>>,
+    /// Part of a prompt on which an engine crashes, or `None` if there is none.
+    crashing_part: Arc<Mutex<Option<String>>>,
+    /// Notified when the engine crashes.
+    crashed: Arc<Notify>,
 }
 
 /// Settings of an endpoint.
@@ -192,6 +197,8 @@
             rest: Arc::default(),
             control_calls: Arc::default(),
             first_rest: Arc::default(),
+            crashing_part: Arc::default(),
+            crashed: Arc::default(),
         }
     }
 
@@ -222,6 +229,17 @@
         *lock(&self.rest) = retry_after.map(Into::into);
     }
 
+    /// Crashes when it begins to answer a prompt with this part, wherever in the prompt it
+    /// stands. Whoever waits for [`Runner::crashed`] must then kill the endpoint's host.
+    pub fn crash_on_part(&self, part: &str) {
+        *lock(&self.crashing_part) = Some(part.into());
+    }
+
+    /// Waits for the next crash.
+    pub async fn crashed(&self) {
+        self.crashed.notified().await;
+    }
+
     /// Returns the time of the first refusal that stated a rest.
     pub fn first_rest(&self) -> Option<Instant> {
         *lock(&self.first_rest)
@@ -415,6 +433,11 @@
         if fault == Some(Fault::Hang) {
             return std::future::pending().await;
         }
+        if !is_prefill && self.is_crashed_by(text("prompt-prefix").unwrap_or_default()) {
+            tokio::time::sleep(self.settings.event_interval).await;
+            self.crashed.notify_one();
+            return std::future::pending().await;
+        }
         let mut response = if is_prefill {
             self.prefill().await
         } else if self.settings.phase.is_some() || self.settings.is_streaming {
@@ -456,6 +479,13 @@
         response
     }
 
+    /// Returns whether one of the parts of a prompt crashes the engine.
+    fn is_crashed_by(&self, parts: &str) -> bool {
+        let crashing = lock(&self.crashing_part);
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| crashing.as_deref() == Some(id))
+    }
+
     /// Answers with a body in two halves, one service time apart.
     fn send_halves(&self, body: Bytes) -> Response<Body> {
         let (sender, response_body) = Body::channel(1);
