Bar parts of prompts that crash the engines which begin to answer them

Cause: crashes were counted by request, and no two of these requests are alike. The record has 60 crashes, each with a digest of its own, and no bar. Late notice is ruled out as the cause: each was logged within milliseconds.

Crashes count by part now. A run that a crash ends before 250 ms after its first event speaks against each part of its prompt, one that outlives that proves them harmless. Three separate crashes bar a part; a request is not refused for one of them if it lacks another part that explains the same crashes. The bar holds on arrival, in queues, while a prompt is read, before the answer, and before retries and resumptions.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -31,6 +31,7 @@
 use self::dialect::Notice;
 use self::follow::Hosts;
 use self::held::Held;
+use self::parts::Registry;
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
 use self::store::Host;
@@ -47,6 +48,7 @@
 mod exchange;
 mod generate;
 mod held;
+mod parts;
 mod plain;
 mod record;
 mod refusal;
@@ -152,6 +154,8 @@
     budgets: Mutex<Map<CompactString, Budget>>,
     /// Requests that were running when an endpoint crashed.
     suspects: Suspects,
+    /// Parts of prompts that were being answered when an endpoint crashed.
+    parts: Registry,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -235,6 +239,7 @@
             table: ArcSwap::default(),
             budgets: Mutex::default(),
             suspects: Suspects::default(),
+            parts: Registry::default(),
             era: watch::Sender::default(),
             hosts,
             demands: watch::Sender::default(),
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::uri::PathAndQuery;
 use http::{header, request, response, HeaderMap, HeaderValue, Request, Response};
 use http_body_util::Full;
@@ -22,6 +23,7 @@
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
 use super::serve::Call;
+use super::suspects::LostRun;
 use super::Shared;
 use crate::body;
 use crate::client::{Client, Error};
@@ -48,13 +50,17 @@
     /// Complete body.
     pub body: Bytes,
     /// Id that the caller gave this attempt.
-    pub attempt_id: compact_str::CompactString,
+    pub attempt_id: CompactString,
     /// Time at which the request arrived.
     pub arrival: Instant,
     /// IP address of the caller, if known.
     pub caller: Option<IpAddr>,
     /// Digest, once it was needed.
     pub digest: OnceLock<Digest>,
+    /// Service that the request is for.
+    pub service: CompactString,
+    /// Digests of the prompt's parts, without the last one.
+    pub parts: Arc<[Digest]>,
 }
 
 impl Input {
@@ -190,6 +196,7 @@
         .add_parameters(request.headers_mut(), &parameters);
     let client =
         Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
+    let sent_at = shared.clock.now();
     let answer = match client.send(request).await {
         Ok(answer) => answer,
         Err(error) => {
@@ -200,7 +207,14 @@
                 shared.record_failure(shared.clock.now(), key, Failure::Broken);
                 return Outcome::NotSent;
             }
-            shared.record_lost_run(input, key, endpoint.address).await;
+            let run = LostRun {
+                input,
+                key,
+                endpoint,
+                sent_at,
+                first_event_at: None,
+            };
+            shared.record_lost_run(run).await;
             return Outcome::Lost;
         }
     };
@@ -252,11 +266,13 @@
 impl<N: Net, C: Clock, D: Dialect> Call<N, C, D> {
     /// Reads an answer completely, so that a truncated one is never forwarded as
     /// complete. Returns `None` if it is truncated or too large, or if the answers that
-    /// are being read take too much memory. Each counts as a lost run.
+    /// are being read take too much memory. Each counts as a lost run of a request that
+    /// was sent at `sent_at`.
     pub async fn read_answer(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
+        sent_at: Instant,
         answer: Response<Incoming>,
         max_bytes: usize,
     ) -> Option<(response::Parts, Bytes)> {
@@ -272,8 +288,14 @@
         };
         shared.metrics.count("endpoint.answer_cut");
         slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
-        let lost = shared.record_lost_run(&self.input, key, endpoint.address);
-        lost.await;
+        let run = LostRun {
+            input: &self.input,
+            key,
+            endpoint,
+            sent_at,
+            first_event_at: None,
+        };
+        shared.record_lost_run(run).await;
         None
     }
 }
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -24,8 +24,10 @@
 use super::dialect::{Dialect, Parameters, Stage};
 use super::exchange::{self, Framing, InFlight, Outcome};
 use super::exchange::{MAX_ANSWER_BYTES, MAX_DOCUMENT_BYTES};
+use super::parts::unless_barred;
 use super::refusal::Refusal;
 use super::serve::Call;
+use super::suspects::LostRun;
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::net::Net;
@@ -56,6 +58,12 @@
     first_chunk: Option<Bytes>,
     /// Reserved capacity at the endpoint that runs the request.
     reservation: Reservation<N, C, D>,
+    /// Time at which the request was sent to the endpoint.
+    sent_at: Instant,
+    /// Time of the first bytes.
+    first_event_at: Instant,
+    /// Whether the run has not yet been recorded as proof for the parts of its prompt.
+    is_on_probation: bool,
 }
 
 /// Answer of an endpoint.
@@ -146,10 +154,12 @@
     if need.kv_tokens() > engine.kv_capacity {
         return Err(Refusal::new(Code::Full));
     }
+    let (shared, parts) = (Arc::clone(&call.shared), Arc::clone(&call.input.parts));
     let mut kept = None::<Cache<N, C, D>>;
     loop {
-        let reservation = reservation::acquire(call, engine, need, progress).await?;
-        let now = call.shared.clock.now();
+        let acquire = reservation::acquire(call, engine, need, progress);
+        let reservation = unless_barred(&shared, &parts, acquire).await?;
+        let now = shared.clock.now();
         let reusable = kept
             .take()
             .and_then(|mut cache| cache.offer(now).then_some(cache));
@@ -158,14 +168,17 @@
                 call.shared.metrics.count("kv_cache.reused");
                 Some(cache)
             }
-            None => match read_prompt(call, engine, need, progress, &reservation).await? {
-                Prompt::Unread => continue,
-                Prompt::Local => None,
-                Prompt::Remote(mut cache) => {
-                    cache.offer(call.shared.clock.now());
-                    Some(cache)
+            None => {
+                let read = read_prompt(call, engine, need, progress, &reservation);
+                match unless_barred(&shared, &parts, read).await? {
+                    Prompt::Unread => continue,
+                    Prompt::Local => None,
+                    Prompt::Remote(mut cache) => {
+                        cache.offer(shared.clock.now());
+                        Some(cache)
+                    }
                 }
-            },
+            }
         };
         match start_generation(call, need, progress, reservation, cache).await? {
             Attempt::Answered(answer) => return Ok(answer),
@@ -283,7 +296,7 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
-            let answer = call.read_answer(key, &endpoint, answer, MAX_DOCUMENT_BYTES);
+            let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_DOCUMENT_BYTES);
             answer
                 .await
                 .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
@@ -363,7 +376,7 @@
     }
     if !answer.status().is_success() {
         call.record.add_call(stage, &endpoint.id, "failed");
-        let answer = call.read_answer(key, &endpoint, answer, MAX_ANSWER_BYTES);
+        let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_ANSWER_BYTES);
         let Some((head, body)) = answer.await else {
             return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         };
@@ -378,13 +391,19 @@
         // A crash before the first event ends the connection as well.
         Chunk::End | Chunk::Broken => {
             call.record.add_call(stage, &endpoint.id, "broken");
-            shared
-                .record_lost_run(&call.input, key, endpoint.address)
-                .await;
+            let run = LostRun {
+                input: &call.input,
+                key,
+                endpoint: &endpoint,
+                sent_at: started_at,
+                first_event_at: None,
+            };
+            shared.record_lost_run(run).await;
             return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         }
     };
-    let took = shared.clock.now().saturating_duration_since(started_at);
+    let now = shared.clock.now();
+    let took = now.saturating_duration_since(started_at);
     reservation.record_first_event(expected, took);
     call.record.add_call(stage, &endpoint.id, "began");
     progress.current = None;
@@ -394,6 +413,9 @@
         body,
         first_chunk,
         reservation,
+        sent_at: started_at,
+        first_event_at: now,
+        is_on_probation: true,
     }))))
 }
 
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
 use super::{is_retry_allowed, next_chunk, start_run, Answer, Chunk, Progress, Run};
@@ -15,6 +16,7 @@
 use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::serve::Call;
+use crate::gateway::suspects::LostRun;
 use crate::net::Net;
 use crate::reply::Reply;
 
@@ -55,8 +57,9 @@
         match outcome {
             Outcome::Complete => {
                 run.reservation.record_completion();
+                let sent_at = run.sent_at;
                 drop(run);
-                call.shared.record_success(&call.input);
+                call.shared.record_success(&call.input, sent_at);
                 // A caller that has disconnected after the last event needs no end.
                 let _ = reply.finish().await;
                 return call.record.set_outcome("streamed", call.record.status);
@@ -67,8 +70,14 @@
             Outcome::Broken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
-        let address = run.reservation.endpoint.address;
-        shared.record_lost_run(&call.input, key, address).await;
+        let lost = LostRun {
+            input: &call.input,
+            key,
+            endpoint: &run.reservation.endpoint,
+            sent_at: run.sent_at,
+            first_event_at: Some(run.first_event_at),
+        };
+        shared.record_lost_run(lost).await;
         let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
@@ -143,6 +152,10 @@
             splitter.push(&bytes);
             let events = splitter.take_events();
             let now = call.shared.clock.now();
+            if run.is_on_probation && now >= run.first_event_at + PROBATION {
+                run.is_on_probation = false;
+                call.shared.record_proof(&call.input, run.sent_at);
+            }
             if let Some(events) = events {
                 let gap = now.saturating_duration_since(last_events_at);
                 last_events_at = now;
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -171,14 +171,14 @@
     }
     let attempt = match outcome {
         Outcome::Answer(answer) => {
-            let answer = call.read_answer(key, &endpoint, answer, MAX_ANSWER_BYTES);
+            let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_ANSWER_BYTES);
             match answer.await {
                 Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
                 Some(answer) => {
                     let now = shared.clock.now();
                     let took = now.saturating_duration_since(started_at);
                     shared.pool().record_answer_time(now, key, took);
-                    shared.record_success(&call.input);
+                    shared.record_success(&call.input, started_at);
                     Attempt::Done(answer)
                 }
                 None => Attempt::Lost,
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -145,6 +145,7 @@
     let mut moving = shared.moving_engines.subscribe();
     let mut leaving = shared.leaving_endpoints.subscribe();
     let mut suspects = shared.suspects.subscribe();
+    let mut evidence = shared.parts.subscribe();
     // Leaving endpoints that the linked hosts were told of.
     let mut told = Set::default();
     loop {
@@ -186,6 +187,9 @@
             }
             // What a slow subscriber misses is told to hosts that link later.
             Ok(suspect) = suspects.recv() => send_to_all(&mut links, &Down::Suspect(suspect)),
+            Ok(evidence) = evidence.recv() => {
+                send_to_all(&mut links, &Down::Evidence(evidence));
+            }
             event = inbox.recv() => {
                 let Some(event) = event else { return };
                 arrived = handle_event(shared, &mut schedule, &mut links, event);
@@ -239,6 +243,9 @@
             for suspect in shared.suspects.snapshot(now) {
                 send(links, link, Down::Suspect(suspect));
             }
+            for evidence in shared.parts.snapshot(now) {
+                send(links, link, Down::Evidence(evidence));
+            }
         }
         Up::Follow => {
             let endpoints = shared.listed_endpoints.borrow().clone();
@@ -287,6 +294,7 @@
             schedule.record_failure(now, &trouble.endpoint, to_failure(trouble.kind))
         }
         Up::Suspect(suspect) => shared.suspects.merge(now, &suspect),
+        Up::Evidence(evidence) => shared.merge_evidence(&evidence),
         Up::Notice(notice) => {
             let rest = Duration::from(notice.rest).min(MAX_WAIT);
             schedule.record_notice(now, &notice.endpoint, notice.leaving, rest);
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -145,7 +145,8 @@
                     | Down::Beat(_)
                     | Down::Listing(_)
                     | Down::Leaving(_)
-                    | Down::Suspect(_),
+                    | Down::Suspect(_)
+                    | Down::Evidence(_),
                 )
                 | None,
             ) => {
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -230,6 +230,14 @@
         }
     }
 
+    /// Reports evidence about a part of prompts to all linked hosts, which tell those that
+    /// are linked to them.
+    pub fn report_evidence(&self, evidence: &wire::Evidence) {
+        for link in lock(&self.by_address).values() {
+            link.send(Up::Evidence(evidence.clone()));
+        }
+    }
+
     /// Reports this host's leases to a service's new scheduler.
     fn restore_leases(&self, link: &Link, service: &str) {
         let leases = lock(&self.leases);
@@ -310,6 +318,10 @@
     if link.sender.try_send(greeting).is_err() {
         return;
     }
+    for evidence in shared.parts.snapshot(shared.clock.now()) {
+        // What does not fit in the queue is told when it changes.
+        let _ = link.sender.try_send(Up::Evidence(evidence));
+    }
     lock(&link.state).phase = Phase::Up;
     slog::info!(shared.logger, "scheduler: linked"; "address" => %address);
     let to = Delivery { shared, link };
@@ -367,6 +379,10 @@
                 drop(state);
                 return shared.suspects.merge(shared.clock.now(), &suspect);
             }
+            Down::Evidence(evidence) => {
+                drop(state);
+                return shared.merge_evidence(&evidence);
+            }
             Down::Queued(number) | Down::Unknown(number) => number,
             Down::Grant(ref grant) => grant.number,
             Down::Refusal(ref refusal) => refusal.number,
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -26,6 +26,7 @@
 use super::dialect::Dialect;
 use super::exchange::Input;
 use super::held::Allocation;
+use super::parts::digest_parts;
 use super::record::Record;
 use super::refusal::Refusal;
 use super::{generate, plain, Shared};
@@ -330,7 +331,7 @@
     let service = record.service.clone();
     shared.earn_retry(now, &service);
     let input = prepare_input(&shared, head, body, &record);
-    if let Some(time) = shared.barred_time(&input) {
+    if let Err(time) = shared.admit(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
         return refuse(&shared, &mut record, refusal);
     }
@@ -412,6 +413,8 @@
         arrival: record.arrival,
         caller: record.caller,
         digest: OnceLock::new(),
+        service: record.service.clone(),
+        parts: digest_parts(&record.service, &record.description.shared_parts),
     }
 }
 
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -10,6 +10,8 @@
 
 use tokio::sync::broadcast;
 
+use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::suspect::{Table, BARRING_CRASHES, MAX_CHANGES};
 use cranberryridge_wire::message::Suspect;
@@ -107,37 +109,68 @@
     }
 }
 
+/// A run that an endpoint may have begun and that gave no valid answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostRun<'a> {
+    pub input: &'a Input,
+    /// Key of the endpoint in the pool.
+    pub key: EndpointKey,
+    pub endpoint: &'a Endpoint,
+    /// Time at which the request was sent to the endpoint.
+    pub sent_at: Instant,
+    /// Time of the first event of the answer, or `None` if none came.
+    pub first_event_at: Option<Instant>,
+}
+
+impl LostRun<'_> {
+    /// Returns whether the run was lost on probation, so that it speaks against the parts
+    /// of its prompt.
+    fn is_on_probation(&self, now: Instant) -> bool {
+        self.first_event_at.is_none_or(|at| now < at + PROBATION)
+    }
+}
+
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
     /// Records that an endpoint may have run a request and gave no valid answer. If the
-    /// request has crashed an endpoint before, waits until it is known whether it has
-    /// crashed this one, so that it is not sent again once it is barred.
-    pub(super) async fn record_lost_run(
-        self: &Arc<Self>,
-        input: &Input,
-        key: EndpointKey,
-        at: SocketAddr,
-    ) {
+    /// request or a part of its prompt may have crashed an endpoint before, waits until it
+    /// is known whether it has crashed this one, so that it is not sent again once it is
+    /// barred.
+    pub(super) async fn record_lost_run(self: &Arc<Self>, run: LostRun<'_>) {
         let now = self.clock.now();
-        self.record_failure(now, key, Failure::Broken);
-        let investigation = tokio::spawn(self.clone().investigate_loss(input.clone(), at));
-        if self.suspects.crash_count(now, input) > 0 {
+        self.record_failure(now, run.key, Failure::Broken);
+        let (shared, input, endpoint) = (self.clone(), run.input.clone(), run.endpoint.clone());
+        let (sent_at, is_on_probation) = (run.sent_at, run.is_on_probation(now));
+        let investigation = tokio::spawn(async move {
+            if !shared.has_crashed(&endpoint).await {
+                return;
+            }
+            shared.record_crash(&input, endpoint.address);
+            if is_on_probation {
+                shared.record_lost_parts(&input, &endpoint, sent_at, now);
+            }
+        });
+        let is_suspected = self.suspects.crash_count(now, run.input) > 0
+            || self.parts.is_suspected(&run.input.parts);
+        if is_suspected {
             // The task does not panic, and nothing aborts it.
             let _ = investigation.await;
         }
     }
 
-    /// Finds out whether an endpoint that lost a request has crashed, and counts it against
-    /// the request. An endpoint that refuses connections has crashed. One that does not
-    /// answer, or resets a connection that it accepted, may be behind a network fault.
-    async fn investigate_loss(self: Arc<Self>, input: Input, at: SocketAddr) {
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.net.connect(at)).await;
+    /// Finds out whether an endpoint that lost a request has crashed. An endpoint that
+    /// refuses connections has crashed. One that does not answer, or resets a connection
+    /// that it accepted, may be behind a network fault.
+    async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        let connect = self.net.connect(endpoint.address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
         let refused = io::ErrorKind::ConnectionRefused;
-        if !matches!(connected, Ok(Err(error)) if error.kind() == refused) {
-            return;
-        }
+        matches!(connected, Ok(Err(error)) if error.kind() == refused)
+    }
+
+    /// Counts a crash of an endpoint against a request that ran there.
+    fn record_crash(&self, input: &Input, at: SocketAddr) {
         self.metrics.count("request.crashed_endpoint");
-        let now = self.clock.now();
-        let suspects = self.suspects.record_crash(now, &input);
+        let suspects = self.suspects.record_crash(self.clock.now(), input);
         slog::info!(self.logger, "request: crashed an endpoint";
             "request" => %input.attempt_id, "digest" => %input.digest(), "address" => %at,
             "counted" => !suspects.is_empty());
@@ -146,26 +179,36 @@
         }
     }
 
-    /// Returns the time for which a request must not run, as it has crashed endpoints, or
-    /// `None` if it may run.
-    pub(super) fn barred_time(&self, input: &Input) -> Option<Duration> {
+    /// Admits a request that arrives, unless it or a part of its prompt has crashed
+    /// endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time for which it must not run.
+    pub(super) fn admit(&self, input: &Input) -> Result<(), Duration> {
         let now = self.clock.now();
-        if self.suspects.is_empty(now) {
-            return None;
-        }
-        self.suspects.barred_time(now, input)
+        let barred_time = if self.suspects.is_empty(now) {
+            None
+        } else {
+            self.suspects.barred_time(now, input)
+        };
+        barred_time.map_or_else(|| self.admit_parts(input), Err)
     }
 
     /// Whether a lost request may be sent to another endpoint. One that has crashed
-    /// several is left to its caller.
+    /// several, or has a part that is barred, is left to its caller.
     pub(super) fn may_resend(&self, input: &Input) -> bool {
         let now = self.clock.now();
-        self.suspects.is_empty(now) || self.suspects.crash_count(now, input) < BARRING_CRASHES
+        let crashes_few =
+            self.suspects.is_empty(now) || self.suspects.crash_count(now, input) < BARRING_CRASHES;
+        crashes_few && self.parts.barred_time(now, &input.parts).is_none()
     }
 
-    /// Clears a request of earlier crashes, since it ran to its end.
-    pub(super) fn record_success(&self, input: &Input) {
+    /// Clears a request of earlier crashes, since it ran to its end, and the parts of its
+    /// prompt of those before it was sent.
+    pub(super) fn record_success(&self, input: &Input, sent_at: Instant) {
         let now = self.clock.now();
+        self.record_proof(input, sent_at);
         if self.suspects.is_empty(now) {
             return;
         }
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod era;
 pub mod member;
+pub mod part;
 pub mod place;
 pub mod pool;
 pub mod queue;
