Find crashes of engines that are back before anyone looks

A host that lost a run connects to its engine once more, and takes it to have crashed only if that is refused.

Such a run is kept for ten seconds now. If the list shows a later start with the engine's id or at its address, the engine has crashed. One that was leaving when the run was lost is not concerned.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -57,8 +57,6 @@
     pub caller: Option<IpAddr>,
     /// Digest, once it was needed.
     pub digest: OnceLock<Digest>,
-    /// Service that the request is for.
-    pub service: CompactString,
     /// Digests of the prompt's parts, without the last one.
     pub parts: Arc<[Digest]>,
 }
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -359,6 +359,7 @@
         log_changes(shared, published, &current);
         published.clone_from(&current);
         shared.update_endpoints(current);
+        shared.resolve_lost_prompts(published);
     }
 }
 
--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -30,6 +30,13 @@
 /// link's queue.
 const MAX_SNAPSHOT: usize = 256;
 
+/// Maximum number of lost runs that are kept until the list shows whether their endpoints
+/// have crashed.
+const MAX_UNRESOLVED: usize = 256;
+
+/// Time after a lost run in which a new start of its endpoint shows that it has crashed.
+const MAX_RESTART_TIME: Duration = Duration::from_secs(10);
+
 /// Range of the further time for which a part stays barred at hosts that did not observe
 /// its last crash, in seconds. Hosts differ, so that few try it before they hear of the
 /// first trial.
@@ -42,6 +49,23 @@
     changes: broadcast::Sender<wire::Evidence>,
     /// Changed with each crash that is counted.
     crashes: watch::Sender<()>,
+    /// Lost runs whose endpoints did not seem to have crashed, oldest first.
+    unresolved: Mutex<Vec<LostPrompt>>,
+}
+
+/// Prompt of a run that was lost on probation.
+#[derive(Clone, Debug)]
+pub struct LostPrompt {
+    /// Digests of the prompt's parts, without the last one.
+    pub parts: Arc<[Digest]>,
+    /// Id that the caller gave the attempt.
+    pub request: CompactString,
+    /// Endpoint that the run was sent to.
+    pub endpoint: Endpoint,
+    /// Time at which the run was sent.
+    pub sent_at: Instant,
+    /// Time at which it was lost.
+    pub lost_at: Instant,
 }
 
 impl Default for Registry {
@@ -54,6 +78,7 @@
             table: Mutex::new(Table::new(settings)),
             changes: broadcast::Sender::new(MAX_QUEUED_CHANGES),
             crashes: watch::Sender::default(),
+            unresolved: Mutex::default(),
         }
     }
 }
@@ -118,30 +143,56 @@
     }
 
     /// Records that a crash ended a run on probation.
-    pub(super) fn record_lost_parts(
-        &self,
-        input: &Input,
-        endpoint: &Endpoint,
-        sent_at: Instant,
-        lost_at: Instant,
-    ) {
+    pub(super) fn record_lost_prompt(&self, lost: &LostPrompt) {
         let crash = Crash {
-            endpoint: Incarnation(Digest::of(&[endpoint.id.as_bytes()]).0[0]),
-            at: lost_at,
+            endpoint: Incarnation(Digest::of(&[lost.endpoint.id.as_bytes()]).0[0]),
+            at: lost.lost_at,
         };
-        for part in input.parts.iter() {
-            let was_barred = self.parts.barred_time(lost_at, &[*part]).is_some();
+        let sent_at = lost.sent_at;
+        for part in lost.parts.iter() {
+            let was_barred = self.parts.barred_time(lost.lost_at, &[*part]).is_some();
             self.record_evidence(*part, Evidence::Loss(Loss { crash, sent_at }), true);
-            let is_barred = self.parts.barred_time(lost_at, &[*part]).is_some();
+            let is_barred = self.parts.barred_time(lost.lost_at, &[*part]).is_some();
             if is_barred && !was_barred {
                 self.metrics.count("part.barred");
                 slog::warn!(self.logger, "part: barred, as it crashes endpoints";
-                    "part" => %part, "service" => %input.service,
-                    "request" => %input.attempt_id, "endpoint" => %endpoint.id);
+                    "part" => %part, "service" => %lost.endpoint.service,
+                    "request" => %lost.request, "endpoint" => %lost.endpoint.id);
             }
         }
     }
 
+    /// Keeps a run on probation whose endpoint did not seem to have crashed, until the list
+    /// of endpoints shows whether it has.
+    pub(super) fn keep_lost_prompt(&self, lost: LostPrompt) {
+        let mut unresolved = lock(&self.parts.unresolved);
+        if unresolved.len() >= MAX_UNRESOLVED {
+            unresolved.remove(0);
+        }
+        unresolved.push(lost);
+        drop(unresolved);
+        let endpoints = self.current_endpoints.borrow().clone();
+        self.resolve_lost_prompts(&endpoints.unwrap_or_default());
+    }
+
+    /// Records the crashes of kept runs whose endpoints have started again or given their
+    /// address to another.
+    pub(super) fn resolve_lost_prompts(&self, endpoints: &[Endpoint]) {
+        let now = self.clock.now();
+        let mut unresolved = lock(&self.parts.unresolved);
+        unresolved.retain(|lost| now < lost.lost_at + MAX_RESTART_TIME);
+        let has_ended = |lost: &mut LostPrompt| {
+            let mut endpoints = endpoints.iter();
+            endpoints.any(|endpoint| lost.endpoint.is_succeeded_by(endpoint))
+        };
+        let crashed = unresolved.extract_if(.., has_ended).collect::<Vec<_>>();
+        drop(unresolved);
+        for lost in crashed {
+            self.metrics.count("part.crash_found_late");
+            self.record_lost_prompt(&lost);
+        }
+    }
+
     /// Merges evidence that another host told.
     pub(super) fn merge_evidence(&self, message: &wire::Evidence) {
         let now = self.clock.now();
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -413,7 +413,6 @@
         arrival: record.arrival,
         caller: record.caller,
         digest: OnceLock::new(),
-        service: record.service.clone(),
         parts: digest_parts(&record.service, &record.description.shared_parts),
     }
 }
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -12,11 +12,12 @@
 
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
-use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
+use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, State};
 use cranberryridge_policy::suspect::{Table, BARRING_CRASHES, MAX_CHANGES};
 use cranberryridge_wire::message::Suspect;
 
 use super::exchange::{Input, CONNECT_TIMEOUT};
+use super::parts::LostPrompt;
 use super::{lock, Shared};
 use crate::clock::Clock;
 use crate::net::Net;
@@ -139,14 +140,21 @@
         let now = self.clock.now();
         self.record_failure(now, run.key, Failure::Broken);
         let (shared, input, endpoint) = (self.clone(), run.input.clone(), run.endpoint.clone());
-        let (sent_at, is_on_probation) = (run.sent_at, run.is_on_probation(now));
+        let lost = run.is_on_probation(now).then(|| LostPrompt {
+            parts: run.input.parts.clone(),
+            request: run.input.attempt_id.clone(),
+            endpoint: run.endpoint.clone(),
+            sent_at: run.sent_at,
+            lost_at: now,
+        });
+        // The end of an endpoint that leaves is no crash.
+        let is_leaving = self.pool().get(run.key).is_none_or(State::is_leaving);
         let investigation = tokio::spawn(async move {
-            if !shared.has_crashed(&endpoint).await {
-                return;
-            }
-            shared.record_crash(&input, endpoint.address);
-            if is_on_probation {
-                shared.record_lost_parts(&input, &endpoint, sent_at, now);
+            if shared.has_crashed(&endpoint).await {
+                shared.record_crash(&input, endpoint.address);
+                lost.inspect(|lost| shared.record_lost_prompt(lost));
+            } else if let Some(lost) = lost.filter(|_| !is_leaving) {
+                shared.keep_lost_prompt(lost);
             }
         });
         let is_suspected = self.suspects.crash_count(now, run.input) > 0
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -42,6 +42,34 @@
     pub draining: bool,
 }
 
+impl Endpoint {
+    /// Returns whether another endpoint is a later start with the same id or address, so
+    /// that this one has ended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::gateway::member::Endpoint;
+    /// let endpoint = Endpoint {
+    ///     id: "i-1".into(),
+    ///     started_ms: 1000,
+    ///     address: "10.0.0.3:80".parse().unwrap(),
+    ///     service: "model".into(),
+    ///     domain: "a".into(),
+    ///     phase: None,
+    ///     slots: 8,
+    ///     draining: false,
+    /// };
+    /// let successor = Endpoint { id: "i-2".into(), started_ms: 2000, ..endpoint.clone() };
+    /// assert!(endpoint.is_succeeded_by(&successor));
+    /// assert!(!successor.is_succeeded_by(&endpoint));
+    /// ```
+    pub fn is_succeeded_by(&self, other: &Self) -> bool {
+        let shares_place = other.id == self.id || other.address == self.address;
+        shares_place && other.started_ms > self.started_ms
+    }
+}
+
 /// Stage of a model request that an engine takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
