Tell crashes to hosts of all failure domains

Beyond 64 hosts each failure domain has a reader of its own, and what a host heard it told only to those linked to it.

What is new is now passed on in both directions, and the readers of the domains keep a link to one hub.

--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -524,11 +524,17 @@
     /// all domains if there are few hosts.
     pub fn readers(&self, domain: &str) -> Vec<SocketAddr> {
         if self.count() <= MAX_SINGLE_READER_HOSTS {
-            return self.choose("", |_| true);
+            return self.hubs();
         }
         self.choose(domain, |host| host.domain == domain)
     }
 
+    /// Returns the addresses of the host that links the readers of all failure domains and
+    /// its substitutes, in order of preference.
+    pub fn hubs(&self) -> Vec<SocketAddr> {
+        self.choose("", |_| true)
+    }
+
     /// Returns the addresses of the preferred hosts for a key, in order of
     /// preference. Candidates with too few cores ([`MAX_CORES_RATIO`]) are left
     /// out.
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -293,7 +293,7 @@
         Up::Trouble(trouble) => {
             schedule.record_failure(now, &trouble.endpoint, to_failure(trouble.kind))
         }
-        Up::Suspect(suspect) => shared.suspects.merge(now, &suspect),
+        Up::Suspect(suspect) => shared.merge_suspect(&suspect),
         Up::Evidence(evidence) => shared.merge_evidence(&evidence),
         Up::Notice(notice) => {
             let rest = Duration::from(notice.rest).min(MAX_WAIT);
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -24,6 +24,9 @@
 /// Key in a link's services that stands for the platform's snapshot.
 const SNAPSHOT_SERVICE: &str = "";
 
+/// Key in a link's services that stands for what hosts tell each other of crashes.
+const CRASH_SERVICE: &str = "/crashes";
+
 /// Interval at which the host that reads the platform is chosen again.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -82,21 +85,21 @@
     Down,
 }
 
-/// Returns the link for a service, or `None` if it is not up. Begins to open it
-/// if there is none.
+/// Returns the link for a service, or `None` if it is not up or this host has the service
+/// itself. Begins to open it if there is none.
 pub(super) fn active_link<N: Net, C: Clock, D: Send + Sync + 'static>(
     shared: &Arc<Shared<N, C, D>>,
     service: &str,
 ) -> Option<Arc<Link>> {
     let now = shared.clock.now();
-    let schedulers = if service == SNAPSHOT_SERVICE {
-        lock(&shared.hosts).readers(&shared.settings.domain)
-    } else {
-        lock(&shared.hosts).schedulers(service)
+    let hosts = match service {
+        SNAPSHOT_SERVICE => lock(&shared.hosts).readers(&shared.settings.domain),
+        CRASH_SERVICE => lock(&shared.hosts).hubs(),
+        _ => lock(&shared.hosts).schedulers(service),
     };
-    for address in schedulers {
-        // This host reads the platform itself.
-        if service == SNAPSHOT_SERVICE && address == shared.settings.scheduler {
+    let is_own = matches!(service, SNAPSHOT_SERVICE | CRASH_SERVICE);
+    for address in hosts {
+        if is_own && address == shared.settings.scheduler {
             return None;
         }
         let link = shared.links.get_or_open(shared, address);
@@ -124,8 +127,9 @@
     None
 }
 
-/// Follows the snapshot of the host that reads the platform. Runs until the
-/// process ends.
+/// Follows the snapshot of the host that reads the platform. The host that reads for a
+/// failure domain keeps a link to those of the others, over which hosts tell each other of
+/// crashes. Runs until the process ends.
 pub async fn follow<N: Net, C: Clock, D: Send + Sync + 'static>(shared: Arc<Shared<N, C, D>>) {
     let mut previous = None;
     loop {
@@ -137,6 +141,10 @@
             }
             previous = address;
         }
+        let readers = lock(&shared.hosts).readers(&shared.settings.domain);
+        if readers.first() == Some(&shared.settings.scheduler) {
+            active_link(&shared, CRASH_SERVICE);
+        }
         tokio::time::sleep(READER_CHECK_INTERVAL).await;
     }
 }
@@ -377,7 +385,7 @@
             }
             Down::Suspect(suspect) => {
                 drop(state);
-                return shared.suspects.merge(shared.clock.now(), &suspect);
+                return shared.merge_suspect(&suspect);
             }
             Down::Evidence(evidence) => {
                 drop(state);
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -66,12 +66,15 @@
         is_cleared
     }
 
-    /// Merges a count that another host sent.
-    pub fn merge(&self, now: Instant, suspect: &Suspect) {
+    /// Merges a count that another host sent. Returns what other hosts have to know.
+    fn merge(&self, now: Instant, suspect: &Suspect) -> Vec<Suspect> {
         let mut table = lock(&self.table);
-        if table.merge_peer(now, suspect) {
-            self.announce(&table.counts(now, suspect.digest));
+        if !table.merge_peer(now, suspect) {
+            return Vec::new();
         }
+        let counts = table.counts(now, suspect.digest);
+        self.announce(&counts);
+        counts
     }
 
     /// Whether no request is known, so that no digest is needed.
@@ -131,6 +134,16 @@
     }
 }
 
+impl<N, C: Clock, D> Shared<N, C, D> {
+    /// Merges a count that another host sent, and tells it to the linked hosts if it is
+    /// new.
+    pub(super) fn merge_suspect(&self, suspect: &Suspect) {
+        for suspect in self.suspects.merge(self.clock.now(), suspect) {
+            self.links.report_suspect(&suspect);
+        }
+    }
+}
+
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
     /// Records that an endpoint may have run a request and gave no valid answer. If the
     /// request or a part of its prompt may have crashed an endpoint before, waits until it
