Send no request whose deadline has passed in a pause

A process that had been paused sent requests whose callers' deadlines had passed meanwhile, and answered 504 for them, as a timeout polls its work before the time.

The deadline is checked before each attempt and after connecting, and the endpoint is told the time that is left then.

--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -50,6 +50,14 @@
     max_body_bytes: usize,
 }
 
+/// Connection to a server, for one call.
+#[derive(Debug)]
+pub struct Connection {
+    server: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    bound: head::Bound,
+}
+
 impl<N: Net> Client<N> {
     /// Creates a client of the server at an address, with a connect timeout of 5 s and
     /// bodies of up to 8 MiB.
@@ -78,35 +86,37 @@
         }
     }
 
-    /// Sends a request and returns the answer once its headers have arrived.
+    /// Opens a connection, on which nothing has been sent.
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] if nothing was sent, [`Error::Broken`] if the request may have
-    /// been sent, also if the head of the answer is larger than 64 KiB.
-    pub async fn send(
-        &self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    /// [`Error::Connect`] if the server does not accept it in time.
+    pub async fn connect(&self) -> Result<Connection, Error> {
         let stream =
             tokio::time::timeout(self.connect_timeout, self.net.connect(self.server)).await;
         let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = stream.map_err(Error::Connect)?;
         let (stream, bound) = head::bound(stream);
-        let (mut sender, connection) = http1::Builder::new()
+        let (sender, connection) = http1::Builder::new()
             .max_buf_size(head::MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
         tokio::spawn(connection);
-        if !request.headers().contains_key(http::header::HOST) {
-            let host = self.server.to_string();
-            if let Ok(host) = host.parse() {
-                request.headers_mut().insert(http::header::HOST, host);
-            }
-        }
-        let answer = sender.send_request(request).await?;
-        bound.lift();
-        Ok(answer)
+        let server = self.server;
+        Ok(Connection {
+            server,
+            sender,
+            bound,
+        })
+    }
+
+    /// Sends a request and returns the answer once its headers have arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if nothing was sent, else as [`Connection::send`].
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.connect().await?.send(request).await
     }
 
     /// Sends a request and reads the whole answer.
@@ -122,3 +132,26 @@
         Ok(Response::from_parts(head, body))
     }
 }
+
+impl Connection {
+    /// Sends a request and returns the answer once its headers have arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] if the request may have been sent, also if the head of the answer
+    /// is larger than 64 KiB.
+    pub async fn send(
+        mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        if !request.headers().contains_key(http::header::HOST) {
+            let host = self.server.to_string();
+            if let Ok(host) = host.parse() {
+                request.headers_mut().insert(http::header::HOST, host);
+            }
+        }
+        let answer = self.sender.send_request(request).await?;
+        self.bound.lift();
+        Ok(answer)
+    }
+}
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -53,6 +53,8 @@
     pub attempt_id: CompactString,
     /// Time at which the request arrived.
     pub arrival: Instant,
+    /// Time after which the caller no longer waits.
+    pub deadline: Instant,
     /// IP address of the caller, if known.
     pub caller: Option<IpAddr>,
     /// Digest, once it was needed.
@@ -185,6 +187,18 @@
     endpoint: &Endpoint,
     parameters: Parameters<'_>,
 ) -> Outcome {
+    let client =
+        Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
+    let connected = client.connect().await;
+    // The process may have been paused until after the deadline.
+    let sent_at = shared.clock.now();
+    if sent_at >= input.deadline {
+        return Outcome::NotSent;
+    }
+    let parameters = Parameters {
+        remaining_time: input.deadline - sent_at,
+        ..parameters
+    };
     let mut request = Request::new(Full::new(input.body.clone()));
     *request.method_mut() = input.head.method.clone();
     *request.uri_mut() = input.head.uri.clone();
@@ -192,10 +206,11 @@
     shared
         .dialect
         .add_parameters(request.headers_mut(), &parameters);
-    let client =
-        Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
-    let sent_at = shared.clock.now();
-    let answer = match client.send(request).await {
+    let answer = match connected {
+        Ok(connection) => connection.send(request).await,
+        Err(error) => Err(error),
+    };
+    let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
             shared.metrics.count("endpoint.unreachable");
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -157,6 +157,7 @@
     let (shared, parts) = (Arc::clone(&call.shared), Arc::clone(&call.input.parts));
     let mut kept = None::<Cache<N, C, D>>;
     loop {
+        call.check_deadline()?;
         let acquire = reservation::acquire(call, engine, need, progress);
         let reservation = unless_barred(&shared, &parts, acquire).await?;
         let now = shared.clock.now();
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -82,6 +82,9 @@
     let mut failure = None;
     let mut sends = Sends::default();
     loop {
+        if let Err(refusal) = call.check_deadline() {
+            return failure.ok_or(refusal);
+        }
         let Some(key) = choose(call, progress) else {
             return failure.ok_or_else(|| refuse(call));
         };
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -100,6 +100,19 @@
         self.shared.pool().rest_remaining(now, &self.service)
     }
 
+    /// Refuses a request whose deadline has passed. Called before each attempt, as the
+    /// process may have been paused.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::TooLate`] if it has.
+    pub fn check_deadline(&self) -> Result<(), Refusal> {
+        if self.remaining_time().is_zero() {
+            return Err(Refusal::new(Code::TooLate));
+        }
+        Ok(())
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline
@@ -330,7 +343,7 @@
     };
     let service = record.service.clone();
     shared.earn_retry(now, &service);
-    let input = prepare_input(&shared, head, body, &record);
+    let input = prepare_input(&shared, head, body, &record, deadline);
     if let Err(time) = shared.admit(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
         return refuse(&shared, &mut record, refusal);
@@ -404,6 +417,7 @@
     mut head: http::request::Parts,
     body: Bytes,
     record: &Record<C>,
+    deadline: Instant,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
     Input {
@@ -411,6 +425,7 @@
         body,
         attempt_id: record.description.attempt_id.clone(),
         arrival: record.arrival,
+        deadline,
         caller: record.caller,
         digest: OnceLock::new(),
         parts: digest_parts(&record.service, &record.description.shared_parts),
