Close probes and scrapes whose head never ends

Each connection at the ports of probes and metrics was kept for as long as its peer sent a byte now and then, and took one of the descriptors that callers need. The new test had one open after 15 s. The head must be complete within 10 s now, and is 8 KiB at most.

--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use cranberryridge_policy::gateway::place::Scope;
@@ -49,6 +49,9 @@
 /// Smallest buffer size that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// Timeout of the head of a probe or scrape, also of an idle connection's next one.
+const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Multiple of a route's latency target after which an endpoint without an
 /// answer counts as failed.
 const OVERDUE_LATENCY_TARGETS: u32 = 2;
@@ -180,7 +183,11 @@
             let response = handler(request);
             async move { Ok::<_, Infallible>(response) }
         });
-        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let served = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(PROBE_HEAD_TIMEOUT)
+            .max_buf_size(MIN_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
         // Errors of such a connection matter only to its peer.
         tokio::spawn(async move { served.await.unwrap_or_default() });
     }
