Take no broken connection for a crash because its engine restarts later

A run whose connection a network fault had broken was kept for ten seconds, and taken to be lost in a crash if its engine happened to start again meanwhile. The same happened to runs sent to an engine that had restarted under its old id before the list told of it. Such crashes had no run with the culprit, so nothing explained them away.

A host now asks the engine when it started. If that is the start it knows, nothing crashed; else only another id at the address within three seconds shows that it did. connections_that_break_before_an_engine_restarts_bar_no_part failed with 503 before.

--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -143,6 +143,8 @@
     pub busy: bool,
     /// Number of orders that the engine has accepted since its start.
     pub accepted_orders: u64,
+    /// Start time in milliseconds since the Unix epoch, or `None` if it reports none.
+    pub started_ms: Option<u64>,
 }
 
 /// An order that moves an engine to another stage.
--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -34,8 +34,9 @@
 /// have crashed.
 const MAX_UNRESOLVED: usize = 256;
 
-/// Time after a lost run in which a new start of its endpoint shows that it has crashed.
-const MAX_RESTART_TIME: Duration = Duration::from_secs(10);
+/// Time after a lost run in which a later start in the list shows that its endpoint had
+/// crashed by then. Covers the endpoint's first record and the reading of the list.
+const MAX_LISTING_TIME: Duration = Duration::from_secs(3);
 
 /// Range of the further time for which a part stays barred at hosts that did not observe
 /// its last crash, in seconds. Hosts differ, so that few try it before they hear of the
@@ -162,8 +163,8 @@
         }
     }
 
-    /// Keeps a run on probation whose endpoint did not seem to have crashed, until the list
-    /// of endpoints shows whether it has.
+    /// Keeps a run on probation of which it is unknown whether its endpoint has crashed,
+    /// until the list of endpoints tells.
     pub(super) fn keep_lost_prompt(&self, lost: LostPrompt) {
         let mut unresolved = lock(&self.parts.unresolved);
         if unresolved.len() >= MAX_UNRESOLVED {
@@ -180,7 +181,7 @@
     pub(super) fn resolve_lost_prompts(&self, endpoints: &[Endpoint]) {
         let now = self.clock.now();
         let mut unresolved = lock(&self.parts.unresolved);
-        unresolved.retain(|lost| now < lost.lost_at + MAX_RESTART_TIME);
+        unresolved.retain(|lost| now < lost.lost_at + MAX_LISTING_TIME);
         let has_ended = |lost: &mut LostPrompt| {
             let mut endpoints = endpoints.iter();
             endpoints.any(|endpoint| lost.endpoint.is_succeeded_by(endpoint))
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -16,7 +16,8 @@
 use cranberryridge_policy::suspect::{Table, BARRING_CRASHES, MAX_CHANGES};
 use cranberryridge_wire::message::Suspect;
 
-use super::exchange::{Input, CONNECT_TIMEOUT};
+use super::dialect::Dialect;
+use super::exchange::{self, Input, CONNECT_TIMEOUT};
 use super::parts::LostPrompt;
 use super::{lock, Shared};
 use crate::clock::Clock;
@@ -144,7 +145,7 @@
     }
 }
 
-impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
+impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
     /// Records that an endpoint may have run a request and gave no valid answer. If the
     /// request or a part of its prompt may have crashed an endpoint before, waits until it
     /// is known whether it has crashed this one, so that it is not sent again once it is
@@ -162,11 +163,17 @@
         });
         // The end of an endpoint that leaves is no crash.
         let is_leaving = self.pool().get(run.key).is_none_or(State::is_leaving);
+        let key = run.key;
         let investigation = tokio::spawn(async move {
-            if shared.has_crashed(&endpoint).await {
+            if shared.refuses_connections(&endpoint).await {
                 shared.record_crash(&input, endpoint.address);
                 lost.inspect(|lost| shared.record_lost_prompt(lost));
-            } else if let Some(lost) = lost.filter(|_| !is_leaving) {
+                return;
+            }
+            let Some(lost) = lost.filter(|lost| !is_leaving && !lost.parts.is_empty()) else {
+                return;
+            };
+            if !shared.is_still_running(key, &endpoint).await {
                 shared.keep_lost_prompt(lost);
             }
         });
@@ -178,16 +185,26 @@
         }
     }
 
-    /// Finds out whether an endpoint that lost a request has crashed. An endpoint that
-    /// refuses connections has crashed. One that does not answer, or resets a connection
-    /// that it accepted, may be behind a network fault.
-    async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+    /// Returns whether an endpoint that lost a request refuses connections, and so has
+    /// crashed. One that does not answer, or resets a connection that it accepted, may be
+    /// behind a network fault.
+    async fn refuses_connections(&self, endpoint: &Endpoint) -> bool {
         let connect = self.net.connect(endpoint.address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
         let refused = io::ErrorKind::ConnectionRefused;
         matches!(connected, Ok(Err(error)) if error.kind() == refused)
     }
 
+    /// Asks an engine when it started. Returns whether it is still the start that is known.
+    async fn is_still_running(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
+        let request = self.dialect.report_request(endpoint.address);
+        let limit = self.settings.call_timeout;
+        let answer = exchange::control(self, key, endpoint.address, request, limit).await;
+        let report = answer.and_then(|answer| self.dialect.parse_report(answer.body()));
+        let started_ms = report.and_then(|report| report.started_ms);
+        started_ms == Some(endpoint.started_ms)
+    }
+
     /// Counts a crash of an endpoint against a request that ran there.
     fn record_crash(&self, input: &Input, at: SocketAddr) {
         self.metrics.count("request.crashed_endpoint");
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -43,8 +43,9 @@
 }
 
 impl Endpoint {
-    /// Returns whether another endpoint is a later start with the same id or address, so
-    /// that this one has ended.
+    /// Returns whether another endpoint has taken the address of this one, which has
+    /// therefore ended. A later start with the same id is none: what was sent to the id may
+    /// have run in either.
     ///
     /// # Examples
     ///
@@ -65,8 +66,7 @@
     /// assert!(!successor.is_succeeded_by(&endpoint));
     /// ```
     pub fn is_succeeded_by(&self, other: &Self) -> bool {
-        let shares_place = other.id == self.id || other.address == self.address;
-        shares_place && other.started_ms > self.started_ms
+        other.id != self.id && other.address == self.address && other.started_ms > self.started_ms
     }
 }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -49,6 +49,8 @@
     crashing_part: Arc<Mutex<Option<String>>>,
     /// Notified when the engine crashes.
     crashed: Arc<Notify>,
+    /// Number of starts after the first one.
+    restart_count: Arc<AtomicUsize>,
 }
 
 /// Settings of an endpoint.
@@ -199,6 +201,7 @@
             first_rest: Arc::default(),
             crashing_part: Arc::default(),
             crashed: Arc::default(),
+            restart_count: Arc::default(),
         }
     }
 
@@ -235,6 +238,24 @@
         *lock(&self.crashing_part) = Some(part.into());
     }
 
+    /// Starts the endpoint again under an id. The new start shares all else with this one.
+    pub fn restart_as(&self, id: &str) -> Self {
+        self.restart_count.fetch_add(1, Ordering::SeqCst);
+        let settings = Settings {
+            id: id.into(),
+            ..(*self.settings).clone()
+        };
+        Self {
+            settings: Arc::new(settings),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the time of the endpoint's start that it states.
+    pub fn born(&self) -> usize {
+        1 + self.restart_count.load(Ordering::SeqCst)
+    }
+
     /// Waits for the next crash.
     pub async fn crashed(&self) {
         self.crashed.notified().await;
@@ -325,6 +346,7 @@
                 let orders = self.order_count();
                 return json(&json!({
                     "phase": self.settings.phase, "busy": false, "sequence": orders,
+                    "born": self.born(),
                 }));
             }
             _ => {}
