Play parts that crash engines in the soak

From seed 4000 on, one in twelve prompts has a part that crashes the engine that begins to answer it, beside all other faults. Proxies refuse connections while the engine behind them is down.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -20,7 +20,7 @@
 use cranberryridge_standin::runner::Fault;
 use cranberryridge_standin::store;
 
-use soak::load::Load;
+use soak::load::{self, Load};
 use soak::proxy::Mode;
 use soak::site::Site;
 
@@ -44,7 +44,7 @@
 ];
 
 /// Further seeds that run if `SOAK_SEEDS` is not set.
-const DEFAULT_SEEDS: [u64; 3] = [1, 1002, 2003];
+const DEFAULT_SEEDS: [u64; 4] = [1, 1002, 2003, 4004];
 
 /// Seeds from this one on also let the store come back from an older copy, and
 /// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
@@ -55,6 +55,10 @@
 /// answers without a length in series that overlap.
 const FIRST_SEED_WITH_SERIES: u64 = 2000;
 
+/// In seeds from this one on, some prompts have a part that crashes the engine that begins
+/// to answer it.
+const FIRST_SEED_WITH_PARTS: u64 = 4000;
+
 /// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
 const SERIES_GATEWAYS: u8 = 4;
 
@@ -135,6 +139,8 @@
     has_copies: bool,
     /// Whether faults also come in series.
     has_series: bool,
+    /// Whether a part of prompts crashes engines.
+    has_crashing_part: bool,
 }
 
 impl Plan {
@@ -163,6 +169,7 @@
             },
             has_copies: seed >= FIRST_SEED_WITH_COPIES,
             has_series,
+            has_crashing_part: seed >= FIRST_SEED_WITH_PARTS,
         }
     }
 }
@@ -172,7 +179,15 @@
     let mut random = StdRng::seed_from_u64(seed);
     let plan = Plan::of(seed);
     let mut site = Site::start((seed % 200) as u8 + 20, plan.gateways).await;
-    let load = Load::start(site.gateways(), random.random(), plan.callers, plan.routes);
+    if plan.has_crashing_part {
+        site.crash_engines_on_part();
+    }
+    let settings = load::Settings {
+        callers: plan.callers,
+        routes: plan.routes,
+        has_crashing_part: plan.has_crashing_part,
+    };
+    let load = Load::start(site.gateways(), random.random(), settings);
     let seconds = std::env::var("SOAK_SECONDS").ok();
     let seconds = seconds.map_or(DEFAULT_FAULT_SECONDS, |seconds| seconds.parse().unwrap());
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -19,6 +19,23 @@
 /// Time for which a caller waits for a complete answer.
 const CALL_DEADLINE: Duration = Duration::from_millis(2500);
 
+/// Part of prompts that crashes engines.
+pub const CRASHING_PART: &str = "c0";
+
+/// One in this many prompts has that part.
+const CRASHING_SHARE: u32 = 12;
+
+/// Parameters of a load.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Number of concurrent callers.
+    pub callers: u64,
+    /// Routes that callers use.
+    pub routes: &'static [&'static str],
+    /// Whether some prompts have [`CRASHING_PART`].
+    pub has_crashing_part: bool,
+}
+
 /// A request and its result.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -34,6 +51,8 @@
     pub body: Option<String>,
     /// Whether the request was sent after all faults were over.
     pub after_faults: bool,
+    /// Whether its prompt has [`CRASHING_PART`].
+    pub is_crashing: bool,
 }
 
 /// Running callers and their results.
@@ -50,12 +69,7 @@
 
 impl Load {
     /// Starts callers that send requests to random gateways.
-    pub fn start(
-        gateways: Vec<SocketAddr>,
-        seed: u64,
-        callers: u64,
-        routes: &[&'static str],
-    ) -> Self {
+    pub fn start(gateways: Vec<SocketAddr>, seed: u64, settings: Settings) -> Self {
         let mut load = Self {
             callers: Vec::new(),
             rows: Arc::default(),
@@ -63,24 +77,30 @@
             faults_over: Arc::default(),
         };
         let next_attempt = Arc::new(AtomicU64::new(0));
-        for caller in 0..callers {
+        for caller in 0..settings.callers {
             let (rows, stop, faults_over) = (
                 load.rows.clone(),
                 load.stop.clone(),
                 load.faults_over.clone(),
             );
             let (gateways, next_attempt) = (gateways.clone(), next_attempt.clone());
-            let routes = routes.to_vec();
             load.callers.push(tokio::spawn(async move {
                 let mut random = StdRng::seed_from_u64(seed ^ caller);
                 let mut connection_slot = None;
                 while !stop.load(Ordering::SeqCst) {
                     let attempt = format!("a{}", next_attempt.fetch_add(1, Ordering::SeqCst));
-                    let route = routes[random.random_range(0..routes.len())];
+                    let route = settings.routes[random.random_range(0..settings.routes.len())];
+                    let is_crashing = settings.has_crashing_part
+                        && ["note", "list"].contains(&route)
+                        && random.random_ratio(1, CRASHING_SHARE);
                     let after_faults = faults_over.load(Ordering::SeqCst);
                     let gateway = gateways[random.random_range(0..gateways.len())];
                     let sent_at = Instant::now();
-                    let call = send(&mut connection_slot, gateway, route, &attempt);
+                    let mut request = request(route, &attempt);
+                    if settings.has_crashing_part {
+                        add_prompt(&mut request, &attempt, is_crashing);
+                    }
+                    let call = send(&mut connection_slot, gateway, request);
                     let result = tokio::time::timeout(CALL_DEADLINE, call).await;
                     if !matches!(result, Ok((Some(_), Some(_)))) {
                         connection_slot = None;
@@ -93,6 +113,7 @@
                         status,
                         body,
                         after_faults,
+                        is_crashing,
                     });
                     tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
                 }
@@ -117,13 +138,34 @@
     }
 }
 
+/// Builds a request for a route.
+fn request(route: &str, attempt: &str) -> Request<Full<Bytes>> {
+    let request = Request::builder()
+        .method(if route == "read" { "GET" } else { "POST" })
+        .uri(format!("/{route}/7?a=b"))
+        .header("host", "desk.example")
+        .header("attempt-id", attempt)
+        .header("deadline-ms", CALL_DEADLINE.as_millis().to_string())
+        .header("token-count", "300,80")
+        .body(Full::new(Bytes::from("body")));
+    request.unwrap()
+}
+
+/// Gives a request a body of its own, and a prompt of three parts.
+fn add_prompt(request: &mut Request<Full<Bytes>>, attempt: &str, is_crashing: bool) {
+    let second = if is_crashing { CRASHING_PART } else { "b1" };
+    let parts = format!("a1:100,{second}:100,{attempt}:100");
+    let headers = request.headers_mut();
+    headers.insert("prompt-prefix", parts.parse().unwrap());
+    *request.body_mut() = Full::new(Bytes::from(attempt.to_owned()));
+}
+
 /// Sends a request on the kept connection, or on a new one if it is closed.
 /// Returns the status and the body, as far as they arrived.
 async fn send(
     connection_slot: &mut Option<SendRequest<Full<Bytes>>>,
     gateway: SocketAddr,
-    route: &str,
-    attempt: &str,
+    request: Request<Full<Bytes>>,
 ) -> (Option<u16>, Option<String>) {
     if connection_slot
         .as_ref()
@@ -141,15 +183,7 @@
     let Some(sender) = connection_slot else {
         return (None, None);
     };
-    let request = Request::builder()
-        .method(if route == "read" { "GET" } else { "POST" })
-        .uri(format!("/{route}/7?a=b"))
-        .header("host", "desk.example")
-        .header("attempt-id", attempt)
-        .header("deadline-ms", CALL_DEADLINE.as_millis().to_string())
-        .header("token-count", "300,80")
-        .body(Full::new(Bytes::from("body")));
-    let Ok(answer) = sender.send_request(request.unwrap()).await else {
+    let Ok(answer) = sender.send_request(request).await else {
         return (None, None);
     };
     let status = answer.status().as_u16();
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -28,34 +28,57 @@
 /// Delay of each read in [`Mode::Delayed`].
 const DELAY: Duration = Duration::from_millis(150);
 
-/// A proxy in front of one server.
+/// A proxy in front of one server. Clones share it.
+#[derive(Clone)]
 pub struct Proxy {
     /// Listening address of the proxy.
     pub address: SocketAddr,
     /// Current treatment of connections.
     mode: watch::Sender<Mode>,
+    /// Whether connections are refused and open ones reset, as the server is down.
+    stopped: watch::Sender<bool>,
 }
 
 impl Proxy {
     /// Starts a proxy that listens on one address and connects to `server`.
     pub async fn start(listen: SocketAddr, server: SocketAddr) -> Self {
-        let listener = TcpListener::bind(listen).await.unwrap();
-        let mode = watch::Sender::new(Mode::Open);
-        let modes = mode.clone();
+        let mut listener = TcpListener::bind(listen).await.unwrap();
+        let (mode, stopped) = (watch::Sender::new(Mode::Open), watch::Sender::new(false));
+        let (modes, mut stops) = (mode.clone(), stopped.subscribe());
         tokio::spawn(async move {
             loop {
-                let Ok((caller, _)) = listener.accept().await else {
-                    continue;
+                let caller = tokio::select! {
+                    biased;
+                    _ = stops.wait_for(|stopped| *stopped) => None,
+                    accepted = listener.accept() => accepted.ok(),
                 };
-                tokio::spawn(forward(caller, server, modes.subscribe()));
+                if let Some((caller, _)) = caller {
+                    tokio::spawn(forward(caller, server, modes.subscribe(), stops.clone()));
+                    continue;
+                }
+                drop(listener);
+                // The sender lives as long as the site.
+                let _ = stops.wait_for(|stopped| !*stopped).await;
+                listener = TcpListener::bind(listen).await.unwrap();
             }
         });
         Self {
             address: listen,
             mode,
+            stopped,
         }
     }
 
+    /// Resets all connections and refuses new ones, as a host whose server has crashed.
+    pub fn stop(&self) {
+        self.stopped.send_replace(true);
+    }
+
+    /// Accepts connections again.
+    pub fn start_again(&self) {
+        self.stopped.send_replace(false);
+    }
+
     /// Changes the treatment of all connections.
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
@@ -63,7 +86,12 @@
 }
 
 /// Forwards a connection to the server.
-async fn forward(mut caller: TcpStream, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn forward(
+    mut caller: TcpStream,
+    server: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    mut stopped: watch::Receiver<bool>,
+) {
     let Ok(mut server) = TcpStream::connect(server).await else {
         return;
     };
@@ -73,6 +101,8 @@
         let up = copy(from_caller, to_server, mode.clone(), Mode::RequestsOnly);
         let down = copy(from_server, to_caller, mode.clone(), Mode::Open);
         tokio::select! {
+            biased;
+            _ = stopped.wait_for(|stopped| *stopped) => true,
             ended = async { tokio::try_join!(up, down) } => ended.is_err(),
             _ = mode.wait_for(|mode| *mode == Mode::Reset) => true,
         }
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use serde_json::{json, Value};
 
@@ -15,7 +17,7 @@
 use cranberryridge_standin::store::{self, Store};
 
 use super::budget::{assert_within_budget, FIXED_RETRIES};
-use super::load::Row;
+use super::load::{Row, CRASHING_PART};
 use super::proxy::{Mode, Proxy};
 
 /// Hosts of the gateways begin with this one.
@@ -27,6 +29,13 @@
 /// Minimum share of requests served after the faults are over.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
+/// Maximum number of prompts with a part that crashes engines that are sent after the
+/// faults are over.
+const MAX_LATE_SENDS: usize = 3;
+
+/// Time after which an engine that crashed is back.
+const RESTART_TIME: Duration = Duration::from_millis(1500);
+
 /// A gateway process.
 struct Process {
     /// Its settings file.
@@ -43,14 +52,16 @@
     pub runners: Vec<Runner>,
     /// Proxies in front of the endpoints, by index.
     pub proxies: Vec<Proxy>,
-    /// Servers of the stand-ins, which stop when dropped.
-    _servers: Vec<Server>,
+    /// Server of the store, which stops when dropped.
+    _store_server: Server,
+    /// Servers of the endpoints by index, which stop when dropped.
+    servers: Vec<Option<Server>>,
     /// Processes of the gateways.
     processes: Vec<Process>,
     /// Third octet of all addresses.
     subnet: u8,
-    /// Entries of the endpoints in the store, by id.
-    entries: Vec<(String, Value)>,
+    /// Entries of the endpoints in the store, by index.
+    entries: Arc<Mutex<Vec<Value>>>,
     /// The last published configuration and its version.
     configuration: Value,
     version: u64,
@@ -61,7 +72,8 @@
     pub async fn start(subnet: u8, gateways: u8) -> Self {
         let at = |host, port| SocketAddr::from(([127, 0, subnet, host], port));
         let store = Store::default();
-        let mut servers = vec![store.serve(&Tcp, at(1, 7001)).await.unwrap()];
+        let store_server = store.serve(&Tcp, at(1, 7001)).await.unwrap();
+        let mut servers = Vec::new();
         let (mut runners, mut proxies) = (Vec::new(), Vec::new());
         let mut entries = Vec::new();
         let phases = [None, None, Some("prefill"), Some("decode"), Some("decode")];
@@ -72,7 +84,7 @@
                 phase,
                 ..runner::Settings::default()
             });
-            servers.push(runner.serve(&Tcp, at(host, 7001)).await.unwrap());
+            servers.push(runner.serve(&Tcp, at(host, 7001)).await.ok());
             let proxy = Proxy::start(at(host, 7002), at(host, 7001)).await;
             let service = if phase.is_some() { "model" } else { "orders" };
             let mut entry = json!({
@@ -83,7 +95,7 @@
                 entry["phase"] = phase.into();
             }
             store.put("keyed.servers", &runner.settings.id, Some(&entry));
-            entries.push((runner.settings.id.clone(), entry));
+            entries.push(entry);
             runners.push(runner);
             proxies.push(proxy);
         }
@@ -91,10 +103,11 @@
             store,
             runners,
             proxies,
-            _servers: servers,
+            _store_server: store_server,
+            servers,
             processes: Vec::new(),
             subnet,
-            entries,
+            entries: Arc::new(Mutex::new(entries)),
             configuration: Value::Null,
             version: 0,
         };
@@ -106,12 +119,48 @@
         }
         for gateway in site.gateways() {
             while tokio::net::TcpStream::connect(gateway).await.is_err() {
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
         site
     }
 
+    /// Lets each decode engine crash when it begins to answer a prompt with
+    /// [`CRASHING_PART`], and start again after a while.
+    pub fn crash_engines_on_part(&mut self) {
+        for (index, runner) in self.runners.iter().enumerate() {
+            if runner.settings.phase != Some("decode") {
+                continue;
+            }
+            runner.crash_on_part(CRASHING_PART);
+            let Some(server) = self.servers[index].take() else {
+                continue;
+            };
+            let (runner, store, entries) =
+                (runner.clone(), self.store.clone(), self.entries.clone());
+            let proxy = self.proxies[index].clone();
+            tokio::spawn(async move {
+                let (mut runner, mut server) = (runner, server);
+                loop {
+                    runner.crashed().await;
+                    let address = server.address;
+                    // A crash that closed connections in order would look like the end of
+                    // answers without a length.
+                    proxy.stop();
+                    server.kill();
+                    drop(server);
+                    tokio::time::sleep(RESTART_TIME).await;
+                    runner = runner.restart_as(&runner.settings.id);
+                    server = runner.serve(&Tcp, address).await.unwrap();
+                    proxy.start_again();
+                    let mut entries = entries.lock().unwrap();
+                    entries[index]["born"] = runner.born().into();
+                    store.put("keyed.servers", &runner.settings.id, Some(&entries[index]));
+                }
+            });
+        }
+    }
+
     /// Writes the settings file of a gateway.
     fn write_settings(&self, host: u8) -> PathBuf {
         let ip = format!("127.0.{}.{host}", self.subnet);
@@ -209,12 +258,14 @@
 
     /// Lets the store return from a copy that is `age` old. The operator and the
     /// endpoints write again what they wrote since.
-    pub fn restore_store(&self, age: std::time::Duration) {
+    pub fn restore_store(&self, age: Duration) {
         self.store.restore(age);
         let configuration = Some(&self.configuration);
         self.store.put("keyed.op", "config", configuration);
-        for (id, entry) in &self.entries {
-            self.store.put("keyed.servers", id, Some(entry));
+        let entries = self.entries.lock().unwrap();
+        for (runner, entry) in self.runners.iter().zip(&*entries) {
+            self.store
+                .put("keyed.servers", &runner.settings.id, Some(entry));
         }
     }
 
@@ -255,9 +306,18 @@
             );
         }
         assert_within_budget(seed, rows, &self.runners);
+        let is_sent = |row: &&Row| runs.contains_key(&row.attempt);
+        let crashing = rows
+            .iter()
+            .filter(|row| row.after_faults && row.is_crashing);
+        let late_sends = crashing.filter(is_sent).count();
+        assert!(
+            late_sends <= MAX_LATE_SENDS,
+            "seed {seed}: {late_sends} prompts with a part that crashes engines were sent"
+        );
         let after_faults = rows
             .iter()
-            .filter(|row| row.after_faults)
+            .filter(|row| row.after_faults && !row.is_crashing)
             .collect::<Vec<_>>();
         let served = after_faults
             .iter()
