--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of responses.
+//! Bodies of requests and responses.
 
 use std::convert::Infallible;
 use std::pin::Pin;
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -31,7 +31,6 @@
 use self::dialect::Notice;
 use self::follow::Hosts;
 use self::held::Held;
-use self::parts::Registry;
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
 use self::store::Host;
@@ -155,7 +154,7 @@
     /// Requests that were running when an endpoint crashed.
     suspects: Suspects,
     /// Parts of prompts that were being answered when an endpoint crashed.
-    parts: Registry,
+    parts: parts::Registry,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -239,7 +238,7 @@
             table: ArcSwap::default(),
             budgets: Mutex::default(),
             suspects: Suspects::default(),
-            parts: Registry::default(),
+            parts: parts::Registry::default(),
             era: watch::Sender::default(),
             hosts,
             demands: watch::Sender::default(),
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -190,24 +190,19 @@
     let client =
         Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
     let connected = client.connect().await;
-    // The process may have been paused until after the deadline.
     let sent_at = shared.clock.now();
-    if sent_at >= input.deadline {
-        return Outcome::NotSent;
-    }
-    let parameters = Parameters {
-        remaining_time: input.deadline - sent_at,
-        ..parameters
-    };
-    let mut request = Request::new(Full::new(input.body.clone()));
-    *request.method_mut() = input.head.method.clone();
-    *request.uri_mut() = input.head.uri.clone();
-    *request.headers_mut() = input.head.headers.clone();
-    shared
-        .dialect
-        .add_parameters(request.headers_mut(), &parameters);
+    let remaining_time = input.deadline.saturating_duration_since(sent_at);
     let answer = match connected {
-        Ok(connection) => connection.send(request).await,
+        // The process may have been paused until after the deadline.
+        Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
+        Ok(connection) => {
+            let parameters = Parameters {
+                remaining_time,
+                ..parameters
+            };
+            let request = build_request(&shared.dialect, input, &parameters);
+            connection.send(request).await
+        }
         Err(error) => Err(error),
     };
     let answer = match answer {
@@ -234,6 +229,20 @@
     classify(shared, input, key, parameters.stage, answer)
 }
 
+/// Builds the request of an attempt.
+fn build_request<D: Dialect>(
+    dialect: &D,
+    input: &Input,
+    parameters: &Parameters<'_>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(input.body.clone()));
+    *request.method_mut() = input.head.method.clone();
+    *request.uri_mut() = input.head.uri.clone();
+    *request.headers_mut() = input.head.headers.clone();
+    dialect.add_parameters(request.headers_mut(), parameters);
+    request
+}
+
 /// Classifies an answer and records its outcome in the pool.
 fn classify<N, C: Clock, D: Dialect>(
     shared: &Shared<N, C, D>,
--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -50,7 +50,7 @@
     changes: broadcast::Sender<wire::Evidence>,
     /// Changed with each crash that is counted.
     crashes: watch::Sender<()>,
-    /// Lost runs whose endpoints did not seem to have crashed, oldest first.
+    /// Lost runs of which it is unknown whether their endpoints have crashed, oldest first.
     unresolved: Mutex<Vec<LostPrompt>>,
 }
 
