Count losses that a paused host notices late for the crash that caused them

A host that is stopped as an engine crashes notices the loss of its runs only when it goes on, seconds later. That counted as another crash of the engine, so either the culprit did not explain what the others had lost, or the others had lost runs that nothing explained.

A run that was sent before a known crash of its engine and lost after it was lost in that crash, in whatever order the two are heard of. The new test failed before: the part beside the culprit was refused for 599 s. A bar is logged once the evidence on all parts is in.

--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -150,16 +150,22 @@
             at: lost.lost_at,
         };
         let sent_at = lost.sent_at;
+        let barred = |part: &Digest| self.parts.barred_time(lost.lost_at, &[*part]).is_some();
+        let barred_before = lost
+            .parts
+            .iter()
+            .copied()
+            .filter(barred)
+            .collect::<Vec<_>>();
         for part in lost.parts.iter() {
-            let was_barred = self.parts.barred_time(lost.lost_at, &[*part]).is_some();
             self.record_evidence(*part, Evidence::Loss(Loss { crash, sent_at }), true);
-            let is_barred = self.parts.barred_time(lost.lost_at, &[*part]).is_some();
-            if is_barred && !was_barred {
-                self.metrics.count("part.barred");
-                slog::warn!(self.logger, "part: barred, as it crashes endpoints";
-                    "part" => %part, "service" => %lost.endpoint.service,
-                    "request" => %lost.request, "endpoint" => %lost.endpoint.id);
-            }
+        }
+        let barred = lost.parts.iter().copied().filter(barred);
+        for part in barred.filter(|part| !barred_before.contains(part)) {
+            self.metrics.count("part.barred");
+            slog::warn!(self.logger, "part: barred, as it crashes endpoints";
+                "part" => %part, "service" => %lost.endpoint.service,
+                "request" => %lost.request, "endpoint" => %lost.endpoint.id);
         }
     }
 
--- a/crates/policy/src/gateway/part.rs
+++ b/crates/policy/src/gateway/part.rs
@@ -170,6 +170,14 @@
     }
 }
 
+impl Loss {
+    /// Returns whether a crash ended the run although its host noticed that only later, as
+    /// when it was paused.
+    fn was_lost_by(&self, crash: &Crash) -> bool {
+        crash.endpoint == self.crash.endpoint && self.sent_at < crash.at && crash.at < self.crash.at
+    }
+}
+
 impl Row {
     /// Returns the losses that no proof has refuted, oldest crash first.
     fn unrefuted(&self) -> impl Iterator<Item = &Counted> {
@@ -194,6 +202,21 @@
         crashes.all(|crash| self.crashes().any(|own| own.is_same(&crash)))
     }
 
+    /// Takes into account that an endpoint has crashed, whatever the parts of its runs.
+    fn record_crash(&mut self, crash: Crash) {
+        for counted in &mut self.losses {
+            if counted.loss.was_lost_by(&crash) {
+                counted.loss.crash = crash;
+            }
+            if counted.loss.crash.is_simultaneous(&crash) {
+                counted.is_single = false;
+            }
+        }
+        self.losses.sort_by_key(|counted| counted.loss.crash.at);
+        self.losses
+            .dedup_by(|later, earlier| later.loss.crash == earlier.loss.crash);
+    }
+
     /// Returns whether the crashes suffice to bar the part.
     fn is_dangerous(&self) -> bool {
         let mut weight = 0;
@@ -269,7 +292,10 @@
     /// Records that a crash ended a run on probation. `is_own` tells whether this host
     /// observed it. Returns whether the crash is new for the part.
     pub fn record_loss(&mut self, now: Instant, part: Digest, loss: Loss, is_own: bool) -> bool {
-        self.record_crash(loss.crash);
+        let mut earlier = self.crashes.iter().filter(|crash| loss.was_lost_by(crash));
+        let crash = earlier.next().copied().unwrap_or(loss.crash);
+        let loss = Loss { crash, ..loss };
+        self.record_crash(crash);
         if !self.rows.contains_key(&part) {
             self.make_room(now);
         }
@@ -357,9 +383,8 @@
         if self.crashes.iter().any(|known| known.is_same(&crash)) {
             return;
         }
-        let losses = self.rows.values_mut().flat_map(|row| &mut row.losses);
-        for counted in losses.filter(|counted| counted.loss.crash.is_simultaneous(&crash)) {
-            counted.is_single = false;
+        for row in self.rows.values_mut() {
+            row.record_crash(crash);
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -165,6 +165,45 @@
     }
 }
 
+/// A host that is paused as an engine crashes notices the loss of its run only when it goes
+/// on. It may be the one that sent the culprit, or another.
+#[test]
+fn a_loss_that_is_noticed_late_counts_for_the_crash_that_caused_it() {
+    let start = Instant::now();
+    for (prompt, late) in [([FIRST, CULPRIT], FIRST), ([FIRST, CULPRIT], CULPRIT)] {
+        for late_comes_first in [false, true] {
+            let mut table = Table::new(Settings::default());
+            for round in 1..=3 {
+                let at = seconds(start, 4.0 * round as f64);
+                let noticed_at = at + Duration::from_secs(3);
+                let loss = |at| Loss {
+                    crash: Crash {
+                        endpoint: Incarnation(round),
+                        at,
+                    },
+                    sent_at: seconds(start, 4.0 * round as f64 - 0.2),
+                };
+                let late_loss = (late, loss(noticed_at));
+                let in_time = prompt.into_iter().filter(|part| *part != late);
+                let mut losses = in_time.map(|part| (part, loss(at))).collect::<Vec<_>>();
+                let index = if late_comes_first { 0 } else { losses.len() };
+                losses.insert(index, late_loss);
+                for (part, loss) in losses {
+                    table.record_loss(noticed_at, part, loss, true);
+                }
+            }
+            let now = seconds(start, 16.0);
+            assert!(table.admit(now, &prompt).is_err(), "{late:?}");
+            let others = [FIRST, SECOND];
+            assert_eq!(
+                table.admit(now, &others),
+                Ok(()),
+                "{late:?} {late_comes_first}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_lapsed_bar_is_tried_by_one_request_at_a_time() {
     let start = Instant::now();
