Tell proofs of parts again, as crashes may be heard of late

A message that waits at a stopped host puts its crash later than it was, by up to the pause. The proof that refuted it at the other hosts was older, was told once, and refuted nothing there; and a host that refuses has no runs of its own.

Proofs of a part that was lost in crashes are told every two seconds, for as long as its crashes are remembered.

--- a/crates/policy/src/gateway/part.rs
+++ b/crates/policy/src/gateway/part.rs
@@ -43,6 +43,9 @@
 /// longer to start again.
 const MAX_CRASH_SKEW: Duration = Duration::from_millis(300);
 
+/// Interval at which hosts tell each other proofs of a part that was lost in crashes.
+const PROOF_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time for which a request that tries a part has the part for itself.
 const TRIAL_TIME: Duration = Duration::from_secs(10);
 
@@ -142,6 +145,8 @@
     has_seen_last: bool,
     /// Time of the last request that was let through to try the part.
     tried_at: Option<Instant>,
+    /// Time at which the run was sent that was last told to other hosts as proof.
+    told_at: Option<Instant>,
 }
 
 /// Loss with its weight.
@@ -336,14 +341,22 @@
     }
 
     /// Records that a run with the part, sent at this time, outlived its probation.
-    /// Returns whether this refutes a crash.
+    /// Returns whether other hosts have to know: if this refutes a crash, and now and then
+    /// after that, as another host may have a later time for the crash.
     pub fn record_proof(&mut self, part: Digest, sent_at: Instant) -> bool {
         let Some(row) = self.rows.get_mut(&part) else {
             return false;
         };
         let refutes = row.crashes().any(|crash| crash.at <= sent_at);
         row.proven_at = row.proven_at.max(Some(sent_at));
-        refutes
+        let last_loss = row.losses.last().map(|counted| counted.loss.crash.at);
+        let is_recent = last_loss.is_some_and(|at| sent_at < at + self.settings.retention);
+        let is_due = row.told_at.is_none_or(|at| sent_at >= at + PROOF_INTERVAL);
+        let is_news = refutes || (is_recent && is_due);
+        if is_news {
+            row.told_at = Some(sent_at);
+        }
+        is_news
     }
 
     /// Returns all evidence that counts, that against barred parts first.
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -220,6 +220,30 @@
     }
 }
 
+/// A message that waits at a paused host puts its crash too late, so that the proofs of others
+/// do not refute it.
+#[test]
+fn a_host_that_hears_of_crashes_late_is_told_of_proofs_again() {
+    let start = Instant::now();
+    let (mut host, mut late) = (table_with_culprit(start), Table::new(Settings::default()));
+    for (part, evidence) in host.evidence() {
+        if let (FIRST | SECOND, Evidence::Loss(mut loss)) = (part, evidence) {
+            loss.crash.at += Duration::from_secs(3);
+            loss.sent_at += Duration::from_secs(3);
+            late.record_loss(loss.crash.at, part, loss, false);
+        }
+    }
+    for step in 0..40 {
+        let sent_at = seconds(start, 3.1 + 0.2 * f64::from(step));
+        for part in [FIRST, SECOND] {
+            if host.record_proof(part, sent_at) {
+                late.record_proof(part, sent_at);
+            }
+        }
+    }
+    assert_eq!(late.admit(seconds(start, 12.0), &[FIRST, SECOND]), Ok(()));
+}
+
 #[test]
 fn a_lapsed_bar_is_tried_by_one_request_at_a_time() {
     let start = Instant::now();
