--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -34,8 +34,8 @@
 /// have crashed.
 const MAX_UNRESOLVED: usize = 256;
 
-/// Time after a lost run in which a later start in the list shows that its endpoint had
-/// crashed by then. Covers the endpoint's first record and the reading of the list.
+/// Time after a lost run in which another id at its endpoint's address shows that the
+/// endpoint had crashed by then. Covers the endpoint's first record and the reading of the list.
 const MAX_LISTING_TIME: Duration = Duration::from_secs(3);
 
 /// Range of the further time for which a part stays barred at hosts that did not observe
@@ -182,8 +182,7 @@
         self.resolve_lost_prompts(&endpoints.unwrap_or_default());
     }
 
-    /// Records the crashes of kept runs whose endpoints have started again or given their
-    /// address to another.
+    /// Records the crashes of kept runs whose endpoints' addresses others have taken.
     pub(super) fn resolve_lost_prompts(&self, endpoints: &[Endpoint]) {
         let now = self.clock.now();
         let mut unresolved = lock(&self.parts.unresolved);
