Test that endpoints get no more requests than the limits they name

An endpoint may name in its answers the requests a second that it takes from all hosts together. Nothing reads this.

The stand-in names limits and records when reservations are asked for.

--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -41,6 +41,10 @@
     /// Value of `retry-after` with which all requests are refused, or `None` if
     /// they are not.
     rest: Arc<Mutex<Option<String>>>,
+    /// Values of `server-limit` in all answers, one header each.
+    limits: Arc<Mutex<Vec<String>>>,
+    /// Times of the requests for reservations.
+    reservation_times: Arc<Mutex<Vec<Instant>>>,
     /// Times of the requests to control paths.
     control_calls: Arc<Mutex<Vec<Instant>>>,
     /// Time of the first refusal that stated a rest.
@@ -197,6 +201,8 @@
             orders: Arc::default(),
             is_leaving: Arc::default(),
             rest: Arc::default(),
+            limits: Arc::default(),
+            reservation_times: Arc::default(),
             control_calls: Arc::default(),
             first_rest: Arc::default(),
             crashing_part: Arc::default(),
@@ -232,6 +238,17 @@
         *lock(&self.rest) = retry_after.map(Into::into);
     }
 
+    /// Names limits in all further answers, one header each, or none. Nothing but its
+    /// callers obeys them.
+    pub fn set_limit<'a>(&self, limits: impl IntoIterator<Item = &'a str>) {
+        *lock(&self.limits) = limits.into_iter().map(Into::into).collect();
+    }
+
+    /// Returns the times of the requests for reservations.
+    pub fn reservation_times(&self) -> Vec<Instant> {
+        lock(&self.reservation_times).clone()
+    }
+
     /// Crashes when it begins to answer a prompt with this part, wherever in the prompt it
     /// stands. Whoever waits for [`Runner::crashed`] must then kill the endpoint's host.
     pub fn crash_on_part(&self, part: &str) {
@@ -317,10 +334,16 @@
         lock(&self.orders).clone()
     }
 
-    /// Answers a request, and says in every answer if the endpoint is leaving.
+    /// Answers a request, and says in every answer if the endpoint is leaving, and its
+    /// limit.
     async fn answer(self, request: Request<Bytes>) -> Response<Body> {
-        let is_leaving = self.is_leaving.clone();
+        let (is_leaving, limits) = (self.is_leaving.clone(), self.limits.clone());
         let mut response = self.handle(request).await;
+        for limit in &*lock(&limits) {
+            if let Ok(value) = HeaderValue::from_str(limit) {
+                response.headers_mut().append("server-limit", value);
+            }
+        }
         if is_leaving.load(Ordering::SeqCst) {
             let headers = response.headers_mut();
             headers.insert("server-leaving", HeaderValue::from_static("1"));
@@ -333,6 +356,9 @@
         if path.starts_with("/-/") {
             lock(&self.control_calls).push(Instant::now());
         }
+        if path == "/-/hold-take" {
+            lock(&self.reservation_times).push(Instant::now());
+        }
         match path.as_str() {
             "/-/hold-take" if lock(&self.rest).is_some() => return self.refuse(""),
             "/-/hold-take" => return self.reserve(request.body()),
