Keep the limits that endpoints name, with permits from the service's scheduler

What callers saw: endpoints in need named a limit in their answers and got their usual share of requests all the same, 30 to 37 in 4 s where 21 and 25 were allowed.

Cause: nothing read the limit.

Every send to a limited endpoint, also of prompts, retries and resumptions, needs one that is still valid right before the request is written. Permits end one second after they were given, counted from before the request for it, so a paused host uses none of them late. A scheduler that takes over begins without permits, at a part of the limit while the one before may still give some. A permit takes the place of a reservation, which the endpoint counts too. Requests that have other endpoints do not wait; if all endpoints are limited, they wait up to 0.4 s in order of their deadlines, and those beyond are refused at once, with a Retry-After that spreads their return. Limits spread among hosts in versions, which end the same in any order of messages; an answer to a request from before the limit only makes it stricter.

--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -206,6 +206,7 @@
                         first_event_deadline: now + Duration::from_secs(4),
                         was_refused: false,
                         excluded: Vec::new(),
+                        requested_at: now,
                     };
                     schedule.enqueue(now, id, ask, engine);
                     let answer = schedule.next_answer(now, "model", engine, &mut random);
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -48,6 +48,7 @@
 mod generate;
 mod held;
 mod parts;
+mod permit;
 mod plain;
 mod record;
 mod refusal;
@@ -184,6 +185,8 @@
     /// Ids of listed endpoints that said in an answer that they are shutting
     /// down, to this host or to another.
     leaving_endpoints: watch::Sender<Set<CompactString>>,
+    /// Notified when an endpoint's known limit changes.
+    limits_changed: watch::Sender<()>,
     /// Links to schedulers.
     links: Links,
     /// State of the platform as read by another host.
@@ -251,6 +254,7 @@
             listed_endpoints: watch::Sender::default(),
             moving_engines: watch::Sender::default(),
             leaving_endpoints: watch::Sender::default(),
+            limits_changed: watch::Sender::default(),
             links: Links::default(),
             news: watch::Sender::default(),
             seen: watch::Sender::default(),
@@ -289,9 +293,19 @@
     }
 
     /// Records what an endpoint said about itself in an answer and reports it to
-    /// other hosts.
-    fn record_notice(&self, now: Instant, key: EndpointKey, notice: Notice) {
-        if notice == Notice::default() {
+    /// other hosts. `known_limit` is the version of the endpoint's limit when the answer's
+    /// request was sent, `None` if the answer may be of an earlier request.
+    fn record_notice(
+        &self,
+        now: Instant,
+        key: EndpointKey,
+        notice: Notice,
+        known_limit: Option<u64>,
+    ) where
+        C: Clock,
+    {
+        self.observe_limit(key, notice.limit, known_limit);
+        if !notice.is_leaving && notice.retry_after.is_none() {
             return;
         }
         let rest = notice.retry_after.and_then(pool::rest_time);
--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -132,6 +132,9 @@
     /// stated them in a refusal. Not a number if the value is none, `None` if it
     /// stated nothing.
     pub retry_after: Option<f64>,
+    /// Requests per second that the endpoint takes from all hosts together, the least if it
+    /// names several. Not a number if the value is none, `None` if it named nothing.
+    pub limit: Option<f64>,
 }
 
 /// State that an engine reports.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use cranberryridge_wire::id::{Digest, Incarnation};
 
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
+use super::permit::Permit;
 use super::serve::Call;
 use super::suspects::LostRun;
 use super::Shared;
@@ -128,6 +129,8 @@
     Answer(Response<Incoming>),
     /// The connection failed before anything was sent.
     NotSent,
+    /// Nothing was sent, as the endpoint has named a limit and there is no valid permit.
+    NotPermitted,
     /// The endpoint reported that the request did not run.
     NotRun,
     /// The endpoint may have run the request, but there is no valid answer.
@@ -179,12 +182,14 @@
     }
 }
 
-/// Sends a request to an endpoint and waits for the response head.
+/// Sends a request to an endpoint, with a permit if it has named a limit, and waits for the
+/// response head.
 pub async fn send<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
     input: &Input,
     key: EndpointKey,
     endpoint: &Endpoint,
+    permit: Option<Permit>,
     parameters: Parameters<'_>,
 ) -> Outcome {
     let client =
@@ -192,9 +197,14 @@
     let connected = client.connect().await;
     let sent_at = shared.clock.now();
     let remaining_time = input.deadline.saturating_duration_since(sent_at);
+    let known_limit = shared.pool().limit(key).version;
     let answer = match connected {
         // The process may have been paused until after the deadline.
         Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
+        Ok(_) if !shared.is_permitted(key, permit) => {
+            shared.metrics.count("permit.missing");
+            return Outcome::NotPermitted;
+        }
         Ok(connection) => {
             let parameters = Parameters {
                 remaining_time,
@@ -226,7 +236,7 @@
             return Outcome::Lost;
         }
     };
-    classify(shared, input, key, parameters.stage, answer)
+    classify(shared, input, key, known_limit, parameters.stage, answer)
 }
 
 /// Builds the request of an attempt.
@@ -243,11 +253,13 @@
     request
 }
 
-/// Classifies an answer and records its outcome in the pool.
+/// Classifies an answer and records its outcome in the pool. `known_limit` is the version
+/// of the endpoint's limit when the request was sent.
 fn classify<N, C: Clock, D: Dialect>(
     shared: &Shared<N, C, D>,
     input: &Input,
     key: EndpointKey,
+    known_limit: u64,
     stage: Stage<'_>,
     answer: Response<Incoming>,
 ) -> Outcome {
@@ -256,7 +268,9 @@
     let verdict = shared.dialect.classify(&head, &input.attempt_id, stage);
     // Another endpoint answered a misdirected request.
     if verdict != Verdict::Misdirected {
-        shared.record_notice(now, key, shared.dialect.parse_notice(&head));
+        let is_own = verdict != Verdict::Foreign;
+        let notice = shared.dialect.parse_notice(&head);
+        shared.record_notice(now, key, notice, is_own.then_some(known_limit));
     }
     match verdict {
         Verdict::Ran => {
@@ -334,10 +348,12 @@
     let client = Client::new(shared.net.clone(), at)
         .with_connect_timeout(CONNECT_TIMEOUT)
         .with_max_body_bytes(MAX_DOCUMENT_BYTES);
+    let known_limit = shared.pool().limit(key).version;
     let answer = tokio::time::timeout(limit, client.fetch(request)).await;
     let (head, body) = answer.ok()?.ok()?.into_parts();
     let now = shared.clock.now();
-    shared.record_notice(now, key, shared.dialect.parse_notice(&head));
+    let notice = shared.dialect.parse_notice(&head);
+    shared.record_notice(now, key, notice, Some(known_limit));
     Some(Response::from_parts(head, body))
 }
 
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -512,6 +512,11 @@
         self.roster.share(now)
     }
 
+    /// Returns whether all hosts know of this one.
+    pub fn is_known_to_all(&self, now: Instant) -> bool {
+        self.roster.is_known_to_all(now)
+    }
+
     /// Returns the addresses of a service's scheduler and its substitutes, in
     /// order of preference. Hosts that know the same hosts agree on them, and a
     /// change of the hosts moves few services.
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -49,6 +49,9 @@
 /// First-event timeout as a multiple of the route's maximum event gap.
 const EVENT_GAP_MULTIPLE: u32 = 8;
 
+/// Longest wait for a permit of a request whose endpoints have been assigned.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(200);
+
 /// A run whose stream has started.
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
@@ -159,7 +162,7 @@
     loop {
         call.check_deadline()?;
         let acquire = reservation::acquire(call, engine, need, progress);
-        let reservation = unless_barred(&shared, &parts, acquire).await?;
+        let mut reservation = unless_barred(&shared, &parts, acquire).await?;
         let now = shared.clock.now();
         let reusable = kept
             .take()
@@ -170,7 +173,7 @@
                 Some(cache)
             }
             None => {
-                let read = read_prompt(call, engine, need, progress, &reservation);
+                let read = read_prompt(call, engine, need, progress, &mut reservation);
                 match unless_barred(&shared, &parts, read).await? {
                     Prompt::Unread => continue,
                     Prompt::Local => None,
@@ -195,7 +198,7 @@
     engine: Engine,
     need: Need,
     progress: &mut Progress,
-    reservation: &Reservation<N, C, D>,
+    reservation: &mut Reservation<N, C, D>,
 ) -> Result<Prompt<N, C, D>, Refusal> {
     let prefiller = reservation
         .prefiller
@@ -265,11 +268,15 @@
     engine: Engine,
     need: Need,
     progress: &mut Progress,
-    reservation: &Reservation<N, C, D>,
+    reservation: &mut Reservation<N, C, D>,
     key: EndpointKey,
     expected: Duration,
 ) -> Result<Option<Cache<N, C, D>>, Refusal> {
     let shared = Arc::clone(&call.shared);
+    let given = reservation.prefill_permit.take();
+    let Ok(permit) = call.ensure_permit(key, given, MAX_PERMIT_WAIT).await else {
+        return Ok(None);
+    };
     let started_at = shared.clock.now();
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         return Ok(None);
@@ -290,7 +297,10 @@
         reservation_id: None,
         last_event_id: None,
     };
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
+    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    if matches!(outcome, Outcome::NotPermitted) {
+        return Ok(None);
+    }
     if !matches!(outcome, Outcome::NotSent) {
         let is_read = matches!(&outcome, Outcome::Answer(answer) if answer.status().is_success());
         progress.sends.record_prefill(is_read);
@@ -329,8 +339,12 @@
     mut cache: Option<Cache<N, C, D>>,
 ) -> Result<Attempt<N, C, D>, Refusal> {
     let shared = Arc::clone(&call.shared);
-    let started_at = shared.clock.now();
     let key = reservation.key;
+    let given = reservation.permit.take();
+    let Ok(permit) = call.ensure_permit(key, given, MAX_PERMIT_WAIT).await else {
+        return Ok(Attempt::NotRun(cache));
+    };
+    let started_at = shared.clock.now();
     let Some(endpoint) = shared.active_endpoint(started_at, key) else {
         call.record
             .add_call("room", &reservation.endpoint.id, "leaving");
@@ -353,12 +367,17 @@
     let may_have_run_before = progress.may_have_run;
     progress.may_have_run = true;
     progress.current = Some(key);
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
-    if !matches!(outcome, Outcome::NotSent) {
+    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    if !matches!(outcome, Outcome::NotSent | Outcome::NotPermitted) {
         progress.sends.record();
     }
     let stage = if cache.is_some() { "decode" } else { "whole" };
     let answer = match outcome {
+        Outcome::NotPermitted => {
+            progress.may_have_run = may_have_run_before;
+            call.record.add_call(stage, &endpoint.id, "not permitted");
+            return Ok(Attempt::NotRun(cache));
+        }
         Outcome::NotSent | Outcome::NotRun => {
             progress.may_have_run = may_have_run_before;
             progress.excluded.push(key);
--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::exchange::{self, InFlight};
+use crate::gateway::permit::Permit;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::schedule::{self, Assignment, Lease};
 use crate::gateway::serve::Call;
@@ -46,6 +47,10 @@
     started_at: Option<Instant>,
     /// Endpoint that reads the prompt, or `None` if no scheduler chose one.
     pub prefiller: Option<Prefiller>,
+    /// Permit for the request, or `None` if the endpoint has named no limit.
+    pub permit: Option<Permit>,
+    /// Permit for reading the prompt at a prefill endpoint, if the scheduler gave one.
+    pub prefill_permit: Option<Permit>,
     /// Lease from the scheduler, or `None` if this host chose the endpoint.
     lease: Option<Lease<N, C, D>>,
     /// Number and total duration of the intervals between events.
@@ -142,6 +147,7 @@
     let mut is_retry = !progress.excluded.is_empty();
     loop {
         refuse_if_all_rest(call)?;
+        let requested_at = call.shared.clock.now();
         let assigned = schedule::request_endpoints(call, need, &progress.excluded, is_retry).await;
         let (lease, grant) = match assigned {
             Assignment::Granted(lease, grant) => (lease, grant),
@@ -152,7 +158,12 @@
             // The scheduler has a newer endpoint list than this host.
             return acquire_locally(call, engine, need, progress).await;
         };
-        if let Some(mut reservation) = reserve(call, engine, need, key).await {
+        let permit = |key| Permit::new(key, requested_at, grant.waited.into());
+        let decode_permit = grant.decode_permit.then(|| permit(key));
+        if let Some(mut reservation) = reserve(call, engine, need, key, decode_permit).await {
+            if let Prefiller::Remote { prefill, .. } = prefiller {
+                reservation.prefill_permit = grant.prefill_permit.then(|| permit(prefill));
+            }
             reservation.prefiller = Some(prefiller);
             reservation.lease = Some(lease);
             return Ok(reservation);
@@ -213,7 +224,7 @@
             let Some(key) = choose_decoder(call, engine, need, progress) else {
                 break;
             };
-            if let Some(reservation) = reserve(call, engine, need, key).await {
+            if let Some(reservation) = reserve(call, engine, need, key, None).await {
                 return Ok(reservation);
             }
         }
@@ -246,14 +257,17 @@
 }
 
 /// Reserves capacity at an endpoint. Returns `None` if it has none or does not
-/// answer.
+/// answer. At an endpoint that has named a limit, a permit takes the place of the
+/// reservation, which would count against the limit as well.
 async fn reserve<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     engine: Engine,
     need: Need,
     key: EndpointKey,
+    permit: Option<Permit>,
 ) -> Option<Reservation<N, C, D>> {
     let shared = Arc::clone(&call.shared);
+    let permit = call.ensure_permit(key, permit, Duration::ZERO).await.ok()?;
     let endpoint = shared.active_endpoint(shared.clock.now(), key)?;
     let kv_tokens = need.kv_tokens();
     let work = Work {
@@ -267,11 +281,13 @@
         in_flight: InFlight::new(&shared, work),
         started_at: None,
         prefiller: None,
+        permit,
+        prefill_permit: None,
         lease: None,
         event_intervals: (0, Duration::ZERO),
         endpoint,
     };
-    if engine.max_reservation.is_zero() {
+    if engine.max_reservation.is_zero() || permit.is_some() {
         return Some(reservation);
     }
     let at = reservation.endpoint.address;
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -1,6 +1,7 @@
 //! Forwarding of requests whose answers are not streams.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{response, Response, StatusCode};
@@ -13,12 +14,17 @@
 
 use super::dialect::{Dialect, Parameters, Stage};
 use super::exchange::{self, Framing, InFlight, Outcome, MAX_ANSWER_BYTES};
+use super::permit::Permit;
 use super::refusal::Refusal;
+use super::schedule::request_permit;
 use super::serve::Call;
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::net::Net;
 
+/// Longest wait for a permit of a request whose endpoints have all named a limit.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+
 /// A complete answer.
 type Answer = (response::Parts, Bytes);
 
@@ -32,6 +38,8 @@
     NotRun,
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent, as the endpoint has named a limit and there is no valid permit.
+    NotPermitted,
     /// The request may have run, but there is no complete answer.
     Lost,
 }
@@ -85,19 +93,23 @@
         if let Err(refusal) = call.check_deadline() {
             return failure.ok_or(refusal);
         }
-        let Some(key) = choose(call, progress) else {
-            return failure.ok_or_else(|| refuse(call));
+        let (key, permit) = match choose(call, progress).await {
+            Ok(Choice::Endpoint(key, permit)) => (key, permit),
+            Ok(Choice::Again) => continue,
+            Err(refusal) => return failure.ok_or(refusal),
         };
         let now = call.shared.clock.now();
         if !call.shared.pay_send(now, &call.service, &mut sends) {
             return failure.ok_or(Refusal::new(Code::RetryBudget));
         }
-        let attempt = try_endpoint(call, progress, key).await;
-        progress.excluded.push(key);
-        let ran = !matches!(attempt, Attempt::NotRun | Attempt::NotSent);
+        let attempt = try_endpoint(call, progress, key, permit).await;
+        if !matches!(attempt, Attempt::NotPermitted) {
+            progress.excluded.push(key);
+        }
+        let ran = attempt.may_have_run();
         progress.may_have_run = ran || progress.run_count > 0;
         progress.run_count += u32::from(ran);
-        if !matches!(attempt, Attempt::NotSent) {
+        if !matches!(attempt, Attempt::NotSent | Attempt::NotPermitted) {
             sends.record();
         }
         let may_retry = call.route.kind == Kind::Idempotent
@@ -109,7 +121,7 @@
             Attempt::Failed(answer) => return Ok(answer),
             Attempt::Lost if may_retry => {}
             Attempt::Lost => return failure.ok_or(Refusal::new(Code::EndpointLost)),
-            Attempt::NotRun | Attempt::NotSent => {}
+            Attempt::NotRun | Attempt::NotSent | Attempt::NotPermitted => {}
         }
     }
 }
@@ -129,15 +141,52 @@
     })
 }
 
-/// Chooses the endpoint to try next.
-fn choose<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
+/// Endpoint to try next.
+enum Choice {
+    /// The endpoint, with a permit if it has named a limit.
+    Endpoint(EndpointKey, Option<Permit>),
+    /// The endpoint has no permit for this request, and another one should be chosen.
+    Again,
+}
+
+/// Chooses the endpoint to try next. A request whose endpoints have all named a limit waits
+/// for a permit.
+///
+/// # Errors
+///
+/// Returns a refusal if there is no endpoint, or no permit in time.
+async fn choose<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
     progress: &Progress,
-) -> Option<EndpointKey> {
-    let scope = call.scope(&progress.excluded);
+) -> Result<Choice, Refusal> {
     let now = call.shared.clock.now();
-    let pool = call.shared.pool();
-    pool.choose_plain(now, scope, &mut rand::rng())
+    let (chosen, candidates, are_all_limited) = {
+        let scope = call.scope(&progress.excluded);
+        let pool = call.shared.pool();
+        let candidates = pool.plain_candidates(now, scope);
+        let are_all_limited = candidates.iter().all(|key| pool.is_limited(*key));
+        let chosen = pool.choose_plain(now, scope, &mut rand::rng());
+        (chosen, candidates, are_all_limited)
+    };
+    if candidates.is_empty() {
+        return Err(refuse(call));
+    }
+    if are_all_limited {
+        let waits_until = (call.record.arrival + MAX_PERMIT_WAIT).min(call.deadline);
+        let patience = waits_until.saturating_duration_since(now);
+        return match request_permit(call, &candidates, patience).await {
+            Ok(permit) => Ok(Choice::Endpoint(permit.endpoint, Some(permit))),
+            Err(delay) => {
+                call.record.add_call("permit", "all", "refused");
+                Err(Refusal::at_earliest(Code::Full, delay))
+            }
+        };
+    }
+    let Some(key) = chosen else {
+        return Err(refuse(call));
+    };
+    let permit = call.ensure_permit(key, None, Duration::ZERO).await;
+    Ok(permit.map_or(Choice::Again, |permit| Choice::Endpoint(key, permit)))
 }
 
 /// Tries one endpoint.
@@ -145,6 +194,7 @@
     call: &mut Call<N, C, D>,
     progress: &mut Progress,
     key: EndpointKey,
+    permit: Option<Permit>,
 ) -> Attempt {
     let shared = Arc::clone(&call.shared);
     let Some(endpoint) = shared.active_endpoint(shared.clock.now(), key) else {
@@ -168,7 +218,7 @@
     progress.may_have_run = true;
     progress.current = Some(key);
     let started_at = shared.clock.now();
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, parameters).await;
+    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
     if let Outcome::Answer(answer) = &outcome {
         call.record.framing = Some(Framing::of(answer.headers()));
     }
@@ -188,6 +238,7 @@
             }
         }
         Outcome::NotSent => Attempt::NotSent,
+        Outcome::NotPermitted => Attempt::NotPermitted,
         Outcome::NotRun => Attempt::NotRun,
         Outcome::Lost => Attempt::Lost,
     };
@@ -203,6 +254,11 @@
 }
 
 impl Attempt {
+    /// Returns whether the endpoint may have run the request.
+    fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotRun | Self::NotSent | Self::NotPermitted)
+    }
+
     /// Returns the name in logs.
     fn name(&self) -> &'static str {
         match self {
@@ -210,6 +266,7 @@
             Self::Failed(_) => "failed",
             Self::NotRun => "not run",
             Self::NotSent => "not sent",
+            Self::NotPermitted => "not permitted",
             Self::Lost => "lost",
         }
     }
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -9,6 +9,8 @@
 
 use tokio::sync::mpsc;
 
+use cranberryridge_policy::gateway::limit::Standing;
+use cranberryridge_policy::gateway::permit;
 use cranberryridge_policy::gateway::place::Need;
 use cranberryridge_policy::gateway::pool::Failure;
 use cranberryridge_policy::gateway::schedule::{Answer, Id, Request, Scheduler};
@@ -16,8 +18,9 @@
 use cranberryridge_wire::{Map, Set};
 
 use super::dialect::Dialect;
+use super::permit::from_message;
 use super::serve::ACCEPT_BACKOFF;
-use super::{snapshot, Shared};
+use super::{lock, snapshot, Shared};
 use crate::clock::Clock;
 use crate::frame;
 use crate::net::{Listen, Net};
@@ -28,8 +31,10 @@
 pub use self::ask::{Assignment, Lease};
 pub use self::link::{follow, Links};
 
+pub(super) use self::acquire::request_permit;
 pub(super) use self::ask::request_endpoints;
 
+mod acquire;
 mod ask;
 mod link;
 
@@ -41,6 +46,9 @@
 /// of engines are decided.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the part of limits that this scheduler permits is decided anew.
+const SHARE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Capacity of the scheduler's event queue, shared by all links.
 const EVENT_CAPACITY: usize = 4096;
 
@@ -131,8 +139,8 @@
 }
 
 /// Handles events, and answers the queued requests after each.
-async fn process_events<N, C: Clock, D>(
-    shared: &Shared<N, C, D>,
+async fn process_events<N: Net, C: Clock, D: Dialect>(
+    shared: &Arc<Shared<N, C, D>>,
     mut inbox: mpsc::Receiver<Event>,
 ) {
     let mut schedule = Scheduler::new(shared.settings.pool, shared.settings.balance);
@@ -144,6 +152,10 @@
     let mut demand_timer = tokio::time::interval(DEMAND_INTERVAL);
     let mut moving = shared.moving_engines.subscribe();
     let mut leaving = shared.leaving_endpoints.subscribe();
+    let mut limits = shared.limits_changed.subscribe();
+    let mut share_timer = tokio::time::interval(SHARE_INTERVAL);
+    // Limits that the linked hosts were told of.
+    let mut told_limits = Map::default();
     let mut suspects = shared.suspects.subscribe();
     let mut evidence = shared.parts.subscribe();
     // Leaving endpoints that the linked hosts were told of.
@@ -185,6 +197,21 @@
                 }
                 told = after;
             }
+            _ = limits.changed() => {
+                limits.mark_unchanged();
+                let messages = shared.limit_messages();
+                for limit in &messages {
+                    if told_limits.get(&limit.endpoint) != Some(limit) {
+                        let (endpoint, known) = from_message(limit);
+                        schedule.merge_limit(shared.clock.now(), &endpoint, known);
+                        send_to_all(&mut links, &Down::Limit(limit.clone()));
+                    }
+                }
+                let messages = messages.into_iter();
+                told_limits = messages.map(|limit| (limit.endpoint.clone(), limit)).collect();
+                update_permit_shares(shared, &mut schedule);
+            }
+            _ = share_timer.tick() => update_permit_shares(shared, &mut schedule),
             // What a slow subscriber misses is told to hosts that link later.
             Ok(suspect) = suspects.recv() => send_to_all(&mut links, &Down::Suspect(suspect)),
             Ok(evidence) = evidence.recv() => {
@@ -246,6 +273,9 @@
             for evidence in shared.parts.snapshot(now) {
                 send(links, link, Down::Evidence(evidence));
             }
+            for limit in shared.limit_messages() {
+                send(links, link, Down::Limit(limit));
+            }
         }
         Up::Follow => {
             let endpoints = shared.listed_endpoints.borrow().clone();
@@ -295,6 +325,22 @@
         }
         Up::Suspect(suspect) => shared.merge_suspect(&suspect),
         Up::Evidence(evidence) => shared.merge_evidence(&evidence),
+        Up::Limit(limit) => shared.merge_limit(&limit),
+        Up::Acquire(request) => {
+            let number = request.number;
+            if !schedule.has_endpoints(&request.service) {
+                send(links, link, Down::Unknown(number));
+                return None;
+            }
+            for limit in &request.limits {
+                shared.merge_limit(limit);
+                let (endpoint, known) = from_message(limit);
+                schedule.merge_limit(now, &endpoint, known);
+            }
+            shared.metrics.count("permit.asked");
+            schedule.request_permit(id(number), to_permit_request(now, request));
+            return Some(id(number));
+        }
         Up::Notice(notice) => {
             let rest = Duration::from(notice.rest).min(MAX_WAIT);
             schedule.record_notice(now, &notice.endpoint, notice.leaving, rest);
@@ -306,6 +352,30 @@
     None
 }
 
+/// Decides for which part of the limits of services' endpoints this scheduler gives permits.
+fn update_permit_shares<N: Net, C: Clock, D: Dialect>(
+    shared: &Arc<Shared<N, C, D>>,
+    schedule: &mut Scheduler,
+) {
+    let now = shared.clock.now();
+    for service in schedule.limited_services() {
+        let own = shared.settings.scheduler;
+        let (schedulers, is_known_to_all) = {
+            let hosts = lock(&shared.hosts);
+            (hosts.schedulers(&service), hosts.is_known_to_all(now))
+        };
+        let earlier = schedulers.iter().take_while(|address| **address != own);
+        let down_times = earlier.map(|address| shared.links.down_time(shared, *address));
+        let standing = Standing {
+            is_first: schedulers.first() == Some(&own),
+            is_known_to_all,
+            // `None` is the least, so one that is reachable suffices.
+            others_down_for: down_times.min().flatten(),
+        };
+        schedule.set_permit_share(&service, standing.share());
+    }
+}
+
 /// Answers all requests that can be granted or must be refused.
 fn send_answers<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
@@ -313,6 +383,21 @@
     links: &mut Map<u64, Peer>,
 ) {
     let now = shared.clock.now();
+    while let Some((id, answer)) = schedule.next_permit(now) {
+        let number = id.number;
+        let message = match answer {
+            permit::Answer::Permit { endpoint, waited } => Down::Permit(wire::Permit {
+                number,
+                endpoint,
+                waited: waited.into(),
+            }),
+            permit::Answer::Refusal(wait) => Down::Refusal(wire::Refusal {
+                number,
+                wait: wait.into(),
+            }),
+        };
+        send(links, id.link, message);
+    }
     let table = shared.table.load();
     for service in schedule.waiting_services() {
         // The service is no longer configured. Hosts that still have it choose
@@ -329,6 +414,9 @@
                     decode: grant.decode,
                     prefill: grant.prefill,
                     ready: grant.prefill_time.into(),
+                    decode_permit: grant.decode_permit,
+                    prefill_permit: grant.prefill_permit,
+                    waited: grant.waited.into(),
                 }),
                 Answer::Refusal(saturation) => {
                     shared.metrics.count("scheduler.refused");
@@ -394,6 +482,19 @@
         first_event_deadline: now + Duration::from(ask.patience).min(MAX_WAIT),
         was_refused: ask.returns,
         excluded: ask.avoid,
+        requested_at: now,
+    }
+}
+
+/// Converts a request for a permit to the scheduler's type.
+fn to_permit_request(now: Instant, request: wire::Acquire) -> permit::Request {
+    let endpoints = request.limits.into_iter().map(|limit| limit.endpoint);
+    permit::Request {
+        service: request.service,
+        endpoints: endpoints.collect(),
+        deadline: now + Duration::from(request.deadline).min(MAX_WAIT),
+        waits_until: now + Duration::from(request.patience).min(MAX_WAIT),
+        requested_at: now,
     }
 }
 
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -21,7 +21,7 @@
 /// Time in which a scheduler must acknowledge a request. Covers several round
 /// trips between failure domains; after it, choosing endpoints locally is
 /// better than waiting longer.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(120);
+pub(super) const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Share of the route's timeout. A request with less time left counts as a retry
 /// after a refusal, whose caller has waited for the time that the refusal
@@ -29,11 +29,11 @@
 const RETRY_TIME_SHARE: f64 = 0.85;
 
 /// Time past the request's deadline in which a refusal may still arrive.
-const REFUSAL_GRACE: Duration = Duration::from_millis(250);
+pub(super) const REFUSAL_GRACE: Duration = Duration::from_millis(250);
 
 /// Capacity of a request's reply channel, for the acknowledgement and the
 /// result.
-const REPLY_CAPACITY: usize = 2;
+pub(super) const REPLY_CAPACITY: usize = 2;
 
 /// The result of a request to a scheduler.
 #[derive(Debug)]
@@ -146,7 +146,9 @@
                     | Down::Listing(_)
                     | Down::Leaving(_)
                     | Down::Suspect(_)
-                    | Down::Evidence(_),
+                    | Down::Evidence(_)
+                    | Down::Limit(_)
+                    | Down::Permit(_),
                 )
                 | None,
             ) => {
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -72,6 +72,9 @@
     pub(super) waiting: Map<u64, mpsc::Sender<Down>>,
     /// Time of the last request on the link.
     last_used: Instant,
+    /// Time at which the last connection ended or could not be opened, or `None` before
+    /// that and while one is open.
+    down_since: Option<Instant>,
     /// Whether a request timed out since the last message from the scheduler.
     pub(super) is_unresponsive: bool,
 }
@@ -169,6 +172,7 @@
                 services: Set::default(),
                 waiting: Map::default(),
                 last_used: shared.clock.now(),
+                down_since: None,
                 is_unresponsive: false,
             }),
             reset: Notify::new(),
@@ -246,6 +250,29 @@
         }
     }
 
+    /// Reports what this host knows of an endpoint's limit to all linked hosts, which tell
+    /// those that are linked to them.
+    pub fn report_limit(&self, limit: &wire::Limit) {
+        for link in lock(&self.by_address).values() {
+            link.send(Up::Limit(limit.clone()));
+        }
+    }
+
+    /// Returns the time for which a scheduler has been unreachable, or `None` if it is not
+    /// known to be. Begins to open a link to it if there is none.
+    pub(super) fn down_time<N: Net, C: Clock, D: Send + Sync + 'static>(
+        &self,
+        shared: &Arc<Shared<N, C, D>>,
+        address: SocketAddr,
+    ) -> Option<Duration> {
+        let now = shared.clock.now();
+        let link = self.get_or_open(shared, address);
+        let mut state = lock(&link.state);
+        state.last_used = now;
+        let down_since = state.down_since?;
+        Some(now.saturating_duration_since(down_since))
+    }
+
     /// Reports this host's leases to a service's new scheduler.
     fn restore_leases(&self, link: &Link, service: &str) {
         let leases = lock(&self.leases);
@@ -283,6 +310,7 @@
         {
             let mut state = lock(&link.state);
             state.phase = Phase::Down;
+            state.down_since.get_or_insert(shared.clock.now());
             state.is_unresponsive = false;
             state.services.clear();
             // Closes the reply channels, so that the waiting requests choose
@@ -330,7 +358,15 @@
         // What does not fit in the queue is told when it changes.
         let _ = link.sender.try_send(Up::Evidence(evidence));
     }
-    lock(&link.state).phase = Phase::Up;
+    for limit in shared.limit_messages() {
+        // What does not fit in the queue is told with requests for permits.
+        let _ = link.sender.try_send(Up::Limit(limit));
+    }
+    {
+        let mut state = lock(&link.state);
+        state.phase = Phase::Up;
+        state.down_since = None;
+    }
     slog::info!(shared.logger, "scheduler: linked"; "address" => %address);
     let to = Delivery { shared, link };
     let ended = tokio::select! {
@@ -391,7 +427,12 @@
                 drop(state);
                 return shared.merge_evidence(&evidence);
             }
+            Down::Limit(limit) => {
+                drop(state);
+                return shared.merge_limit(&limit);
+            }
             Down::Queued(number) | Down::Unknown(number) => number,
+            Down::Permit(ref permit) => permit.number,
             Down::Grant(ref grant) => grant.number,
             Down::Refusal(ref refusal) => refusal.number,
         };
--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -332,6 +332,7 @@
         let candidates = self.endpoints(scope.service).iter().filter_map(|key| {
             let state = self.get(*key)?;
             let is_usable = state.accepts_work(now)
+                && state.has_permit(now)
                 && !state.is_moving(now)
                 && fits(state)
                 && !scope.excluded.contains(key);
--- a/crates/policy/src/gateway/pool/state.rs
+++ b/crates/policy/src/gateway/pool/state.rs
@@ -4,6 +4,7 @@
 
 use super::baseline::Deviation;
 use super::{ServiceKey, Settings};
+use crate::gateway::limit::Limit;
 use crate::gateway::member::{Endpoint, Phase};
 
 /// An endpoint with its load and health.
@@ -44,6 +45,11 @@
     /// Until this time, the endpoint wants no requests from this host. `None`
     /// if it never said so.
     pub(super) resting_until: Option<Instant>,
+    /// What the endpoint named as its limit.
+    pub limit: Limit,
+    /// Time from which a request for a permit may succeed, if the endpoint has named a
+    /// limit.
+    pub(in crate::gateway) permit_due: Option<Instant>,
     /// Stage that the endpoint is moving to, and when that mark expires.
     pub(super) moving: Option<(Phase, Instant)>,
 }
@@ -82,6 +88,8 @@
             consecutive_full: 0,
             is_leaving: false,
             resting_until: None,
+            limit: Limit::default(),
+            permit_due: None,
             moving: None,
         }
     }
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -150,6 +150,15 @@
         }
     }
 
+    /// Returns whether all hosts know of this one: they have read its first announcement,
+    /// and do not yet miss the last one.
+    pub fn is_known_to_all(&self, now: Instant) -> bool {
+        let read_by_all = self.settings.announce_interval + self.settings.max_delay;
+        self.announced.is_some_and(|(first, last)| {
+            now >= first + read_by_all && now < last + self.share_ttl()
+        })
+    }
+
     /// Time after an announcement for which this host has its share. What it did
     /// last no longer counts when others remove it.
     fn share_ttl(&self) -> Duration {
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -17,7 +17,9 @@
 use cranberryridge_wire::Map;
 
 use super::balance::{self, Demand, Meter};
+use super::limit::Limit;
 use super::member::{Endpoint, Phase};
+use super::permit;
 use super::place::{Need, Prefiller, Scope};
 use super::pool::{self, EndpointKey, Failure, Pool, Work};
 use super::queue::{Entry, Queue, Ticket, FIRST_EVENT_LEAD_TIME};
@@ -50,6 +52,8 @@
     pub was_refused: bool,
     /// Ids of endpoints at which the request failed before.
     pub excluded: Vec<CompactString>,
+    /// Time at which the scheduler received the request.
+    pub requested_at: Instant,
 }
 
 /// The scheduler's answer to a request.
@@ -84,6 +88,12 @@
     pub prefill: Option<CompactString>,
     /// Predicted time until the prompt has been read.
     pub prefill_time: Duration,
+    /// Whether the grant permits a request to the decode endpoint, which has named a limit.
+    pub decode_permit: bool,
+    /// Whether the grant permits a request to the prefill endpoint.
+    pub prefill_permit: bool,
+    /// Time for which the request waited.
+    pub waited: Duration,
 }
 
 /// Assigns endpoints and tracks their leases and queues.
@@ -97,6 +107,10 @@
     tickets: Map<Id, (CompactString, Ticket)>,
     /// Requests with assigned endpoints.
     leases: Map<Id, Lease>,
+    /// Requests for permits.
+    permits: permit::Queue,
+    /// Parts of the limits of services' endpoints for which this scheduler gives permits.
+    permit_shares: Map<CompactString, f64>,
     /// Offered load by service.
     meters: Map<CompactString, Meter>,
     /// Settings of the meters.
@@ -194,14 +208,56 @@
         demands.collect()
     }
 
+    /// Queues a request for a permit.
+    pub fn request_permit(&mut self, id: Id, request: permit::Request) {
+        self.permits.push(id, request);
+    }
+
+    /// Answers the next request for a permit that can be given or must be refused. Returns
+    /// `None` if all queued requests have to wait.
+    pub fn next_permit(&mut self, now: Instant) -> Option<(Id, permit::Answer)> {
+        let shares = &self.permit_shares;
+        let share = |service: &str| shares.get(service).copied().unwrap_or(1.0);
+        self.permits.next_answer(now, &mut self.pool, share)
+    }
+
+    /// Sets the part of the limits of a service's endpoints for which this scheduler gives
+    /// permits, 1 by default. Above 0.
+    pub fn set_permit_share(&mut self, service: &str, share: f64) {
+        self.permit_shares.insert(service.into(), share);
+    }
+
+    fn permit_share(&self, service: &str) -> f64 {
+        self.permit_shares.get(service).copied().unwrap_or(1.0)
+    }
+
+    /// Records what another host knows of an endpoint's limit.
+    pub fn merge_limit(&mut self, now: Instant, endpoint: &str, limit: Limit) {
+        if let Some(key) = self.pool.key(endpoint) {
+            self.pool.merge_limit(now, key, limit);
+        }
+    }
+
+    /// Returns the services of which an endpoint has a limit.
+    pub fn limited_services(&self) -> Vec<CompactString> {
+        let states = self.pool.states.values();
+        let limited = states.filter(|state| state.limit.rate.is_some());
+        let mut services = limited
+            .map(|state| state.endpoint.service.clone())
+            .collect::<Vec<_>>();
+        services.sort();
+        services.dedup();
+        services
+    }
+
     /// Returns whether the request is queued.
     pub fn is_queued(&self, id: Id) -> bool {
-        self.tickets.contains_key(&id)
+        self.tickets.contains_key(&id) || self.permits.contains(id)
     }
 
     /// Returns whether any request is queued.
     pub fn has_queued(&self) -> bool {
-        !self.tickets.is_empty()
+        !self.tickets.is_empty() || !self.permits.is_empty()
     }
 
     /// Returns the services that have queued requests.
@@ -224,9 +280,10 @@
         let backlog = self.backlogs.get(service)?;
         if let Some((id, grant, lease)) = self.find_servable(now, backlog, engine, random) {
             self.dequeue(id);
-            self.pool.start(lease.decode);
-            if let Some(work) = lease.prefill {
+            let share = self.permit_share(service);
+            for work in iter::once(lease.decode).chain(lease.prefill) {
                 self.pool.start(work);
+                self.pool.take_permit(now, work.endpoint, share);
             }
             self.leases.insert(id, lease);
             return Some((id, Answer::Grant(grant)));
@@ -281,9 +338,14 @@
         let (capacity, token_time) = self.pool.capacity(now, service, engine);
         let arrivals = backlog.arrivals.as_ref();
         let total_rate = arrivals.map_or(0.0, |arrivals| arrivals.total_rate(now));
+        let decoders = || self.pool.active_decoders(now, service);
+        let share = self.permit_share(service);
+        let permit_rate = self.pool.permit_rate(decoders());
+        let mut permit_times = self.pool.permit_times(now, decoders(), share);
         let mut work_ahead = 0.0;
         let mut unservable = None;
-        for (ticket, entry) in backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME) {
+        let ordered = backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME);
+        for (ticket, entry) in ordered {
             let (id, request) = backlog.requests.get(&ticket)?;
             let overtaking_rate = match arrivals {
                 Some(arrivals) if !entry.is_late(now, FIRST_EVENT_LEAD_TIME) => {
@@ -299,15 +361,25 @@
                 overtaking_rate
             };
             let wait = surge::predict_wait(work_ahead, overtaking_rate, capacity);
+            let work = estimate_work(request.need, token_time);
+            let permit_at = permit_times.next().unwrap_or(now);
+            // Once it is late, those that can be on time go first. If they use all permits,
+            // it never gets one.
+            let is_overtaken = permit_rate.is_some_and(|rate| total_rate >= rate * share * work)
+                && entry.is_late(permit_at, FIRST_EVENT_LEAD_TIME);
             if unservable.is_none()
-                && wait.is_none_or(|wait| now + wait >= entry.first_event_deadline)
+                && (is_overtaken
+                    || wait
+                        .is_none_or(|wait| permit_at.max(now + wait) >= entry.first_event_deadline))
             {
                 unservable = Some(*id);
             }
-            work_ahead += estimate_work(request.need, token_time);
+            work_ahead += work;
         }
-        let drain_time =
-            surge::predict_wait(work_ahead, total_rate, capacity).unwrap_or(SURGE_DURATION);
+        let drain_time = match permit_times.next() {
+            Some(permit_at) => permit_at.saturating_duration_since(now),
+            None => surge::predict_wait(work_ahead, total_rate, capacity).unwrap_or(SURGE_DURATION),
+        };
         let saturation = Saturation {
             retry_after: drain_time.max(SURGE_DURATION),
             queued: backlog.queue.len(),
@@ -376,6 +448,7 @@
     /// `None` if there is nothing to learn from the run.
     pub fn finish(&mut self, id: Id, event_interval: Option<(Instant, Duration)>) {
         self.dequeue(id);
+        self.permits.remove(id);
         let Some(lease) = self.leases.remove(&id) else {
             return;
         };
@@ -396,6 +469,7 @@
         for id in own.collect::<Vec<_>>() {
             self.finish(id, None);
         }
+        self.permits.remove_link(link);
     }
 
     /// Records that an endpoint failed to serve a request.
@@ -461,6 +535,9 @@
                 None => None,
             },
             prefill_time,
+            decode_permit: self.pool.is_limited(key),
+            prefill_permit: prefill.is_some_and(|key| self.pool.is_limited(key)),
+            waited: now.saturating_duration_since(request.requested_at),
         };
         let lease = Lease {
             decode: Work {
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -40,6 +40,7 @@
         first_event_deadline: now + 4 * SECOND,
         was_refused: false,
         excluded: Vec::new(),
+        requested_at: now,
     }
 }
 
