Accept no stream at a stopping host that may not end before it exits

Cause: a stopping host took every request that reached it, also one that crossed the close of its connection, with 4.5 s left for an answer that may take 8 s.

Change: a stream is refused at once, with the time for another host to serve it, if it is not expected to end before the exit. While connections are accepted, the caller's estimate of the length counts; after that, the longest possible answer.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -6,7 +6,7 @@
 //! traffic. They share the route table and the pool.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -16,6 +16,7 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget, Sends};
+use cranberryridge_policy::gateway::drain::Stop;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
@@ -174,6 +175,8 @@
     queues: Mutex<Map<CompactString, Queue>>,
     /// Whether the host is terminating.
     draining: watch::Sender<bool>,
+    /// Times of the stop, once the host is terminating.
+    stop: OnceLock<Stop>,
     /// Endpoints that requests are sent to, or `None` before the first read of
     /// the list.
     current_endpoints: watch::Sender<Option<Vec<Endpoint>>>,
@@ -250,6 +253,7 @@
             announce_requested: Notify::new(),
             queues: Mutex::default(),
             draining: watch::Sender::new(false),
+            stop: OnceLock::new(),
             current_endpoints: watch::Sender::new(None),
             listed_endpoints: watch::Sender::default(),
             moving_engines: watch::Sender::default(),
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -52,6 +52,9 @@
 /// Longest wait for a permit of a request whose endpoints have been assigned.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(200);
 
+/// Retry time of a request that another host can serve at once.
+const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// A run whose stream has started.
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
@@ -161,6 +164,7 @@
     let mut kept = None::<Cache<N, C, D>>;
     loop {
         call.check_deadline()?;
+        check_stop(call, engine, need, progress)?;
         let acquire = reservation::acquire(call, engine, need, progress);
         let mut reservation = unless_barred(&shared, &parts, acquire).await?;
         let now = shared.clock.now();
@@ -225,6 +229,34 @@
     Ok(cache.await?.map_or(Prompt::Unread, Prompt::Remote))
 }
 
+/// Refuses a stream that may not end before this host exits, unless it has begun before.
+///
+/// # Errors
+///
+/// Returns [`Code::Draining`] if so.
+fn check_stop<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    engine: Engine,
+    need: Need,
+    progress: &Progress,
+) -> Result<(), Refusal> {
+    let shared = &call.shared;
+    let Some(stop) = shared.stop.get().filter(|_| !progress.may_have_run) else {
+        return Ok(());
+    };
+    let now = shared.clock.now();
+    let longest = call.record.description.max_output_tokens;
+    let pool = shared.pool();
+    let length = pool.predict_length(now, &call.service, engine, need, longest);
+    if stop.accepts(now, length) {
+        return Ok(());
+    }
+    Err(Refusal::with_retry_after(
+        Code::Draining,
+        OTHER_HOST_RETRY_AFTER,
+    ))
+}
+
 /// Returns the capacity that the request needs.
 fn need<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Need {
     let description = &call.record.description;
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 
+use cranberryridge_policy::gateway::drain::Stop;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::gateway::route::{Limits, Route};
@@ -217,11 +218,17 @@
 /// Drains the host. Readiness fails at once, and new connections are accepted
 /// until the lame-duck period is over. Afterwards, waits until all connections
 /// are closed or the grace period ends, and returns whether all were closed.
-pub async fn drain<N, C, D>(shared: &Shared<N, C, D>) -> bool {
+pub async fn drain<N, C: Clock, D>(shared: &Shared<N, C, D>) -> bool {
+    let now = shared.clock.now();
+    let grace = shared.settings.grace_period.saturating_sub(EXIT_RESERVE);
+    // A second signal does not extend the first one's times.
+    let _ = shared.stop.set(Stop {
+        lame_duck_until: now + shared.settings.lame_duck_period,
+        exits_at: now + grace,
+    });
     shared.draining.send_replace(true);
     shared.announce_requested.notify_one();
     slog::info!(shared.logger, "gateway: stopping"; "connections" => shared.connections.count());
-    let grace = shared.settings.grace_period.saturating_sub(EXIT_RESERVE);
     let ended = tokio::time::timeout(grace, async {
         tokio::time::sleep(shared.settings.lame_duck_period).await;
         shared.connections.wait_idle().await;
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -4,6 +4,7 @@
 pub mod balance;
 pub mod budget;
 pub mod cache;
+pub mod drain;
 pub mod era;
 pub mod limit;
 pub mod member;
