Count and move no engine that has named a limit

Cause: the moves between stages counted an engine with a limit as a whole one, and moved the other one, or the limited one first, as it looked idle. An order is a request that counts against the limit as well.

The new test failed before: d0, which had named a limit, was moved.

--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -235,7 +235,8 @@
         let states = pool.endpoints(service).iter();
         let states = states.filter_map(|key| Some((*key, pool.get(*key)?)));
         let engines = states
-            .filter(|(_, state)| state.accepts_work(now))
+            // An engine with a limit serves little, and an order would count against it.
+            .filter(|(_, state)| state.accepts_work(now) && state.limit.rate.is_none())
             .filter_map(|(key, state)| Some((key, state, self.target_phase(now, state)?)))
             .collect::<Vec<_>>();
         let engine_count = engines.len();
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Meter, Move, Moves};
+use cranberryridge_policy::gateway::limit::{Rate, Statement};
 use cranberryridge_policy::gateway::member::Phase;
 
 use fixture::{engine_pool, ENGINE, NEED, SECOND};
@@ -161,3 +162,28 @@
     let end = begin + settings.move_timeout + SECOND * 4;
     assert!(hosts.iter().all(|moves| !moves.is_pending(end, "d0")));
 }
+
+/// Guards against a service whose last engine without a limit moves to the other stage, so
+/// that those with a limit must serve all. The soak found it: limited engines counted as
+/// whole ones, and looked idle.
+#[test]
+fn engines_with_a_limit_neither_count_nor_move() {
+    let now = Instant::now();
+    let settings = balance::Settings::default();
+    let demand = Demand {
+        prefill_engines: 0.42,
+        decode_engines: 0.07,
+    };
+    for limited in [&["d0"][..], &["d1"], &["d0", "d1"], &["p0", "d0", "d1"]] {
+        let mut pool = engine_pool(1, 2);
+        let mut moves = Moves::new(settings);
+        assert!(moves.next_move(now, &pool, "model", demand).is_some());
+        for id in limited {
+            let key = pool.key(id).unwrap();
+            let statement = Statement::Limited(Rate::per_second(2.5));
+            pool.observe_limit(now, key, statement, Some(0));
+        }
+        let next = moves.next_move(now, &pool, "model", demand);
+        assert_eq!(next, None, "{limited:?} have named a limit");
+    }
+}
