--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -6,6 +6,7 @@
 
 mod soak {
     pub mod budget;
+    pub mod limit;
     pub mod load;
     pub mod proxy;
     pub mod site;
@@ -20,6 +21,7 @@
 use cranberryridge_standin::runner::Fault;
 use cranberryridge_standin::store;
 
+use soak::limit;
 use soak::load::{self, Load};
 use soak::proxy::Mode;
 use soak::site::Site;
@@ -44,7 +46,7 @@
 ];
 
 /// Further seeds that run if `SOAK_SEEDS` is not set.
-const DEFAULT_SEEDS: [u64; 4] = [1, 1002, 2003, 4004];
+const DEFAULT_SEEDS: [u64; 5] = [1, 1002, 2003, 4004, 5005];
 
 /// Seeds from this one on also let the store come back from an older copy, and
 /// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
@@ -59,6 +61,9 @@
 /// to answer it.
 const FIRST_SEED_WITH_PARTS: u64 = 4000;
 
+/// In seeds from this one on, some endpoints name limits instead.
+const FIRST_SEED_WITH_LIMITS: u64 = 5000;
+
 /// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
 const SERIES_GATEWAYS: u8 = 4;
 
@@ -78,6 +83,10 @@
 /// crash.
 const PART_RECOVERY_TIME: Duration = Duration::from_secs(6);
 
+/// Further time in seeds with limits, in which they are checked. Before it, a gateway that
+/// has just started may not know them.
+const LIMIT_CHECK_TIME: Duration = Duration::from_secs(8);
+
 /// Faults that a series injects into runs at endpoints. Refusals are frequent, as each
 /// causes a retry.
 const SERIES_RUN_FAULTS: [Fault; 8] = [
@@ -146,6 +155,8 @@
     has_series: bool,
     /// Whether a part of prompts crashes engines.
     has_crashing_part: bool,
+    /// Whether some endpoints name limits.
+    has_limits: bool,
 }
 
 impl Plan {
@@ -174,7 +185,8 @@
             },
             has_copies: seed >= FIRST_SEED_WITH_COPIES,
             has_series,
-            has_crashing_part: seed >= FIRST_SEED_WITH_PARTS,
+            has_crashing_part: (FIRST_SEED_WITH_PARTS..FIRST_SEED_WITH_LIMITS).contains(&seed),
+            has_limits: seed >= FIRST_SEED_WITH_LIMITS,
         }
     }
 }
@@ -187,6 +199,9 @@
     if plan.has_crashing_part {
         site.crash_engines_on_part();
     }
+    if plan.has_limits {
+        site.name_limits();
+    }
     let settings = load::Settings {
         callers: plan.callers,
         routes: plan.routes,
@@ -218,11 +233,18 @@
         site.restart_ended();
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
+    let limited_from = tokio::time::Instant::now();
+    if plan.has_limits {
+        tokio::time::sleep(LIMIT_CHECK_TIME).await;
+    }
     load.mark_faults_over();
     tokio::time::sleep(Duration::from_secs(2)).await;
     let rows = load.stop().await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     site.assert_guarantees(seed, &rows);
+    if plan.has_limits {
+        limit::assert_limits(seed, &site.runners, limited_from);
+    }
 }
 
 /// Injects or ends one random fault.
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -17,6 +17,7 @@
 use cranberryridge_standin::store::{self, Store};
 
 use super::budget::{assert_within_budget, FIXED_RETRIES};
+use super::limit::LIMITS;
 use super::load::{Row, CRASHING_PART};
 use super::proxy::{Mode, Proxy};
 
@@ -125,6 +126,13 @@
         site
     }
 
+    /// Lets a plain endpoint and a decode engine name limits.
+    pub fn name_limits(&self) {
+        for (index, limit) in LIMITS {
+            self.runners[index].set_limit(Some(limit));
+        }
+    }
+
     /// Lets each decode engine crash when it begins to answer a prompt with
     /// [`CRASHING_PART`], and start again after a while.
     pub fn crash_engines_on_part(&mut self) {
