--- a/crates/cli/src/notices.rs
+++ b/crates/cli/src/notices.rs
@@ -18,6 +18,10 @@
 ];
 const REST_MESSAGE: &str = "endpoint: rests";
 const BAD_REST_MESSAGE: &str = "endpoint: rest unreadable, ignored";
+const LIMIT_MESSAGES: [&str; 2] = [
+    "endpoint: limit changed, as it says",
+    "endpoint: limit changed, as another host says",
+];
 
 /// Fields of a log line that are needed here.
 #[derive(Debug, Deserialize)]
@@ -33,6 +37,9 @@
     endpoint: String,
     #[serde(default)]
     rest_ms: u64,
+    /// Limit in requests per second, `None` if it has ended.
+    #[serde(default)]
+    rate: Option<f64>,
 }
 
 /// What the logs say.
@@ -56,6 +63,8 @@
     longest_rest_ms: u64,
     /// Number of rests that could not be read.
     bad_rests: u64,
+    /// Last limit that each host learned of, with the time of its line.
+    limits: BTreeMap<String, (String, Option<f64>)>,
 }
 
 impl Notices {
@@ -66,11 +75,17 @@
             return;
         }
         let is_leaving = LEAVING_MESSAGES.contains(&message);
-        if !is_leaving && ![REST_MESSAGE, BAD_REST_MESSAGE].contains(&message) {
+        let is_limit = LIMIT_MESSAGES.contains(&message);
+        if !is_leaving && !is_limit && ![REST_MESSAGE, BAD_REST_MESSAGE].contains(&message) {
             return;
         }
         let endpoint = self.endpoints.entry(line.endpoint).or_default();
-        if is_leaving {
+        if is_limit {
+            let last = endpoint.limits.entry(line.daemon).or_default();
+            if line.ts >= last.0 {
+                *last = (line.ts, line.rate);
+            }
+        } else if is_leaving {
             if endpoint.leaving.is_empty() || line.ts < endpoint.leaving_since {
                 endpoint.leaving_since = line.ts;
             }
@@ -117,6 +132,12 @@
             if endpoint.bad_rests > 0 {
                 facts.push(format!("{} unreadable rests", endpoint.bad_rests));
             }
+            let limits = || endpoint.limits.values();
+            if let Some((time, rate)) = limits().max_by_key(|(time, _)| time) {
+                let hosts = limits().filter(|(_, other)| other == rate).count();
+                let rate = rate.map_or("none".into(), |rate| format!("{rate} a second"));
+                facts.push(format!("limit {rate} since {time}, known to {hosts} hosts"));
+            }
             let _ = writeln!(table, "{id}: {}", facts.join("; "));
         }
         table
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -109,6 +109,10 @@
 {"msg":"endpoint: leaving, as another host says","daemon":"front-2","ts":"10:03","endpoint":"i-1"}
 {"msg":"endpoint: rests","daemon":"front-1","endpoint":"i-2","rest_ms":2500}
 {"msg":"endpoint: rest unreadable, ignored","daemon":"front-1","endpoint":"i-2"}
+{"msg":"endpoint: limit changed, as it says","daemon":"front-1","ts":"10:04","endpoint":"i-3","rate":2.5}
+{"msg":"endpoint: limit changed, as another host says","daemon":"front-2","ts":"10:05","endpoint":"i-3","rate":2.5}
+{"msg":"endpoint: limit changed, as it says","daemon":"front-1","ts":"10:04","endpoint":"i-4","rate":2.5}
+{"msg":"endpoint: limit changed, as it says","daemon":"front-1","ts":"10:06","endpoint":"i-4","rate":null}
 not a line of a log
 "#;
     let file = write_service_file("notices", log);
@@ -122,6 +126,8 @@
             "era 1: 1 hosts, front-2",
             "i-1: leaving since 10:02, known to 2 hosts",
             "i-2: 1 rests, the longest 2500 ms; 1 unreadable rests",
+            "i-3: limit 2.5 a second since 10:05, known to 2 hosts",
+            "i-4: limit none since 10:06, known to 1 hosts",
         ]
     );
 }
