Give scarce permits by the priority of their routes

Requests that waited for a permit were ordered by deadline alone, so that a less urgent route with shorter deadlines went first. The routes' priority is decoded now, and goes before the deadline. The test of the order failed before: 1, 2, 3, 0 for 3, 1, 2, 0.

--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -315,13 +315,14 @@
         }
         assert_within_budget(seed, rows, &self.runners);
         let is_sent = |row: &&Row| runs.contains_key(&row.attempt);
-        let crashing = rows
-            .iter()
-            .filter(|row| row.after_faults && row.is_crashing);
-        let late_sends = crashing.filter(is_sent).count();
+        let crashing = rows.iter().filter(|row| row.is_crashing).filter(is_sent);
+        let crashing = crashing.collect::<Vec<_>>();
+        let late_sends = crashing.iter().filter(|row| row.after_faults).count();
         assert!(
             late_sends <= MAX_LATE_SENDS,
-            "seed {seed}: {late_sends} prompts with a part that crashes engines were sent"
+            "seed {seed}: {late_sends} prompts with a part that crashes engines were sent, all \
+             such prompts with the seconds until the end: {:?}",
+            seconds_until_end(rows, &crashing)
         );
         let after_faults = rows
             .iter()
@@ -343,6 +344,18 @@
     }
 }
 
+/// Returns the ids of attempts with the time from when they were sent until the last request.
+fn seconds_until_end<'a>(rows: &[Row], attempts: &[&'a Row]) -> Vec<(&'a str, f64)> {
+    let Some(end) = rows.iter().map(|row| row.sent_at).max() else {
+        return Vec::new();
+    };
+    let seconds = |row: &Row| (end - row.sent_at).as_secs_f64();
+    let attempts = attempts.iter();
+    attempts
+        .map(|row| (row.attempt.as_str(), seconds(row)))
+        .collect()
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         for process in &mut self.processes {
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -492,6 +492,7 @@
     permit::Request {
         service: request.service,
         endpoints: endpoints.collect(),
+        priority: request.priority,
         deadline: now + Duration::from(request.deadline).min(MAX_WAIT),
         waits_until: now + Duration::from(request.patience).min(MAX_WAIT),
         requested_at: now,
--- a/crates/lib/src/gateway/schedule/acquire.rs
+++ b/crates/lib/src/gateway/schedule/acquire.rs
@@ -103,6 +103,7 @@
         number,
         service: call.service.clone(),
         limits,
+        priority: call.route.priority,
         deadline: call.remaining_time().into(),
         patience: patience.into(),
     };
--- a/crates/policy/src/gateway/permit.rs
+++ b/crates/policy/src/gateway/permit.rs
@@ -1,6 +1,6 @@
 //! Permits to send a request to an endpoint that has named a limit.
 //!
-//! The scheduler of a service gives them, in order of the callers' deadlines. A request
+//! The scheduler of a service gives them, by priority and then by the callers' deadlines. A request
 //! that cannot have one in time is refused at once.
 
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
     pub service: CompactString,
     /// Ids of the endpoints, of which any will do.
     pub endpoints: Vec<CompactString>,
+    /// Rank of the request, 0 is the highest.
+    pub priority: u8,
     /// Time after which the caller no longer waits.
     pub deadline: Instant,
     /// Time until which the request may wait for a permit.
@@ -41,7 +43,7 @@
     Refusal(Duration),
 }
 
-/// Requests that wait for a permit, by deadline.
+/// Requests that wait for a permit, by priority and deadline.
 #[derive(Debug, Default)]
 pub struct Queue {
     entries: Vec<(Id, Request)>,
@@ -89,7 +91,8 @@
     pub fn push(&mut self, id: Id, request: Request) {
         self.remove(id);
         let entries = &mut self.entries;
-        let index = entries.partition_point(|(_, other)| other.deadline <= request.deadline);
+        let rank = |request: &Request| (request.priority, request.deadline);
+        let index = entries.partition_point(|(_, other)| rank(other) <= rank(&request));
         entries.insert(index, (id, request));
     }
 
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -41,6 +41,8 @@
     pub max_event_gap: Duration,
     /// Maximum number of endpoints that one attempt of a caller may be sent to.
     pub max_attempts: u32,
+    /// Rank of the route's requests, 0 is the highest.
+    pub priority: u8,
     /// Services that share the route's requests, with their weights.
     pub targets: Vec<Target>,
 }
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -53,6 +53,7 @@
         latency_target: SECOND,
         max_event_gap: SECOND,
         max_attempts: 1,
+        priority: 0,
         targets: vec![],
     };
     let table = Table::new(Configuration {
@@ -92,6 +93,7 @@
         latency_target: SECOND,
         max_event_gap: SECOND,
         max_attempts: 1,
+        priority: 0,
         targets: vec![target("new", 10), target("old", 90)],
     };
     let mut random = StdRng::seed_from_u64(1);
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -120,6 +120,7 @@
     Request {
         service: "orders".into(),
         endpoints: endpoints.iter().map(|id| (*id).into()).collect(),
+        priority: 1,
         deadline: now + deadline,
         waits_until: now + patience,
         requested_at: now,
@@ -130,13 +131,16 @@
     Id { link: 1, number }
 }
 
-/// Requests that wait get permits in order of their deadlines.
+/// Requests that wait get permits by priority, and then by deadline.
 #[test]
 fn the_most_urgent_request_gets_the_next_permit() {
     let begin = Instant::now();
     let mut scheduler = scheduler(begin, 1, Rate::per_second(1.0));
-    for (number, deadline) in [(0, 9), (1, 3), (2, 6)] {
-        let request = request(begin, &["i-0"], deadline * SECOND, 8 * SECOND);
+    for (number, priority, deadline) in [(0, 1, 9), (1, 1, 3), (2, 1, 6), (3, 0, 8)] {
+        let request = Request {
+            priority,
+            ..request(begin, &["i-0"], deadline * SECOND, 8 * SECOND)
+        };
         scheduler.request_permit(id(number), request);
     }
     assert_eq!(
@@ -152,7 +156,7 @@
             order.push(id.number);
         }
     }
-    assert_eq!(order, [1, 2, 0]);
+    assert_eq!(order, [3, 1, 2, 0]);
 }
 
 /// Of 40 requests at once for 10 permits a second, those that would wait too long are
