Look for limited endpoints only if one was chosen, and tidy what reports limits

Each plain request listed all endpoints of its service, also if none had a limit. Found on reading the diff; no other change of behaviour.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -305,10 +305,8 @@
         key: EndpointKey,
         notice: Notice,
         known_limit: Option<u64>,
-    ) where
-        C: Clock,
-    {
-        self.observe_limit(key, notice.limit, known_limit);
+    ) {
+        self.observe_limit(now, key, notice.limit, known_limit);
         if !notice.is_leaving && notice.retry_after.is_none() {
             return;
         }
--- a/crates/lib/src/gateway/permit.rs
+++ b/crates/lib/src/gateway/permit.rs
@@ -34,23 +34,21 @@
     }
 }
 
-impl<N, C: Clock, D> Shared<N, C, D> {
-    /// Returns whether a request may be sent to an endpoint. Called right before sending,
-    /// as the endpoint may have named a limit meanwhile.
-    pub(super) fn is_permitted(&self, key: EndpointKey, permit: Option<Permit>) -> bool {
-        let now = self.clock.now();
-        let is_valid = |permit: Permit| permit.endpoint == key && now < permit.valid_until;
-        !self.pool().is_limited(key) || permit.is_some_and(is_valid)
-    }
-
+impl<N, C, D> Shared<N, C, D> {
     /// Records what an answer says of its endpoint's limit and tells the linked hosts if it
     /// has changed. `known` is the limit's version when the answer's request was sent,
     /// `None` if the answer may be of an earlier request.
-    pub(super) fn observe_limit(&self, key: EndpointKey, named: Option<f64>, known: Option<u64>) {
+    pub(super) fn observe_limit(
+        &self,
+        now: Instant,
+        key: EndpointKey,
+        named: Option<f64>,
+        known: Option<u64>,
+    ) {
         let statement = Statement::of(named);
         let mut pool = self.pool();
         let before = pool.limit(key);
-        if !pool.observe_limit(self.clock.now(), key, statement, known) {
+        if !pool.observe_limit(now, key, statement, known) {
             if statement == Statement::Unreadable {
                 self.metrics.count("endpoint.bad_limit");
             }
@@ -67,6 +65,29 @@
         self.report_limit(&id, limit);
     }
 
+    /// Tells an endpoint's limit to the linked hosts.
+    fn report_limit(&self, id: &CompactString, limit: Limit) {
+        self.limits_changed.send_replace(());
+        self.links.report_limit(&to_message(id.clone(), limit));
+        self.capacity_freed.notify_waiters();
+    }
+
+    /// Returns the messages that tell another host of the known limits.
+    pub(super) fn limit_messages(&self) -> Vec<wire::Limit> {
+        let limits = self.pool().limits().into_iter();
+        limits.map(|(id, limit)| to_message(id, limit)).collect()
+    }
+}
+
+impl<N, C: Clock, D> Shared<N, C, D> {
+    /// Returns whether a request may be sent to an endpoint. Called right before sending,
+    /// as the endpoint may have named a limit meanwhile.
+    pub(super) fn is_permitted(&self, key: EndpointKey, permit: Option<Permit>) -> bool {
+        let now = self.clock.now();
+        let is_valid = |permit: Permit| permit.endpoint == key && now < permit.valid_until;
+        !self.pool().is_limited(key) || permit.is_some_and(is_valid)
+    }
+
     /// Records what another host knows of an endpoint's limit, and tells the linked hosts if
     /// it is new.
     pub(super) fn merge_limit(&self, message: &wire::Limit) {
@@ -81,19 +102,6 @@
             self.report_limit(&id, limit);
         }
     }
-
-    /// Tells an endpoint's limit to the linked hosts.
-    fn report_limit(&self, id: &CompactString, limit: Limit) {
-        self.limits_changed.send_replace(());
-        self.links.report_limit(&to_message(id.clone(), limit));
-        self.capacity_freed.notify_waiters();
-    }
-
-    /// Returns the messages that tell another host of the known limits.
-    pub(super) fn limit_messages(&self) -> Vec<wire::Limit> {
-        let limits = self.pool().limits().into_iter();
-        limits.map(|(id, limit)| to_message(id, limit)).collect()
-    }
 }
 
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Call<N, C, D> {
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -163,9 +163,12 @@
     let (chosen, candidates, are_all_limited) = {
         let scope = call.scope(&progress.excluded);
         let pool = call.shared.pool();
-        let candidates = pool.plain_candidates(now, scope);
-        let are_all_limited = candidates.iter().all(|key| pool.is_limited(*key));
         let chosen = pool.choose_plain(now, scope, &mut rand::rng());
+        if let Some(key) = chosen.filter(|key| !pool.is_limited(*key)) {
+            return Ok(Choice::Endpoint(key, None));
+        }
+        let candidates = pool.candidates(now, scope);
+        let are_all_limited = candidates.iter().all(|key| pool.is_limited(*key));
         (chosen, candidates, are_all_limited)
     };
     if candidates.is_empty() {
--- a/crates/policy/src/gateway/limit.rs
+++ b/crates/policy/src/gateway/limit.rs
@@ -236,9 +236,9 @@
         }
     }
 
-    /// Returns the endpoints without a stage that may get a request, with a permit if
-    /// they are limited.
-    pub fn plain_candidates(&self, now: Instant, scope: Scope<'_>) -> Vec<EndpointKey> {
+    /// Returns the endpoints in a scope that accept work, with a permit if they are
+    /// limited.
+    pub fn candidates(&self, now: Instant, scope: Scope<'_>) -> Vec<EndpointKey> {
         let keys = self.endpoints(scope.service).iter().copied();
         let keys = keys.filter(|key| !scope.excluded.contains(key));
         keys.filter(|key| self.get(*key).is_some_and(|state| state.accepts_work(now)))
