--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -548,6 +548,8 @@
     pub work_ms: AtomicU64,
     /// Events of a stream.
     pub events: AtomicU64,
+    /// Time that reading a prompt takes, in milliseconds.
+    pub read_ms: AtomicU64,
     /// Stage of an engine: 0 if it is none, 1 for prefill, 2 for decode.
     pub phase: AtomicU8,
     /// Unix millisecond of the start.
@@ -564,6 +566,8 @@
     pub ran: Mutex<Vec<String>>,
     pub orders: Mutex<Vec<Order>>,
     pub sequence: AtomicU64,
+    /// Whether an order is being carried out.
+    pub is_busy: AtomicBool,
     pub running: AtomicU64,
     server: Mutex<Option<Server>>,
 }
@@ -600,6 +604,7 @@
             store: store.clone(),
             work_ms: AtomicU64::new(60),
             events: AtomicU64::new(7),
+            read_ms: AtomicU64::new(100),
             phase: AtomicU8::new(phase),
             born: AtomicU64::new(unix_ms()),
             is_leaving: AtomicBool::new(false),
@@ -609,6 +614,7 @@
             ran: Mutex::default(),
             orders: Mutex::default(),
             sequence: AtomicU64::new(0),
+            is_busy: AtomicBool::new(false),
             running: AtomicU64::new(0),
             server: Mutex::default(),
         });
@@ -706,7 +712,7 @@
             return answer(stream, 421, &headers, b"");
         }
         if is_prefill {
-            pause(100);
+            pause(self.read_ms.load(SeqCst));
             let headers = self.headers(&attempt);
             let body = format!("{{\"kvHandle\":\"k{attempt}\",\"tokens\":3000,\"version\":1}}");
             return answer(stream, 200, &headers, body.as_bytes());
@@ -754,8 +760,9 @@
     fn handle_report(&self, stream: &mut TcpStream) -> io::Result<()> {
         let phase = if self.phase.load(SeqCst) == 1 { "prefill" } else { "decode" };
         let body = format!(
-            "{{\"phase\":\"{phase}\",\"models\":[],\"busy\":false,\"sequence\":{},\"queued\":0,\
+            "{{\"phase\":\"{phase}\",\"models\":[],\"busy\":{},\"sequence\":{},\"queued\":0,\
              \"running\":{},\"kvUsed\":0,\"kvTotal\":33279,\"handles\":0,\"born\":{}}}",
+            self.is_busy.load(SeqCst),
             self.sequence.load(SeqCst),
             self.running.load(SeqCst),
             self.born.load(SeqCst),
@@ -763,6 +770,17 @@
         answer(stream, 200, &self.headers(""), body.as_bytes())
     }
 
+    /// Begins to carry out an order, unless another one is in progress or was accepted since.
+    fn begin_order(&self, expected: u64) -> bool {
+        let next = expected + 1;
+        let is_first = !self.is_busy.load(SeqCst)
+            && self.sequence.compare_exchange(expected, next, SeqCst, SeqCst).is_ok();
+        if is_first {
+            self.is_busy.store(true, SeqCst);
+        }
+        is_first
+    }
+
     fn handle_order(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let is_other = request.header("expect-instance").is_some_and(|id| id != self.id);
@@ -782,28 +800,33 @@
         lock(&self.orders).push(order.clone());
         let expected = json_number(&body, "expect");
         let is_late = self.applies_late.load(SeqCst);
-        if !is_late && expected != self.sequence.load(SeqCst) {
+        let is_refused = self.is_busy.load(SeqCst) || expected != self.sequence.load(SeqCst);
+        if !is_late && is_refused {
             return answer(stream, 409, &self.headers(""), b"");
         }
         let engine = self.clone();
         let carry_out = move || {
-            if expected != engine.sequence.load(SeqCst) {
-                return;
-            }
-            engine.sequence.fetch_add(1, SeqCst);
             thread::sleep(SWAP);
             engine.phase.store(if order.phase == "prefill" { 1 } else { 2 }, SeqCst);
+            engine.is_busy.store(false, SeqCst);
             engine.write_entry();
         };
         if is_late {
+            let engine = self.clone();
             thread::spawn(move || {
                 thread::sleep(LATE_ORDER);
-                carry_out();
+                // `expect` is checked now.
+                if engine.begin_order(expected) {
+                    carry_out();
+                }
             });
             // The order gets no answer.
             pause(3000);
             return Err(io::ErrorKind::BrokenPipe.into());
         }
+        if !self.begin_order(expected) {
+            return answer(stream, 409, &self.headers(""), b"");
+        }
         thread::spawn(carry_out);
         answer(stream, 202, &self.headers(""), b"")
     }
