--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in review/[1-5]; do
-    [ -f "$case/case.rs" ] || continue
-    rustc --edition 2021 -O "$case/case.rs" -o "target/review/case$(basename "$case")"
+for source in review/*/case.rs; do
+    name=$(basename "$(dirname "$source")")
+    rustc --edition 2021 -O "$source" -o "target/review/$name"
 done
--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -562,6 +562,8 @@
     pub is_listed: AtomicBool,
     /// Whether orders get no answer and are carried out later.
     pub applies_late: AtomicBool,
+    /// Whether the runner crashes right after the first event of the next stream.
+    pub crashes: AtomicBool,
     /// Ids of the requests that ran.
     pub ran: Mutex<Vec<String>>,
     pub orders: Mutex<Vec<Order>>,
@@ -611,6 +613,7 @@
             is_draining: AtomicBool::new(false),
             is_listed: AtomicBool::new(true),
             applies_late: AtomicBool::new(false),
+            crashes: AtomicBool::new(false),
             ran: Mutex::default(),
             orders: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -642,6 +645,14 @@
         Ok(())
     }
 
+    /// Ends the process of the runner without notice.
+    pub fn crash(&self) {
+        self.is_listed.store(false, SeqCst);
+        if let Some(mut server) = lock(&self.server).take() {
+            server.stop();
+        }
+    }
+
     /// Ends the process of the runner, and starts it again under its id after a time.
     pub fn restart(self: &Arc<Self>, after_ms: u64) -> io::Result<()> {
         if let Some(mut server) = lock(&self.server).take() {
@@ -741,7 +752,7 @@
     }
 
     /// Sends a stream of events.
-    fn stream(&self, headers: &[(&'static str, String)], stream: &mut TcpStream) -> io::Result<()> {
+    fn stream(self: &Arc<Self>, headers: &[(&'static str, String)], stream: &mut TcpStream) -> io::Result<()> {
         let mut head = "HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n".to_owned();
         head += "content-type: text/event-stream\r\n";
         for (name, value) in headers {
@@ -752,6 +763,13 @@
         for event in 1..=self.events.load(SeqCst) {
             let text = format!("id: {event}\ndata: token-{event}\n\n");
             write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+            if event == 1 && self.crashes.swap(false, SeqCst) {
+                let runner = self.clone();
+                thread::spawn(move || {
+                    pause(50);
+                    runner.crash();
+                });
+            }
             pause(self.work_ms.load(SeqCst));
         }
         stream.write_all(b"0\r\n\r\n")
--- a/review/kit/run.sh
+++ b/review/kit/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Runs the case of the given number. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+# Runs the case in the given folder. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 # the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-case_number=$1
-program=target/review/case$case_number
+name=$1
+program=target/review/$name
 [ -x "$program" ] && [ -x target/release/cranberryridge-gateway ] || {
     echo "build with the command of deploy/system.toml and review/build.sh first"
     exit 2
@@ -23,7 +23,7 @@
 
 child=
 trap 'kill -KILL "$child" 2>/dev/null; end_processes; exit 2' INT TERM HUP
-"$program" "review/$case_number/record.txt" &
+"$program" "review/$name/record.txt" &
 child=$!
 wait "$child"
 code=$?
