--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -990,15 +990,15 @@
 
 impl Site {
     pub fn new(case: u8) -> io::Result<Self> {
-        Self::numbered(case, 0)
+        Self::at(case, (std::process::id() % 250) as u8)
     }
 
-    /// Creates a site with other addresses than those with other numbers.
-    pub fn numbered(case: u8, number: u32) -> io::Result<Self> {
+    /// Creates a site with the given third number of its addresses.
+    pub fn at(case: u8, third: u8) -> io::Result<Self> {
         let id = std::process::id();
-        let folder = std::env::temp_dir().join(format!("review-{case}-{id}-{number}"));
+        let folder = std::env::temp_dir().join(format!("review-{case}-{id}-{third}"));
         std::fs::create_dir_all(&folder)?;
-        Ok(Self { folder, second: 100 + case, third: ((id + number * 7) % 250) as u8 })
+        Ok(Self { folder, second: 100 + case, third })
     }
 
     /// Loopback address of a host.
