gateway: count bodies for as long as they are kept

Cause: bytes were counted while a step of a request worked on them. The body of a stream's request lived on until the stream's end, an answer until its caller had read it, both uncounted.

Change: one account holds all bodies in chunks, counted until they are freed. A declared length is reserved before the first byte is read. Once a stream has begun, its body may be released, oldest first, when another one needs the room. Large bodies leave room to small ones, and requests to answers; events for slow callers are counted, and held back over the bound.

A body that fits in memory costs no digest and no copy more than before.

--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -1,23 +1,30 @@
 //! Bodies of requests and responses.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 /// Body of a response, either complete or sent in pieces.
 #[derive(Debug)]
 pub enum Body {
     /// The complete body.
-    Full(Full<Bytes>),
+    Full(Chunks),
     /// The pieces as they arrive.
     Pieces(Pieces),
 }
 
+/// A complete body in chunks. Clones share the memory of the chunks.
+#[derive(Clone, Debug, Default)]
+pub struct Chunks {
+    rest: VecDeque<Bytes>,
+}
+
 /// Pieces of a body as they arrive. The body is complete only with [`Piece::End`]; it
 /// fails if all senders are dropped before. Dropping the body shows the senders that the
 /// caller disconnected.
@@ -96,7 +103,7 @@
     /// assert!(matches!(body, cranberryridge::body::Body::Full(_)));
     /// ```
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Full::new(bytes.into()))
+        Self::Full(Chunks::from(bytes.into()))
     }
 
     /// Creates a body that is sent in pieces, of which up to `capacity` wait for the
@@ -141,6 +148,71 @@
     }
 }
 
+impl Chunks {
+    /// Appends a chunk.
+    pub fn push(&mut self, chunk: Bytes) {
+        if !chunk.is_empty() {
+            self.rest.push_back(chunk);
+        }
+    }
+
+    /// Returns the chunks in order.
+    pub fn iter(&self) -> impl Iterator<Item = &Bytes> {
+        self.rest.iter()
+    }
+
+    /// Returns the size of the body in bytes.
+    pub fn size(&self) -> usize {
+        self.iter().map(Bytes::len).sum()
+    }
+
+    /// Returns the body as one piece. It is copied if it has several chunks.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut chunks = cranberryridge::body::Chunks::default();
+    /// chunks.push("a".into());
+    /// chunks.push("b".into());
+    /// assert_eq!(chunks.to_bytes(), "ab");
+    /// ```
+    pub fn to_bytes(&self) -> Bytes {
+        match self.rest.len() {
+            1 => self.rest[0].clone(),
+            _ => self.iter().flatten().copied().collect(),
+        }
+    }
+}
+
+impl From<Bytes> for Chunks {
+    fn from(bytes: Bytes) -> Self {
+        let mut chunks = Self::default();
+        chunks.push(bytes);
+        chunks
+    }
+}
+
+impl http_body::Body for Chunks {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let chunk = self.get_mut().rest.pop_front();
+        Poll::Ready(chunk.map(|chunk| Ok(Frame::data(chunk))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.size() as u64)
+    }
+}
+
 impl http_body::Body for Body {
     type Data = Bytes;
     type Error = Aborted;
--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -1,12 +1,12 @@
 //! HTTP client for engines, plain services and the platform.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -40,6 +40,17 @@
     Truncated,
 }
 
+/// Body that a client sends.
+pub trait Payload:
+    http_body::Body<Data = Bytes, Error = Infallible> + Send + Unpin + 'static
+{
+}
+
+impl<B> Payload for B where
+    B: http_body::Body<Data = Bytes, Error = Infallible> + Send + Unpin + 'static
+{
+}
+
 /// HTTP/1.1 client of one server, with a connection per call. Dropping an answer's body
 /// closes its connection, which tells the server that the answer is no longer wanted.
 #[derive(Clone, Debug)]
@@ -50,11 +61,11 @@
     max_body_bytes: usize,
 }
 
-/// Connection to a server, for one call.
+/// Connection to a server, for one call with a body of type `B`.
 #[derive(Debug)]
-pub struct Connection {
+pub struct Connection<B> {
     server: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<B>,
     bound: head::Bound,
 }
 
@@ -91,7 +102,7 @@
     /// # Errors
     ///
     /// [`Error::Connect`] if the server does not accept it in time.
-    pub async fn connect(&self) -> Result<Connection, Error> {
+    pub async fn connect<B: Payload>(&self) -> Result<Connection<B>, Error> {
         let stream =
             tokio::time::timeout(self.connect_timeout, self.net.connect(self.server)).await;
         let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
@@ -115,7 +126,7 @@
     /// # Errors
     ///
     /// [`Error::Connect`] if nothing was sent, else as [`Connection::send`].
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send<B: Payload>(&self, request: Request<B>) -> Result<Response<Incoming>, Error> {
         self.connect().await?.send(request).await
     }
 
@@ -125,7 +136,7 @@
     ///
     /// As [`Client::send`], and [`Error::Unreadable`] if the body is incomplete or larger
     /// than allowed.
-    pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
+    pub async fn fetch<B: Payload>(&self, request: Request<B>) -> Result<Response<Bytes>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
         let body = body::read(body, self.max_body_bytes, |_| true).await;
         let body = body.map_err(|error| Error::Unreadable(error.into()))?;
@@ -133,17 +144,14 @@
     }
 }
 
-impl Connection {
+impl<B: Payload> Connection<B> {
     /// Sends a request and returns the answer once its headers have arrived.
     ///
     /// # Errors
     ///
     /// [`Error::Broken`] if the request may have been sent, also if the head of the answer
     /// is larger than 64 KiB.
-    pub async fn send(
-        mut self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    pub async fn send(mut self, mut request: Request<B>) -> Result<Response<Incoming>, Error> {
         if !request.headers().contains_key(http::header::HOST) {
             let host = self.server.to_string();
             if let Ok(host) = host.parse() {
--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -4,6 +4,8 @@
 use compact_str::CompactString;
 use http::{header, HeaderMap};
 
+use crate::body::Chunks;
+
 /// Maximum size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -163,9 +165,11 @@
 }
 
 /// Returns whether a complete body is a stream of events that ends inside one.
-pub fn is_truncated(headers: &HeaderMap, body: &[u8]) -> bool {
+pub fn is_truncated(headers: &HeaderMap, body: &Chunks) -> bool {
     let mut scanner = Scanner::default();
-    scanner.push(body);
+    for chunk in body.iter() {
+        scanner.push(chunk);
+    }
     is_event_stream(headers) && scanner.is_inside_event()
 }
 
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -19,6 +19,7 @@
 use cranberryridge_policy::gateway::drain::Stop;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
+use cranberryridge_policy::gateway::memory;
 use cranberryridge_policy::gateway::origin::Registry;
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
 use cranberryridge_policy::gateway::queue::Queue;
@@ -32,7 +33,6 @@
 
 use self::dialect::Notice;
 use self::follow::Hosts;
-use self::held::Held;
 use self::schedule::Links;
 use self::snapshot::{LastRead, Snapshot};
 use self::store::Host;
@@ -202,10 +202,8 @@
     seen: watch::Sender<LastRead>,
     /// Hosts that follow this host's reads of the platform.
     followers: Tally,
-    /// Bodies of requests that are buffered.
-    held_requests: Held,
-    /// Bodies of answers that are being read.
-    held_answers: Held,
+    /// Memory of the bodies of requests and answers.
+    held: Arc<held::Account>,
     /// Open connections of callers.
     connections: Tally,
 }
@@ -234,8 +232,9 @@
             window: parts.settings.budget.window,
             ..parts.settings.roster
         }));
-        let held_requests = Held::new(parts.settings.max_held_bytes);
-        let held_answers = Held::new(parts.settings.max_held_bytes);
+        let held = held::Account::new(memory::Bound {
+            max_bytes: parts.settings.max_held_bytes,
+        });
         Arc::new(Self {
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
@@ -268,8 +267,7 @@
             news: watch::Sender::default(),
             seen: watch::Sender::default(),
             followers: Tally::default(),
-            held_requests,
-            held_answers,
+            held,
             connections: Tally::default(),
         })
     }
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -7,7 +7,7 @@
 //! its caller has disconnected.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 
 use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
 use cranberryridge_wire::id::{Digest, Incarnation};
 
@@ -25,8 +26,8 @@
 use super::permit::Permit;
 use super::serve::Call;
 use super::suspects::LostRun;
-use super::Shared;
-use crate::body;
+use super::{held, lock, Shared};
+use crate::body::Chunks;
 use crate::client::{Client, Error};
 use crate::clock::Clock;
 use crate::events;
@@ -44,12 +45,12 @@
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
 
 /// A caller's request as sent to endpoints.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Input {
     /// Method, path and headers, without those that are not forwarded.
     pub head: request::Parts,
-    /// Complete body.
-    pub body: Bytes,
+    /// Complete body, as long as it may be sent.
+    pub body: Mutex<Kept>,
     /// Id that the caller gave this attempt.
     pub attempt_id: CompactString,
     /// Time at which the request arrived.
@@ -64,6 +65,17 @@
     pub parts: Arc<[Digest]>,
 }
 
+/// State of a request's body.
+#[derive(Debug)]
+pub enum Kept {
+    /// The body will be sent.
+    Needed(Chunks),
+    /// The body is sent again only if the run is lost, and may be released.
+    Spare(Chunks),
+    /// The body has been released.
+    Released,
+}
+
 impl Input {
     /// Returns a number that stands for the caller's address.
     pub fn origin(&self) -> Incarnation {
@@ -73,19 +85,63 @@
 
     /// Returns the digest of the request, which equal requests of all callers share.
     pub fn digest(&self) -> Digest {
+        // The digest is computed before the body is released.
         *self.digest.get_or_init(|| {
-            let host = self.head.headers.get(header::HOST);
-            let path = self.head.uri.path_and_query();
-            Digest::of(&[
-                self.head.method.as_str().as_bytes(),
-                host.map(HeaderValue::as_bytes).unwrap_or_default(),
-                path.map(PathAndQuery::as_str)
-                    .unwrap_or_default()
-                    .as_bytes(),
-                &self.body,
-            ])
+            let body = self.body();
+            self.digest_with(&body.unwrap_or_default())
         })
     }
+
+    fn digest_with(&self, body: &Chunks) -> Digest {
+        let host = self.head.headers.get(header::HOST);
+        let path = self.head.uri.path_and_query();
+        let parts = [
+            self.head.method.as_str().as_bytes(),
+            host.map(HeaderValue::as_bytes).unwrap_or_default(),
+            path.map(PathAndQuery::as_str)
+                .unwrap_or_default()
+                .as_bytes(),
+        ];
+        Digest::of_chunked(&parts, &body.iter().collect::<Vec<_>>())
+    }
+
+    /// Returns the body, or `None` if it has been released.
+    fn body(&self) -> Option<Chunks> {
+        match &*lock(&self.body) {
+            Kept::Needed(body) | Kept::Spare(body) => Some(body.clone()),
+            Kept::Released => None,
+        }
+    }
+
+    /// Allows the body to be released, as a run has begun.
+    pub fn spare_body(&self) {
+        let mut body = lock(&self.body);
+        if let Kept::Needed(kept) = &mut *body {
+            *body = Kept::Spare(std::mem::take(kept));
+        }
+    }
+
+    /// Keeps the body for another run. Returns `false` if it has been released.
+    pub fn retain_body(&self) -> bool {
+        let mut body = lock(&self.body);
+        if let Kept::Spare(kept) = &mut *body {
+            *body = Kept::Needed(std::mem::take(kept));
+        }
+        !matches!(*body, Kept::Released)
+    }
+
+    /// Releases the body if that is allowed.
+    pub fn release_body(&self) {
+        if !matches!(*lock(&self.body), Kept::Spare(_)) {
+            return;
+        }
+        // A lost run is still recognised by its digest.
+        self.digest();
+        let mut body = lock(&self.body);
+        if matches!(*body, Kept::Spare(_)) {
+            *body = Kept::Released;
+        }
+    }
 }
 
 /// How the end of an answer is marked.
@@ -186,12 +242,15 @@
 /// response head.
 pub async fn send<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
-    input: &Input,
+    input: &Arc<Input>,
     key: EndpointKey,
     endpoint: &Endpoint,
     permit: Option<Permit>,
     parameters: Parameters<'_>,
 ) -> Outcome {
+    let Some(body) = input.body() else {
+        return Outcome::NotSent;
+    };
     let client =
         Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
     let connected = client.connect().await;
@@ -210,7 +269,7 @@
                 remaining_time,
                 ..parameters
             };
-            let request = build_request(&shared.dialect, input, &parameters);
+            let request = build_request(&shared.dialect, input, body, &parameters);
             connection.send(request).await
         }
         Err(error) => Err(error),
@@ -243,9 +302,10 @@
 fn build_request<D: Dialect>(
     dialect: &D,
     input: &Input,
+    body: Chunks,
     parameters: &Parameters<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(input.body.clone()));
+) -> Request<Chunks> {
+    let mut request = Request::new(body);
     *request.method_mut() = input.head.method.clone();
     *request.uri_mut() = input.head.uri.clone();
     *request.headers_mut() = input.head.headers.clone();
@@ -311,12 +371,10 @@
         sent_at: Instant,
         answer: Response<Incoming>,
         max_bytes: usize,
-    ) -> Option<(response::Parts, Bytes)> {
+    ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
-        let mut allocation = shared.held_answers.allocation();
-        let body = body::read(body, max_bytes, |bytes| allocation.grow(bytes)).await;
-        drop(allocation);
+        let body = held::read(&shared.held, body, max_bytes, |_| Purpose::Answer).await;
         let error = match body {
             Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
             Ok(body) => return Some((head, body)),
@@ -345,12 +403,15 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Option<Response<Bytes>> {
-    let client = Client::new(shared.net.clone(), at)
-        .with_connect_timeout(CONNECT_TIMEOUT)
-        .with_max_body_bytes(MAX_DOCUMENT_BYTES);
+    let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
     let known_limit = shared.pool().limit(key).version;
-    let answer = tokio::time::timeout(limit, client.fetch(request)).await;
-    let (head, body) = answer.ok()?.ok()?.into_parts();
+    let fetch = async {
+        let (head, body) = client.send(request).await.ok()?.into_parts();
+        let purpose = |_| Purpose::Answer;
+        let body = held::read(&shared.held, body, MAX_DOCUMENT_BYTES, purpose).await;
+        Some((head, body.ok()?.to_bytes()))
+    };
+    let (head, body) = tokio::time::timeout(limit, fetch).await.ok()??;
     let now = shared.clock.now();
     let notice = shared.dialect.parse_notice(&head);
     shared.record_notice(now, key, notice, Some(known_limit));
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -28,7 +28,7 @@
 use super::refusal::Refusal;
 use super::serve::Call;
 use super::suspects::LostRun;
-use crate::body::Body;
+use crate::body::{Body, Chunks};
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -77,7 +77,7 @@
     /// A stream that has started.
     Stream(Box<Run<N, C, D>>),
     /// A complete error response.
-    Failure(response::Parts, Bytes),
+    Failure(response::Parts, Chunks),
 }
 
 /// Where a prompt has been read.
@@ -143,7 +143,7 @@
             call.shared.dialect.strip_headers(&mut head.headers);
             call.record
                 .set_outcome("failure passed on", head.status.as_u16());
-            Ok(Response::from_parts(head, Body::full(body)))
+            Ok(Response::from_parts(head, Body::Full(body)))
         }
         Ok(Answer::Stream(run)) => Ok(relay::start(call, engine, progress, *run).await),
     }
@@ -349,7 +349,7 @@
             let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_DOCUMENT_BYTES);
             answer
                 .await
-                .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body))
+                .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body.to_bytes()))
         }
         _ => None,
     };
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -56,6 +56,8 @@
 ) {
     let mut splitter = Splitter::default();
     loop {
+        call.input.spare_body();
+        call.shared.held.add_spare(&call.input);
         let outcome = copy_events(&mut call, &mut run, &mut splitter, &mut reply).await;
         match outcome {
             Outcome::Complete => {
@@ -115,6 +117,10 @@
     if !is_retry_allowed(call, progress) {
         return None;
     }
+    if !call.input.retain_body() {
+        call.shared.metrics.count("stream.body_released");
+        return None;
+    }
     let deadline = tokio::time::Instant::from_std(call.deadline);
     tokio::select! {
         () = reply.closed() => None,
@@ -173,9 +179,13 @@
                         .record_event_interval(gap / splitter.taken_count().max(1));
                 }
                 call.record.event_count += splitter.taken_count();
+                let (events, is_within) = call.shared.held.count(events);
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
                 }
+                if !is_within && reply.flush().await.is_err() {
+                    return Outcome::CallerGone;
+                }
                 // The caller may have taken the piece late.
                 if splitter.has_taken_field() {
                     event_deadline = call.shared.clock.now() + idle_timeout;
--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -1,51 +1,229 @@
-//! Memory that bodies of requests and answers take while they arrive.
+//! Memory that bodies of requests and answers take, from their first byte read to the last
+//! one sent.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
 
-/// Total size of buffered bodies, with a limit.
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+
+use cranberryridge_policy::gateway::memory::{Bound, Purpose, MAX_SMALL_BYTES};
+
+use super::exchange::Input;
+use super::lock;
+use crate::body::{Chunks, ReadError};
+
+/// Maximum size of a chunk of a body, in bytes. Equal sizes keep freed memory usable.
+const MAX_CHUNK_BYTES: usize = MAX_SMALL_BYTES;
+
+/// Size of the first chunk of a body of unknown length, in bytes.
+const MIN_CHUNK_BYTES: usize = 4 * 1024;
+
+/// Number of spare requests from which those that have ended are removed.
+const MIN_PRUNED_SPARES: usize = 64;
+
+/// Total size of bodies, with a bound.
 #[derive(Debug)]
-pub struct Held {
+pub struct Account {
     bytes: AtomicUsize,
-    limit: usize,
+    bound: Bound,
+    /// Requests whose bodies are kept only for a retry, oldest first.
+    spares: Mutex<Spares>,
+}
+
+#[derive(Debug, Default)]
+struct Spares {
+    requests: VecDeque<Weak<Input>>,
+    /// Number of requests at which those that have ended are removed.
+    pruned_at: usize,
+}
+
+/// Bytes that are counted in an account until dropped.
+#[derive(Debug)]
+pub struct Allocation {
+    account: Arc<Account>,
+    bytes: usize,
+}
+
+/// Memory of a chunk.
+struct Chunk {
+    data: BytesMut,
+    _allocation: Allocation,
 }
 
-impl Held {
-    /// Creates a total of zero.
-    pub fn new(limit: usize) -> Self {
-        Self {
+impl AsRef<[u8]> for Chunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl Account {
+    /// Creates an empty account.
+    pub fn new(bound: Bound) -> Arc<Self> {
+        Arc::new(Self {
             bytes: AtomicUsize::new(0),
-            limit,
+            bound,
+            spares: Mutex::default(),
+        })
+    }
+
+    /// Returns the bytes that are held.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Reserves bytes. If there is too little room, bodies that are kept only for a retry
+    /// are released, the oldest first, as their streams are the nearest to their end.
+    pub fn reserve(self: &Arc<Self>, bytes: usize, purpose: Purpose) -> Option<Allocation> {
+        while !self.add(bytes, purpose) {
+            self.take_spare()?.release_body();
         }
+        Some(Allocation {
+            account: self.clone(),
+            bytes,
+        })
     }
 
-    /// Creates an empty share of the total.
-    pub fn allocation(&self) -> Allocation<'_> {
-        Allocation {
-            held: self,
-            bytes: 0,
+    /// Counts bytes of an answer that cannot be refused any more. Returns them, and whether
+    /// they are within the bound.
+    pub fn count(self: &Arc<Self>, data: Bytes) -> (Bytes, bool) {
+        let held = self.bytes.fetch_add(data.len(), Ordering::Relaxed);
+        let is_within = self.bound.allows(held, data.len(), Purpose::Answer);
+        let allocation = Allocation {
+            account: self.clone(),
+            bytes: data.len(),
+        };
+        let piece = Piece {
+            data,
+            _allocation: allocation,
+        };
+        (Bytes::from_owner(piece), is_within)
+    }
+
+    /// Allows the body of a request to be released, unless [`Input::retain_body`] is called.
+    pub fn add_spare(&self, request: &Arc<Input>) {
+        let mut spares = lock(&self.spares);
+        if spares.requests.len() >= spares.pruned_at.max(MIN_PRUNED_SPARES) {
+            spares.requests.retain(|spare| spare.strong_count() > 0);
+            spares.pruned_at = spares.requests.len() * 2;
         }
+        spares.requests.push_back(Arc::downgrade(request));
     }
-}
 
-/// Share of a body in the total, until dropped.
-#[derive(Debug)]
-pub struct Allocation<'a> {
-    held: &'a Held,
-    bytes: usize,
+    /// Removes and returns the oldest request whose body may be released.
+    fn take_spare(&self) -> Option<Arc<Input>> {
+        let mut spares = lock(&self.spares);
+        std::iter::from_fn(|| spares.requests.pop_front()).find_map(|spare| spare.upgrade())
+    }
+
+    /// Adds bytes if they are within the bound.
+    fn add(&self, bytes: usize, purpose: Purpose) -> bool {
+        let add = |held| {
+            self.bound
+                .allows(held, bytes, purpose)
+                .then_some(held + bytes)
+        };
+        let order = Ordering::Relaxed;
+        self.bytes.fetch_update(order, order, add).is_ok()
+    }
 }
 
-impl Allocation<'_> {
-    /// Adds bytes and returns whether the total is within the limit. The bytes
-    /// are counted until the drop in either case.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let held = self.held.bytes.fetch_add(bytes, Ordering::Relaxed);
-        held + bytes <= self.held.limit
+impl Allocation {
+    /// Splits off a part. `None` if it is larger than the rest.
+    fn split(&mut self, bytes: usize) -> Option<Self> {
+        self.bytes = self.bytes.checked_sub(bytes)?;
+        Some(Self {
+            account: self.account.clone(),
+            bytes,
+        })
     }
 }
 
-impl Drop for Allocation<'_> {
+impl Drop for Allocation {
     fn drop(&mut self) {
-        self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.account.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Piece of a stream on its way to the caller.
+struct Piece {
+    data: Bytes,
+    _allocation: Allocation,
+}
+
+impl AsRef<[u8]> for Piece {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+/// Reads a body of up to `limit` bytes. The length that a sender declares is reserved
+/// before the first byte is read. `purpose` returns what a number of bytes is held for.
+///
+/// # Errors
+///
+/// [`ReadError::TooLarge`] if the body has more than `limit` bytes, [`ReadError::NoMemory`]
+/// if there is no room for it, [`ReadError::Broken`] if it is incomplete.
+pub async fn read<B>(
+    account: &Arc<Account>,
+    mut body: B,
+    limit: usize,
+    purpose: fn(usize) -> Purpose,
+) -> Result<Chunks, ReadError<B::Error>>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return Err(ReadError::TooLarge);
+    }
+    let length = size.exact().unwrap_or(0) as usize;
+    let mut declared = account
+        .reserve(length, purpose(length))
+        .ok_or(ReadError::NoMemory)?;
+    let mut content = Chunks::default();
+    let mut chunk = None::<Chunk>;
+    let mut total = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.map_err(ReadError::Broken)?.into_data() else {
+            continue;
+        };
+        if part.len() > limit - total {
+            return Err(ReadError::TooLarge);
+        }
+        let mut rest = &part[..];
+        while !rest.is_empty() {
+            let mut open = match chunk.take() {
+                Some(chunk) => chunk,
+                None => {
+                    let bytes = match declared.bytes {
+                        0 => total.clamp(MIN_CHUNK_BYTES, MAX_CHUNK_BYTES),
+                        left => left.min(MAX_CHUNK_BYTES),
+                    };
+                    let allocation = declared
+                        .split(bytes)
+                        .or_else(|| account.reserve(bytes, purpose(total + bytes)));
+                    Chunk {
+                        data: BytesMut::with_capacity(bytes),
+                        _allocation: allocation.ok_or(ReadError::NoMemory)?,
+                    }
+                }
+            };
+            let room = open.data.capacity() - open.data.len();
+            let (now, later) = rest.split_at(rest.len().min(room));
+            open.data.extend_from_slice(now);
+            rest = later;
+            total += now.len();
+            if open.data.len() == open.data.capacity() {
+                content.push(Bytes::from_owner(open));
+            } else {
+                chunk = Some(open);
+            }
+        }
+    }
+    if let Some(chunk) = chunk {
+        content.push(Bytes::from_owner(chunk));
     }
+    Ok(content)
 }
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{response, Response, StatusCode};
 use tokio::time::timeout_at;
 
@@ -18,7 +17,7 @@
 use super::refusal::Refusal;
 use super::schedule::request_permit;
 use super::serve::Call;
-use crate::body::Body;
+use crate::body::{Body, Chunks};
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -26,7 +25,7 @@
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
 
 /// A complete answer.
-type Answer = (response::Parts, Bytes);
+type Answer = (response::Parts, Chunks);
 
 /// Result of an attempt.
 enum Attempt {
@@ -66,7 +65,7 @@
         Err(_) => return Err(Refusal::new(Code::TooLate)),
     };
     call.shared.dialect.strip_headers(&mut head.headers);
-    Ok(Response::from_parts(head, Body::full(body)))
+    Ok(Response::from_parts(head, Body::Full(body)))
 }
 
 /// State of a request across attempts.
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -4,7 +4,7 @@
 use std::future::{poll_fn, Future};
 use std::net::IpAddr;
 use std::pin::{pin, Pin};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -19,20 +19,20 @@
 
 use cranberryridge_policy::gateway::drain::Stop;
 use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::gateway::route::{Limits, Route};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
-use super::exchange::Input;
-use super::held::Allocation;
+use super::exchange::{Input, Kept};
 use super::origin::stream_digest;
 use super::parts::digest_parts;
 use super::record::Record;
 use super::refusal::Refusal;
-use super::{generate, plain, Shared};
-use crate::body::{self, Body, ReadError};
+use super::{generate, held, plain, Shared};
+use crate::body::{Body, Chunks, ReadError};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::net::{Listen, Net};
@@ -71,7 +71,7 @@
     pub shared: Arc<Shared<N, C, D>>,
     pub record: Record<C>,
     /// The request as sent to endpoints.
-    pub input: Input,
+    pub input: Arc<Input>,
     pub route: Route,
     /// Service chosen from the route's targets.
     pub service: CompactString,
@@ -390,8 +390,7 @@
     let now = record.arrival;
     let timeout = record.description.timeout.unwrap_or(route.timeout);
     let deadline = now + timeout.min(route.timeout);
-    let mut allocation = shared.held_requests.allocation();
-    let body = match read_body(&shared, body, deadline, &mut allocation).await {
+    let body = match read_body(&shared, body, deadline).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
@@ -405,7 +404,7 @@
     let engine = shared.table.load().engine(&service);
     let stream = stream_digest(&route, &record.description);
     let mut call = Call {
-        input,
+        input: Arc::new(input),
         shared: shared.clone(),
         record,
         route,
@@ -475,14 +474,14 @@
 fn prepare_input<N, C: Clock, D: Dialect>(
     shared: &Shared<N, C, D>,
     mut head: http::request::Parts,
-    body: Bytes,
+    body: Chunks,
     record: &Record<C>,
     deadline: Instant,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
     Input {
         head,
-        body,
+        body: Mutex::new(Kept::Needed(body)),
         attempt_id: record.description.attempt_id.clone(),
         arrival: record.arrival,
         deadline,
@@ -502,15 +501,19 @@
     shared: &Shared<N, C, D>,
     body: Incoming,
     deadline: Instant,
-    allocation: &mut Allocation<'_>,
-) -> Result<Bytes, Refusal> {
+) -> Result<Chunks, Refusal> {
     let limit = shared.table.load().limits().max_body_bytes;
-    let read = body::read(body, limit, |bytes| allocation.grow(bytes));
+    let read = held::read(&shared.held, body, limit, Purpose::of_request);
     let read = tokio::time::timeout_at(deadline.into(), read).await;
     let read = read.map_err(|_| Refusal::new(Code::TooLate))?;
     read.map_err(|error| match error {
         ReadError::TooLarge => Refusal::new(Code::BodyTooLarge),
-        ReadError::NoMemory => Refusal::new(Code::Full),
+        ReadError::NoMemory => {
+            shared.metrics.count("body.no_memory");
+            slog::info!(shared.logger, "gateway: no memory for request body";
+                "held_bytes" => shared.held.held_bytes());
+            Refusal::new(Code::Full)
+        }
         ReadError::Broken(error) => {
             slog::debug!(shared.logger, "gateway: cannot read request body"; "error" => %error);
             Refusal::new(Code::BadRequest)
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -117,7 +117,7 @@
 /// A run that an endpoint may have begun and that gave no valid answer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostRun<'a> {
-    pub input: &'a Input,
+    pub input: &'a Arc<Input>,
     /// Key of the endpoint in the pool.
     pub key: EndpointKey,
     pub endpoint: &'a Endpoint,
--- a/crates/lib/src/reply.rs
+++ b/crates/lib/src/reply.rs
@@ -86,6 +86,21 @@
         self.enqueue(Piece::Data(piece)).await
     }
 
+    /// Waits until the server has taken all pieces, up to [`STALL_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Reply::send_piece`].
+    pub async fn flush(&mut self) -> Result<(), Gone> {
+        let pieces = self.pieces.as_ref().ok_or(Gone)?;
+        let empty = pieces.reserve_many(MAX_QUEUED_PIECES);
+        if matches!(tokio::time::timeout(STALL_TIMEOUT, empty).await, Ok(Ok(_))) {
+            return Ok(());
+        }
+        self.pieces = None;
+        Err(Gone)
+    }
+
     /// Marks the body as complete.
     ///
     /// # Errors
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod era;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod origin;
 pub mod part;
 pub mod permit;
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -80,14 +80,46 @@
     pub fn of(parts: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
         for part in parts {
-            hasher.update((part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            hash_part(&mut hasher, &[part]);
         }
+        Self::finish(hasher)
+    }
+
+    /// Hashes parts, the last of which is in chunks. Their boundaries do not affect the
+    /// digest.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_wire::id::Digest;
+    /// let whole = Digest::of(&[b"a", b"bcd"]);
+    /// assert_eq!(Digest::of_chunked(&[b"a"], &[b"b".as_slice(), b"cd"]), whole);
+    /// ```
+    pub fn of_chunked(parts: &[&[u8]], last: &[impl AsRef<[u8]>]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hash_part(&mut hasher, &[part]);
+        }
+        hash_part(&mut hasher, last);
+        Self::finish(hasher)
+    }
+
+    /// Returns the digest of what was hashed.
+    fn finish(hasher: Sha256) -> Self {
         let hash = hasher.finalize();
         Self([read_u64_be(&hash[..8]), read_u64_be(&hash[8..16])])
     }
 }
 
+/// Hashes a part with its length.
+fn hash_part(hasher: &mut Sha256, chunks: &[impl AsRef<[u8]>]) {
+    let length = chunks.iter().map(|chunk| chunk.as_ref().len() as u64);
+    hasher.update(length.sum::<u64>().to_le_bytes());
+    for chunk in chunks {
+        hasher.update(chunk.as_ref());
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}{:016x}", self.0[0], self.0[1])
