gateway: let a second signal change nothing

Cause: drain_on_signal, shared with entry and sidecar, abandons the drain on a second signal.

Evidence: a_second_signal_cuts_off_no_order failed before with a connection that ended without an answer.

Change: the gateway's drain runs to its end, which its grace period bounds. Entry and sidecar keep what second_signal_ends_the_process_with_its_exit_code asks of them.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -104,7 +104,7 @@
         }
     }
     tokio::spawn(check_settings_on_hangup(logger, file));
-    daemon::drain_on_signal(serve::drain(&shared)).await
+    daemon::drain_to_end(serve::drain(&shared)).await
 }
 
 /// Validates the settings file on each SIGHUP and logs the result. New settings
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result};
 use getopts::Options;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use cranberryridge::client::Client;
 use cranberryridge::metrics::Metrics;
@@ -158,16 +158,47 @@
 ///
 /// Fails if the signal handlers cannot be installed.
 pub async fn drain_on_signal(drain: impl Future<Output = bool>) -> Result<bool> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let mut signals = Signals::new()?;
+    signals.recv().await;
     tokio::select! {
         complete = drain => Ok(complete),
-        _ = terminate.recv() => Ok(false),
-        _ = interrupt.recv() => Ok(false),
+        () = signals.recv() => Ok(false),
+    }
+}
+
+/// Waits for SIGTERM or SIGINT, then runs `drain`, which must end by itself. Returns whether
+/// the drain completed without aborting anything. Further signals change nothing, as planned
+/// stops may overlap; the platform kills the process after its grace period.
+///
+/// # Errors
+///
+/// Fails if the signal handlers cannot be installed.
+pub async fn drain_to_end(drain: impl Future<Output = bool>) -> Result<bool> {
+    // The handlers must stay installed while the drain runs.
+    let mut signals = Signals::new()?;
+    signals.recv().await;
+    Ok(drain.await)
+}
+
+/// Handlers of the signals that ask the process to stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
 
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -1,10 +1,10 @@
 //! Tests of the memory that a gateway's process takes under many large bodies. The platform
 //! kills a process that exceeds its limit, and with it all that the process serves.
 
+mod host;
+
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
-use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 
@@ -21,13 +20,8 @@
 use cranberryridge::net::Tcp;
 use cranberryridge_standin::runner::{self, Runner};
 use cranberryridge_standin::server::Server;
-use cranberryridge_standin::store::Store;
-
-/// Memory of a host of the small deployments, in megabytes.
-const MEMORY_MB: usize = 110;
 
-/// Largest body that the configuration allows, in bytes.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+use host::{address, Site, MAX_BODY_BYTES, MEMORY_MB};
 
 /// Number of concurrent callers, whose bodies exceed the memory.
 const CALLERS: usize = 40;
@@ -35,127 +29,22 @@
 /// Time between the starts of two callers.
 const CALLER_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Third octets of the tests' addresses.
-static NEXT_SUBNET: AtomicUsize = AtomicUsize::new(1);
-
-/// A gateway process, with stand-ins for store and endpoints.
-struct Site {
-    subnet: u8,
-    store: Store,
-    servers: Vec<Server>,
-    gateway: Child,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.gateway.kill();
-        let _ = self.gateway.wait();
-    }
-}
-
-impl Site {
-    async fn start() -> Self {
-        let subnet = NEXT_SUBNET.fetch_add(1, Ordering::SeqCst) as u8;
-        let store = Store::default();
-        let servers = vec![store.serve(&Tcp, address(subnet, 1)).await.unwrap()];
-        store.put("keyed.op", "config", Some(&configuration()));
-        let gateway = start_gateway(subnet);
-        Self {
-            subnet,
-            store,
-            servers,
-            gateway,
-        }
-    }
-
-    /// Lists an endpoint of a service, and waits until the gateway knows it.
-    async fn list(&mut self, host: u8, id: &str, service: &str, phase: Option<&str>) {
-        let mut entry = json!({
-            "service": service, "address": address(self.subnet, host).to_string(),
-            "zone": "a", "slots": 64, "state": "ready", "born": 1,
-        });
-        if let Some(phase) = phase {
-            entry["phase"] = phase.into();
+/// Watches the memory of a process until `stop` is set. Returns the peak in megabytes.
+fn watch_memory(process: u32, stop: Arc<AtomicBool>) -> tokio::task::JoinHandle<usize> {
+    let path = format!("/proc/{process}/status");
+    tokio::spawn(async move {
+        let mut peak = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let status = fs::read_to_string(&path).unwrap();
+            let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+            let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+            peak = peak.max(kilobytes.unwrap().parse::<usize>().unwrap() / 1024);
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        self.store.put("keyed.servers", id, Some(&entry));
-        tokio::time::sleep(Duration::from_millis(2500)).await;
-    }
-
-    /// Address of the gateway for callers.
-    fn gateway(&self) -> SocketAddr {
-        address(self.subnet, 2)
-    }
-
-    /// Watches the memory of the gateway until `stop` is set. Returns the peak in megabytes.
-    fn watch_memory(&self, stop: Arc<AtomicBool>) -> tokio::task::JoinHandle<usize> {
-        let path = format!("/proc/{}/status", self.gateway.id());
-        tokio::spawn(async move {
-            let mut peak = 0;
-            while !stop.load(Ordering::SeqCst) {
-                let status = fs::read_to_string(&path).unwrap();
-                let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-                let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
-                peak = peak.max(kilobytes.unwrap().parse::<usize>().unwrap() / 1024);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-            peak
-        })
-    }
-}
-
-/// Returns an address of a test. The second octet depends on the process, so that test runs
-/// on the same machine rarely collide.
-fn address(subnet: u8, host: u8) -> SocketAddr {
-    let second = 130 + (std::process::id() % 100) as u8;
-    SocketAddr::from(([127, second, subnet, host], 7001))
-}
-
-fn configuration() -> serde_json::Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        json!({
-            "name": name, "host": "desk.example", "pathPrefix": format!("/{name}/"),
-            "kind": kind, "timeoutMs": 14_000, "sloMs": 1000, "service": service,
-            "attempts": attempts, "gapAimMs": 300, "resumable": resumable,
-        })
-    };
-    json!({
-        "version": 1,
-        "routes": [
-            route("read", "idempotent", "orders", 2, false),
-            route("note", "streaming", "model", 1, false),
-            route("list", "streaming", "model", 2, true),
-        ],
-        "services": [{ "name": "orders" }, { "name": "model", "engine": {
-            "slots": 64, "kvCapacity": 30000, "stride": 11, "holdMs": 2000.0,
-        }}],
-        "limits": { "headerBytes": 16384, "bodyBytes": MAX_BODY_BYTES,
-            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        peak
     })
 }
 
-fn start_gateway(subnet: u8) -> Child {
-    let at = address(subnet, 2);
-    let ip = at.ip();
-    let text = format!(
-        "nodeName = \"front-1\"\nzone = \"a\"\nheartbeatMs = 1200\n\
-         ip = \"{ip}\"\nportRange = [7003, 7010]\n\
-         [listen]\nfront = \"{at}\"\nready = \"{ip}:7002\"\n\
-         [limits]\nmemoryMb = {MEMORY_MB}\ncpuShare = 0.2\ncores = 1\n[contractParams]\n\
-         [platform]\naddress = \"{}\"\n",
-        address(subnet, 1)
-    );
-    let name = format!("memory-{}-{subnet}.toml", std::process::id());
-    let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&settings, text).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_cranberryridge-gateway"))
-        .env("CRANBERRYRIDGE_BOOT", &settings)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap()
-}
-
 /// Sends a model request with the largest body. Returns the status and the answer, `None`
 /// if it is incomplete.
 async fn send_prompt(gateway: SocketAddr, route: &str, caller: usize) -> (u16, Option<Bytes>) {
@@ -194,7 +83,7 @@
         site.list(host, id, "model", Some(phase)).await;
     }
     let stop = Arc::new(AtomicBool::new(false));
-    let peak = site.watch_memory(stop.clone());
+    let peak = watch_memory(site.gateway.id(), stop.clone());
     let mut callers = Vec::new();
     for caller in 0..CALLERS {
         callers.push(tokio::spawn(send_prompt(site.gateway(), route, caller)));
@@ -245,7 +134,7 @@
     site.servers.push(server.unwrap());
     site.list(10, "i-10", "orders", None).await;
     let stop = Arc::new(AtomicBool::new(false));
-    let peak = site.watch_memory(stop.clone());
+    let peak = watch_memory(site.gateway.id(), stop.clone());
     let mut streams = Vec::new();
     for caller in 0..CALLERS {
         let socket = TcpSocket::new_v4().unwrap();
