balance: begin the cooldown with each new claim

Cause: record_claim began the cooldown of an engine only if the host had no attempt of its own on record, so that a claim after a failed attempt counted as known and the cooldown ended with that of the attempt.

Evidence: a_claim_of_another_host_begins_the_cooldown_after_a_failed_attempt failed before, one second after the claim.

Change: a new claim always counts from the time at which it was read. A host's own claim leaves the move unordered until it is.

--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -135,7 +135,10 @@
         // The claims before this one were read in another era.
         Ok(Ok(Some(_))) if recorded_era != era => None,
         Ok(Ok(Some(offset))) => {
-            lock(&shared.moves).record_claim(now, offset, &claim.holder, order);
+            let mut moves = lock(&shared.moves);
+            moves.record_claim(now, offset, &claim.holder, order);
+            // The move is pending only once it is ordered.
+            moves.start_cooldown(now, order.endpoint.clone());
             Some((era.fencing_token(offset), claimed_at))
         }
         Ok(Ok(None)) => None,
--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -201,8 +201,7 @@
         let is_new = before != Some(&claim);
         if is_new {
             self.claims.insert(order.endpoint.clone(), claim);
-        }
-        if is_new && !self.last_moves.contains_key(&order.endpoint) {
+            // An earlier attempt of this host says nothing of when the holder orders.
             self.record_order(now, order.clone());
         }
         is_new
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -230,3 +230,30 @@
         "only `d0` serves at its version"
     );
 }
+
+// Guards against an engine that two hosts order in turn: the cooldown of an own attempt that
+// failed stood in for that of another host's later claim.
+#[test]
+fn a_claim_of_another_host_begins_the_cooldown_after_a_failed_attempt() {
+    let begin = Instant::now();
+    let settings = balance::Settings::default();
+    let pool = engine_pool(1, 2);
+    let demand = Demand {
+        prefill_engines: 3.0,
+        decode_engines: 0.1,
+    };
+    let mut moves = Moves::new(settings);
+    let order = moves.next_move(begin, &pool, "model", demand).unwrap();
+    moves.start_cooldown(begin, order.endpoint.clone());
+    let claimed_at = begin + settings.cooldown - SECOND;
+    assert!(moves.record_claim(claimed_at, 7, "front-2", &order));
+    for seconds in 0..settings.cooldown.as_secs() as u32 {
+        let at = claimed_at + SECOND * seconds;
+        let next = moves.next_move(at, &pool, "model", demand);
+        assert_ne!(
+            next.map(|next| next.endpoint),
+            Some(order.endpoint.clone()),
+            "{seconds} s after the claim"
+        );
+    }
+}
