--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -114,7 +114,10 @@
         return None;
     }
     let now = shared.clock.now();
+    // Claims on engines that are gone stay in the store.
+    let is_listed = |endpoint: &str| shared.pool().key(endpoint).is_some();
     let entries = claims.entries.iter();
+    let entries = entries.filter(|entry| is_listed(&entry.claim.order.endpoint));
     let new_claims = entries.filter(|entry| {
         let claim = &entry.claim;
         lock(&shared.moves).record_claim(now, entry.offset, &claim.holder, &claim.order)
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -17,6 +17,9 @@
 
 use crate::server::{json, query_number, status, Server};
 
+/// Maximum number of records in a page of the newest ones.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// A store in memory. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -212,7 +215,12 @@
         let Some(topic) = topics.get(&name) else {
             return json(&json!({ "items": [], "hasMore": false, "endOffset": 0 }));
         };
-        let rows = newest(topic).into_iter();
+        let after = query_text(request.uri().query(), "after");
+        let mut rows = newest(topic);
+        rows.sort_by(|one, other| one.key.cmp(&other.key));
+        rows.retain(|row| row.key > after);
+        let has_more = rows.len() > MAX_PAGE_ITEMS;
+        let rows = rows.into_iter().take(MAX_PAGE_ITEMS);
         let items = rows.map(|row| {
             let mut records = topic.records.iter();
             let at = records.rposition(|other| other.key == row.key);
@@ -221,7 +229,7 @@
         });
         json(&json!({
             "items": items.collect::<Vec<_>>(),
-            "hasMore": false,
+            "hasMore": has_more,
             "endOffset": topic.end(),
         }))
     }
