gateway: keep the start of an endpoint that leaves

Cause: endpoints that said that they leave were kept and told by id alone, so that hosts which linked anew marked their next starts.

Change: the start time is part of the notice, of the list of those that leave and of the message to other hosts; only that start is marked.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -25,7 +25,7 @@
 use cranberryridge_policy::gateway::queue::Queue;
 use cranberryridge_policy::gateway::roster;
 use cranberryridge_policy::gateway::route::Table;
-use cranberryridge_wire::{Map, Set};
+use cranberryridge_wire::Map;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -189,9 +189,9 @@
     /// Target stages of engines that are being moved, with the time until which
     /// each move counts as pending.
     moving_engines: watch::Sender<Map<CompactString, (Phase, Instant)>>,
-    /// Ids of listed endpoints that said in an answer that they are shutting
-    /// down, to this host or to another.
-    leaving_endpoints: watch::Sender<Set<CompactString>>,
+    /// Endpoints that said in an answer that they are shutting down, to this host
+    /// or to another, with the start that said so.
+    leaving_endpoints: watch::Sender<Map<CompactString, u64>>,
     /// Notified when an endpoint's known limit changes.
     limits_changed: watch::Sender<()>,
     /// Links to schedulers.
@@ -321,9 +321,10 @@
         }
         let Some(state) = pool.get(key) else { return };
         let (id, service) = (state.endpoint.id.clone(), state.endpoint.service.clone());
+        let started_ms = state.endpoint.started_ms;
         drop(pool);
         if is_news {
-            self.add_leaving(&id);
+            self.add_leaving(&id, started_ms);
             self.metrics.count("endpoint.leaving");
             slog::info!(self.logger, "endpoint: leaving, as it says";
                 "endpoint" => %id, "service" => %service);
@@ -343,28 +344,41 @@
             }
         }
         if is_news || rest.is_some() {
-            self.links.report_notice(&service, id, is_news, rest);
+            self.links
+                .report_notice(&service, id, started_ms, is_news, rest);
         }
     }
 
-    /// Records that an endpoint is shutting down, as another host reported.
-    fn record_leaving(&self, id: &str) {
-        let mut pool = self.pool();
-        let Some(key) = pool.key(id) else { return };
-        if pool.mark_leaving(key) {
-            drop(pool);
-            self.add_leaving(&id.into());
-            slog::info!(self.logger, "endpoint: leaving, as another host says"; "endpoint" => id);
+    /// Records that one start of an endpoint is shutting down, as another host reported. A
+    /// start that is not listed yet is marked once it is.
+    fn record_leaving(&self, id: &CompactString, started_ms: u64) {
+        self.add_leaving(id, started_ms);
+        if self.mark_leaving(id, started_ms) {
+            slog::info!(self.logger, "endpoint: leaving, as another host says"; "endpoint" => %id);
         }
     }
 
-    /// Adds to the endpoints that are shutting down, and removes those that are
-    /// no longer listed.
-    fn add_leaving(&self, id: &CompactString) {
-        self.leaving_endpoints.send_modify(|endpoints| {
+    /// Marks one start of an endpoint as shutting down. Returns whether that is news.
+    fn mark_leaving(&self, id: &str, started_ms: u64) -> bool {
+        let mut pool = self.pool();
+        let key = pool.key_of_start(id, started_ms);
+        key.is_some_and(|key| pool.mark_leaving(key))
+    }
+
+    /// Adds to the endpoints that are shutting down, and removes those that have started
+    /// again or are no longer listed.
+    fn add_leaving(&self, id: &CompactString, started_ms: u64) {
+        self.leaving_endpoints.send_if_modified(|endpoints| {
             let pool = self.pool();
-            endpoints.retain(|id| pool.key(id).is_some());
-            endpoints.insert(id.clone());
+            let listed = |id: &str| Some(pool.get(pool.key(id)?)?.endpoint.started_ms);
+            endpoints.retain(|id, leaving| listed(id).is_some_and(|listed| listed <= *leaving));
+            let is_superseded = listed(id).is_some_and(|listed| listed > started_ms);
+            let known = endpoints.get(id).is_some_and(|known| *known >= started_ms);
+            if is_superseded || known {
+                return false;
+            }
+            endpoints.insert(id.clone(), started_ms);
+            true
         });
     }
 
@@ -460,6 +474,9 @@
         // The origins are told before a request goes to an endpoint of a new version.
         self.update_versions(&endpoints);
         self.pool().update(endpoints.clone());
+        for (id, started_ms) in &*self.leaving_endpoints.borrow() {
+            self.mark_leaving(id, *started_ms);
+        }
         self.current_endpoints.send_replace(Some(endpoints));
         self.capacity_freed.notify_waiters();
     }
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use tokio::sync::mpsc;
 
 use cranberryridge_policy::gateway::limit::Standing;
@@ -15,7 +16,7 @@
 use cranberryridge_policy::gateway::pool::Failure;
 use cranberryridge_policy::gateway::schedule::{Answer, Id, Request, Scheduler};
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
-use cranberryridge_wire::{Map, Set};
+use cranberryridge_wire::Map;
 
 use super::dialect::Dialect;
 use super::permit::from_message;
@@ -161,7 +162,7 @@
     let mut suspects = shared.suspects.subscribe();
     let mut evidence = shared.parts.subscribe();
     // Leaving endpoints that the linked hosts were told of.
-    let mut told = Set::default();
+    let mut told = Map::default();
     loop {
         let waiting = schedule.has_queued();
         let mut arrived = None;
@@ -173,6 +174,7 @@
             _ = listed.changed() => {
                 let endpoints = listed.borrow_and_update().clone();
                 schedule.update(endpoints.unwrap_or_default());
+                mark_leaving(shared, &mut schedule);
             }
             _ = read.changed() => {
                 let after = read.borrow_and_update().clone();
@@ -193,9 +195,11 @@
             }
             _ = leaving.changed() => {
                 let after = leaving.borrow_and_update().clone();
-                for endpoint in after.difference(&told) {
-                    schedule.record_notice(shared.clock.now(), endpoint, true, Duration::ZERO);
-                    send_to_all(&mut links, &Down::Leaving(endpoint.clone()));
+                mark_leaving(shared, &mut schedule);
+                for (endpoint, started_ms) in &after {
+                    if told.get(endpoint) != Some(started_ms) {
+                        send_to_all(&mut links, &to_leaving(endpoint, *started_ms));
+                    }
                 }
                 told = after;
             }
@@ -286,8 +290,8 @@
                 for part in snapshot::full(*shared.era.borrow(), &endpoints) {
                     send(links, link, Down::Listing(part));
                 }
-                for endpoint in &*shared.leaving_endpoints.borrow() {
-                    send(links, link, Down::Leaving(endpoint.clone()));
+                for (endpoint, started_ms) in &*shared.leaving_endpoints.borrow() {
+                    send(links, link, to_leaving(endpoint, *started_ms));
                 }
                 send(links, link, heartbeat(shared));
             }
@@ -349,15 +353,32 @@
         }
         Up::Notice(notice) => {
             let rest = Duration::from(notice.rest).min(MAX_WAIT);
-            schedule.record_notice(now, &notice.endpoint, notice.leaving, rest);
+            let (endpoint, started_ms) = (&notice.endpoint, notice.born);
+            schedule.record_notice(now, endpoint, started_ms, notice.leaving, rest);
             if notice.leaving {
-                shared.record_leaving(&notice.endpoint);
+                shared.record_leaving(endpoint, started_ms);
             }
         }
     }
     None
 }
 
+/// Marks the endpoints that are shutting down.
+fn mark_leaving<N, C: Clock, D>(shared: &Shared<N, C, D>, schedule: &mut Scheduler) {
+    let now = shared.clock.now();
+    for (endpoint, started_ms) in &*shared.leaving_endpoints.borrow() {
+        schedule.record_notice(now, endpoint, *started_ms, true, Duration::ZERO);
+    }
+}
+
+/// Returns the message that an endpoint's start is shutting down.
+fn to_leaving(endpoint: &CompactString, started_ms: u64) -> Down {
+    Down::Leaving(wire::Start {
+        endpoint: endpoint.clone(),
+        born: started_ms,
+    })
+}
+
 /// Decides for which part of the limits of services' endpoints this scheduler gives permits.
 fn update_permit_shares<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -252,11 +252,13 @@
         &self,
         service: &str,
         endpoint: CompactString,
+        started_ms: u64,
         leaving: bool,
         rest: Option<Duration>,
     ) {
         let notice = wire::Notice {
             endpoint,
+            born: started_ms,
             leaving,
             rest: rest.unwrap_or_default().into(),
         };
@@ -467,9 +469,9 @@
                     .news
                     .send_modify(|snapshot| snapshot.apply_listing(part));
             }
-            Down::Leaving(endpoint) => {
+            Down::Leaving(start) => {
                 drop(state);
-                shared.record_leaving(&endpoint);
+                shared.record_leaving(&start.endpoint, start.born);
                 return;
             }
             Down::Suspect(suspect) => {
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -219,6 +219,13 @@
         key.map_or(&[], |key| &self.services[*key].endpoints)
     }
 
+    /// Returns the key of one start of an endpoint, or `None` if that is not listed. An
+    /// endpoint may start again under its id.
+    pub fn key_of_start(&self, id: &str, started_ms: u64) -> Option<EndpointKey> {
+        let key = self.key(id)?;
+        (self.states[key].endpoint.started_ms == started_ms).then_some(key)
+    }
+
     /// Returns the key of an endpoint by its id, or `None` if it is not listed.
     pub fn key(&self, id: &str) -> Option<EndpointKey> {
         self.keys_by_id.get(id).copied()
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -553,17 +553,18 @@
         }
     }
 
-    /// Records what an endpoint said about itself to another host: whether it is
-    /// shutting down, and for how long that host must send it nothing. Other
+    /// Records what one start of an endpoint said about itself to another host: whether it
+    /// is shutting down, and for how long that host must send it nothing. Other
     /// hosts may still use a resting endpoint.
     pub fn record_notice(
         &mut self,
         now: Instant,
         endpoint: &str,
+        started_ms: u64,
         is_leaving: bool,
         rest: Duration,
     ) {
-        let Some(key) = self.pool.key(endpoint) else {
+        let Some(key) = self.pool.key_of_start(endpoint, started_ms) else {
             return;
         };
         if is_leaving {
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -419,7 +419,7 @@
     let now = Instant::now();
     let mut scheduler = Scheduler::new(pool::Settings::default(), balance::Settings::default());
     scheduler.update(engines(1, 2));
-    scheduler.record_notice(now, "d0", false, 3 * SECOND);
+    scheduler.record_notice(now, "d0", 0, false, 3 * SECOND);
     let mut random = StdRng::seed_from_u64(1);
     let mut granted = Vec::new();
     for number in 0..4 {
