gateway: look for joining versions only while there are some

Cause: each new stream that may be taken up looked at the versions of all endpoints of its service, also while one version serves.

Change: the few joining versions are read first; without any, nothing else is looked at.

--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -212,24 +212,32 @@
         if self.stream.is_none() || self.version.is_some() {
             return Ok(());
         }
-        let endpoints = {
-            let pool = self.shared.pool();
-            let keys = pool.endpoints(&self.service).iter();
-            let states = keys.filter_map(|key| Some((*key, pool.get(*key)?)));
-            let accepting = states.filter(|(_, state)| !state.is_leaving());
-            let endpoints = accepting.map(|(key, state)| (key, state.endpoint.version.clone()));
-            endpoints.collect::<Vec<_>>()
+        let (shared, service) = (&self.shared, self.service.as_str());
+        let (now, interval) = (shared.clock.now(), shared.settings.list_interval);
+        let joining = {
+            let origins = lock(&shared.origins);
+            let joining = origins.versions().joining(now, service, interval);
+            let joining = joining.map(|(version, time)| (CompactString::from(version), time));
+            joining.collect::<Vec<_>>()
         };
+        if joining.is_empty() {
+            return Ok(());
+        }
         let (mut first, mut is_any_left) = (Duration::MAX, false);
-        for (key, version) in endpoints {
-            let time = self.shared.joining_time(&self.service, &version);
-            if time.is_zero() {
-                is_any_left |= !excluded.contains(&key);
+        let pool = shared.pool();
+        for key in pool.endpoints(service) {
+            let Some(state) = pool.get(*key).filter(|state| !state.is_leaving()) else {
                 continue;
-            }
-            first = first.min(time);
-            if !excluded.contains(&key) {
-                excluded.push(key);
+            };
+            let version = &state.endpoint.version;
+            let found = joining.iter().find(|(joining, _)| joining == version);
+            let is_excluded = excluded.contains(key);
+            is_any_left |= found.is_none() && !is_excluded;
+            if let Some((_, time)) = found {
+                first = first.min(*time);
+                if !is_excluded {
+                    excluded.push(*key);
+                }
             }
         }
         if is_any_left || first == Duration::MAX {
--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -415,16 +415,28 @@
         version: &str,
         list_interval: Duration,
     ) -> Duration {
+        let mut joining = self.joining(now, service, list_interval);
+        let own = joining.find(|(joining, _)| *joining == version);
+        own.map_or(Duration::ZERO, |(_, time)| time)
+    }
+
+    /// Returns the versions of a service of which [`Versions::joining_time`] is not zero, with
+    /// that time.
+    pub fn joining<'a>(
+        &'a self,
+        now: Instant,
+        service: &str,
+        list_interval: Duration,
+    ) -> impl Iterator<Item = (&'a str, Duration)> {
         let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let mut listed = seen.iter().filter(|seen| seen.gone_at.is_none());
-        let Some(own) = listed.clone().find(|seen| seen.version == version) else {
-            return Duration::ZERO;
-        };
-        if listed.all(|seen| seen.version == version) {
-            return Duration::ZERO;
-        }
-        let listed_for = now.saturating_duration_since(own.listed_at);
-        (list_interval * JOINING_INTERVALS).saturating_sub(listed_for)
+        let listed = seen.iter().filter(|seen| seen.gone_at.is_none());
+        let is_only = listed.clone().nth(1).is_none();
+        let times = listed.filter(move |_| !is_only).map(move |seen| {
+            let listed_for = now.saturating_duration_since(seen.listed_at);
+            let time = (list_interval * JOINING_INTERVALS).saturating_sub(listed_for);
+            (seen.version.as_str(), time)
+        });
+        times.filter(|(_, time)| !time.is_zero())
     }
 
     /// Returns the services for which [`Versions::are_mixed`] holds.
