gateway: ask for the versions of a stream that is not named

Callers saw: a stream that was taken up without its first attempt's id went on at another version, at a host that had stood still.

Cause: such a stream has no record, so nobody was asked, and the only version that the host knew was taken. An answer that names the only version until shortly before holds only for streams that would have been told.

Change: reader and keepers are asked as for other streams, and that answer is ignored. Such a stream is refused while there may be several versions.

--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -37,6 +37,9 @@
 /// Retry time of a stream whose origin no host knows.
 const LOST_ORIGIN_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Digest in questions for a stream that its caller does not name.
+const UNNAMED_STREAM: u64 = 0;
+
 impl<N, C: Clock, D> Shared<N, C, D> {
     /// Records the software versions of the listed endpoints, and tells the origins of open
     /// streams if a service now has several.
@@ -111,15 +114,15 @@
         }
     }
 
-    /// Returns the time since this host itself last read the list of endpoints. `None` if it
-    /// has not, or if it was suspended since.
+    /// Returns the time since this host itself last began to read the list of endpoints,
+    /// including time in which it was suspended. `None` if it has never read it.
     fn own_list_age(&self) -> Option<Duration> {
         let read = self.seen.borrow().listed?;
         let age = self.clock.now().saturating_duration_since(read.at);
         Some(age.max(self.clock.uptime().saturating_sub(read.uptime)))
     }
 
-    /// Returns whether a list of an age has each version that may have begun a stream.
+    /// Returns whether a list of this age names every version that may have begun a stream.
     pub(super) fn is_fresh(&self, age: Duration) -> bool {
         age <= self.settings.list_interval * MAX_LIST_AGE_INTERVALS
     }
@@ -288,21 +291,24 @@
             Decision::GoOn(version) => return Ok(version),
             Decision::Ask { waits_for_links } => waits_for_links,
         };
-        let mut answers = Answers::default();
-        if let Some(stream) = stream {
-            answers = match locate(self, stream, Asked::Reader).await {
+        // No host has a record of a stream that is not named, but the versions are asked for.
+        let number = stream.unwrap_or(UNNAMED_STREAM);
+        let mut answers = match locate(self, number, Asked::Reader).await {
+            Ok(version) => return Ok(version),
+            Err(answers) => answers,
+        };
+        if answers.confirmed.is_none() {
+            let asked = Asked::Keepers { waits_for_links };
+            answers = match locate(self, number, asked).await {
                 Ok(version) => return Ok(version),
                 Err(answers) => answers,
             };
-            if answers.confirmed.is_none() {
-                let asked = Asked::Keepers { waits_for_links };
-                answers = match locate(self, stream, asked).await {
-                    Ok(version) => return Ok(version),
-                    Err(answers) => answers,
-                };
-            }
         }
         answers.is_list_fresh = is_list_fresh;
+        if stream.is_none() {
+            // That no host has a record does not tell when it began.
+            answers.before = None;
+        }
         let now = shared.clock.now();
         let origins = lock(&shared.origins);
         let concluded = origins.versions().conclude(now, service, &answers);
