--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -40,7 +40,7 @@
     Truncated,
 }
 
-/// Body that a client sends.
+/// Body of a request that a client sends. Reading it does not fail.
 pub trait Payload:
     http_body::Body<Data = Bytes, Error = Infallible> + Send + Unpin + 'static
 {
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -49,7 +49,7 @@
 pub struct Input {
     /// Method, path and headers, without those that are not forwarded.
     pub head: request::Parts,
-    /// Complete body, as long as it may be sent.
+    /// Complete body, until it is released.
     pub body: Mutex<Kept>,
     /// Id that the caller gave this attempt.
     pub attempt_id: CompactString,
--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -17,13 +17,12 @@
 /// Time for which a stream may be taken up after it began or was last taken up.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Readings of the list of endpoints, in intervals, up to whose age a list counts as fresh.
-/// A stream that may be taken up begins at a new version only once all lists without it have
-/// aged beyond this ([`Versions::joining_time`]).
+/// Maximum age of a fresh list of endpoints, in reading intervals. A new version begins streams
+/// that may be taken up only once no list without it is fresh ([`Versions::joining_time`]).
 pub const MAX_LIST_AGE_INTERVALS: u32 = 3;
 
 /// Time in which a version that was just listed begins no stream that may be taken up, in
-/// intervals of reading the list. It exceeds the age of a fresh list by one interval.
+/// reading intervals. The further interval covers clocks and timers that run late.
 const JOINING_INTERVALS: u32 = MAX_LIST_AGE_INTERVALS + 1;
 
 /// Time in which the caller of a stream that was broken off takes it up, if it does.
