--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -15,7 +15,7 @@
 
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::origin::{
-    group, Answers, Decision, Origin, GROUPS, MAX_LIST_AGE_INTERVALS,
+    group, Decision, Origin, GROUPS, MAX_LIST_AGE_INTERVALS,
 };
 use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::{Kind, Route};
