--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -412,6 +412,25 @@
     assert!(scheduler.is_queued(id(1)));
 }
 
+/// Start of the fixture's engines.
+const STARTED_MS: u64 = 1;
+
+// An engine that has started again under its id does not leave because its earlier start did.
+#[test]
+fn a_notice_of_an_earlier_start_is_ignored() {
+    for (started_ms, is_used) in [(STARTED_MS - 1, true), (STARTED_MS, false)] {
+        let now = Instant::now();
+        let mut scheduler = Scheduler::new(pool::Settings::default(), balance::Settings::default());
+        scheduler.update(engines(1, 1));
+        scheduler.record_notice(now, "d0", started_ms, true, Duration::ZERO);
+        let mut random = StdRng::seed_from_u64(1);
+        scheduler.enqueue(now, id(1), request(now), ENGINE);
+        let answer = scheduler.next_answer(now, "model", ENGINE, &mut random);
+        let is_granted = matches!(answer, Some((_, Answer::Grant(_))));
+        assert_eq!(is_granted, is_used, "start {started_ms}: {answer:?}");
+    }
+}
+
 /// What one host hears from an endpoint at rest concerns that host. Others use the
 /// endpoint if no other has room.
 #[test]
@@ -419,7 +438,7 @@
     let now = Instant::now();
     let mut scheduler = Scheduler::new(pool::Settings::default(), balance::Settings::default());
     scheduler.update(engines(1, 2));
-    scheduler.record_notice(now, "d0", 0, false, 3 * SECOND);
+    scheduler.record_notice(now, "d0", STARTED_MS, false, 3 * SECOND);
     let mut random = StdRng::seed_from_u64(1);
     let mut granted = Vec::new();
     for number in 0..4 {
