balance: record a host's own claim in one step

The caller recorded its claim as one of another host and then took back that the move is pending. Moves::record_own_claim does both; nothing else changes.

--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -138,10 +138,7 @@
         // The claims before this one were read in another era.
         Ok(Ok(Some(_))) if recorded_era != era => None,
         Ok(Ok(Some(offset))) => {
-            let mut moves = lock(&shared.moves);
-            moves.record_claim(now, offset, &claim.holder, order);
-            // The move is pending only once it is ordered.
-            moves.start_cooldown(now, order.endpoint.clone());
+            lock(&shared.moves).record_own_claim(now, offset, &claim.holder, order);
             Some((era.fencing_token(offset), claimed_at))
         }
         Ok(Ok(None)) => None,
--- a/crates/policy/src/gateway/balance.rs
+++ b/crates/policy/src/gateway/balance.rs
@@ -207,6 +207,12 @@
         is_new
     }
 
+    /// Records this host's own claim. The move is pending only once it is ordered.
+    pub fn record_own_claim(&mut self, now: Instant, offset: u64, holder: &str, order: &Move) {
+        self.record_claim(now, offset, holder, order);
+        self.start_cooldown(now, order.endpoint.clone());
+    }
+
     /// Removes moves whose cooldown is over.
     fn expire(&mut self, now: Instant) {
         let cooldown = self.settings.cooldown;
