gateway: simplify the account of bodies

Chunks of bodies and pieces of streams had the same owner type twice; one generic type serves both. Reading a body copied in three nested levels; the copying is a small type of its own. add_spare also marks the body, which its only caller did before. The digest is computed in one function. body::read loses the callback that every caller left empty since the account has a reader of its own. The doc of max_held_bytes names one bound, not two.

Behaviour is unchanged.

--- a/crates/lib/src/body.rs
+++ b/crates/lib/src/body.rs
@@ -36,17 +36,13 @@
 }
 
 /// Reads a body into one buffer, so that parts of a few bytes each take no more memory
-/// than their bytes. `reserve` is called with the size of each part.
+/// than their bytes.
 ///
 /// # Errors
 ///
-/// [`ReadError::TooLarge`] if the body has more than `limit` bytes, [`ReadError::NoMemory`]
-/// if `reserve` returns `false`, [`ReadError::Broken`] if the body is incomplete.
-pub async fn read<B>(
-    mut body: B,
-    limit: usize,
-    mut reserve: impl FnMut(usize) -> bool,
-) -> Result<Bytes, ReadError<B::Error>>
+/// [`ReadError::TooLarge`] if the body has more than `limit` bytes, [`ReadError::Broken`] if
+/// it is incomplete.
+pub async fn read<B>(mut body: B, limit: usize) -> Result<Bytes, ReadError<B::Error>>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
@@ -56,9 +52,6 @@
             if part.len() > limit - buffer.len() {
                 return Err(ReadError::TooLarge);
             }
-            if !reserve(part.len()) {
-                return Err(ReadError::NoMemory);
-            }
             buffer.extend_from_slice(&part);
         }
     }
--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -138,7 +138,7 @@
     /// than allowed.
     pub async fn fetch<B: Payload>(&self, request: Request<B>) -> Result<Response<Bytes>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body = body::read(body, self.max_body_bytes, |_| true).await;
+        let body = body::read(body, self.max_body_bytes).await;
         let body = body.map_err(|error| Error::Unreadable(error.into()))?;
         Ok(Response::from_parts(head, body))
     }
--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -261,7 +261,7 @@
 /// Reads a request's body within the limits of size and time.
 async fn read_body<N, C>(shared: &Shared<N, C>, body: Incoming) -> Result<Bytes, Problem> {
     let limit = shared.settings.max_body_bytes as usize;
-    let read = body::read(body, limit, |_| true);
+    let read = body::read(body, limit);
     let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
     let read =
         read.map_err(|_| Problem::with_detail(Code::BadRequest, "the body came too slowly"))?;
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -76,8 +76,8 @@
     /// CPU limit of the host in cores. The hosts with the highest limits
     /// become schedulers.
     pub cores: f64,
-    /// Maximum total size of buffered request bodies, and of answers that are
-    /// being read, in bytes each.
+    /// Maximum total size of the bodies of requests and answers that are held, in
+    /// bytes.
     pub max_held_bytes: usize,
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -85,26 +85,22 @@
 
     /// Returns the digest of the request, which equal requests of all callers share.
     pub fn digest(&self) -> Digest {
-        // The digest is computed before the body is released.
         *self.digest.get_or_init(|| {
-            let body = self.body();
-            self.digest_with(&body.unwrap_or_default())
+            let host = self.head.headers.get(header::HOST);
+            let path = self.head.uri.path_and_query();
+            let parts = [
+                self.head.method.as_str().as_bytes(),
+                host.map(HeaderValue::as_bytes).unwrap_or_default(),
+                path.map(PathAndQuery::as_str)
+                    .unwrap_or_default()
+                    .as_bytes(),
+            ];
+            // A body is released only after this.
+            let body = self.body().unwrap_or_default();
+            Digest::of_chunked(&parts, &body.iter().collect::<Vec<_>>())
         })
     }
 
-    fn digest_with(&self, body: &Chunks) -> Digest {
-        let host = self.head.headers.get(header::HOST);
-        let path = self.head.uri.path_and_query();
-        let parts = [
-            self.head.method.as_str().as_bytes(),
-            host.map(HeaderValue::as_bytes).unwrap_or_default(),
-            path.map(PathAndQuery::as_str)
-                .unwrap_or_default()
-                .as_bytes(),
-        ];
-        Digest::of_chunked(&parts, &body.iter().collect::<Vec<_>>())
-    }
-
     /// Returns the body, or `None` if it has been released.
     fn body(&self) -> Option<Chunks> {
         match &*lock(&self.body) {
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -56,7 +56,6 @@
 ) {
     let mut splitter = Splitter::default();
     loop {
-        call.input.spare_body();
         call.shared.held.add_spare(&call.input);
         let outcome = copy_events(&mut call, &mut run, &mut splitter, &mut reply).await;
         match outcome {
--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -46,15 +46,15 @@
     bytes: usize,
 }
 
-/// Memory of a chunk.
-struct Chunk {
-    data: BytesMut,
+/// Bytes with their share of an account.
+struct Counted<T> {
+    data: T,
     _allocation: Allocation,
 }
 
-impl AsRef<[u8]> for Chunk {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Counted<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.data
+        self.data.as_ref()
     }
 }
 
@@ -94,15 +94,17 @@
             account: self.clone(),
             bytes: data.len(),
         };
-        let piece = Piece {
+        let counted = Counted {
             data,
             _allocation: allocation,
         };
-        (Bytes::from_owner(piece), is_within)
+        (Bytes::from_owner(counted), is_within)
     }
 
-    /// Allows the body of a request to be released, unless [`Input::retain_body`] is called.
+    /// Allows the body of a request to be released, as a run has begun, until
+    /// [`Input::retain_body`] is called.
     pub fn add_spare(&self, request: &Arc<Input>) {
+        request.spare_body();
         let mut spares = lock(&self.spares);
         if spares.requests.len() >= spares.pruned_at.max(MIN_PRUNED_SPARES) {
             spares.requests.retain(|spare| spare.strong_count() > 0);
@@ -146,18 +148,6 @@
     }
 }
 
-/// Piece of a stream on its way to the caller.
-struct Piece {
-    data: Bytes,
-    _allocation: Allocation,
-}
-
-impl AsRef<[u8]> for Piece {
-    fn as_ref(&self) -> &[u8] {
-        &self.data
-    }
-}
-
 /// Reads a body of up to `limit` bytes. The length that a sender declares is reserved
 /// before the first byte is read. `purpose` returns what a number of bytes is held for.
 ///
@@ -179,51 +169,84 @@
         return Err(ReadError::TooLarge);
     }
     let length = size.exact().unwrap_or(0) as usize;
-    let mut declared = account
+    let declared = account
         .reserve(length, purpose(length))
         .ok_or(ReadError::NoMemory)?;
-    let mut content = Chunks::default();
-    let mut chunk = None::<Chunk>;
-    let mut total = 0;
+    let mut buffer = Buffer {
+        account,
+        purpose,
+        declared,
+        chunks: Chunks::default(),
+        open: None,
+        length: 0,
+    };
     while let Some(frame) = body.frame().await {
-        let Ok(part) = frame.map_err(ReadError::Broken)?.into_data() else {
-            continue;
-        };
-        if part.len() > limit - total {
-            return Err(ReadError::TooLarge);
+        if let Ok(part) = frame.map_err(ReadError::Broken)?.into_data() {
+            if part.len() > limit - buffer.length {
+                return Err(ReadError::TooLarge);
+            }
+            buffer.append(&part).ok_or(ReadError::NoMemory)?;
         }
-        let mut rest = &part[..];
-        while !rest.is_empty() {
-            let mut open = match chunk.take() {
-                Some(chunk) => chunk,
-                None => {
-                    let bytes = match declared.bytes {
-                        0 => total.clamp(MIN_CHUNK_BYTES, MAX_CHUNK_BYTES),
-                        left => left.min(MAX_CHUNK_BYTES),
-                    };
-                    let allocation = declared
-                        .split(bytes)
-                        .or_else(|| account.reserve(bytes, purpose(total + bytes)));
-                    Chunk {
-                        data: BytesMut::with_capacity(bytes),
-                        _allocation: allocation.ok_or(ReadError::NoMemory)?,
-                    }
-                }
+    }
+    Ok(buffer.finish())
+}
+
+/// A body that is being read.
+struct Buffer<'a> {
+    account: &'a Arc<Account>,
+    purpose: fn(usize) -> Purpose,
+    /// Rest of the reservation for the declared length.
+    declared: Allocation,
+    /// Full chunks.
+    chunks: Chunks,
+    /// Chunk that has room left.
+    open: Option<Counted<BytesMut>>,
+    /// Number of bytes so far.
+    length: usize,
+}
+
+impl Buffer<'_> {
+    /// Appends bytes. Returns `None` if there is no room for them.
+    fn append(&mut self, mut bytes: &[u8]) -> Option<()> {
+        while !bytes.is_empty() {
+            let mut open = match self.open.take() {
+                Some(open) => open,
+                None => self.next_chunk()?,
             };
             let room = open.data.capacity() - open.data.len();
-            let (now, later) = rest.split_at(rest.len().min(room));
+            let (now, later) = bytes.split_at(bytes.len().min(room));
             open.data.extend_from_slice(now);
-            rest = later;
-            total += now.len();
+            self.length += now.len();
+            bytes = later;
             if open.data.len() == open.data.capacity() {
-                content.push(Bytes::from_owner(open));
+                self.chunks.push(Bytes::from_owner(open));
             } else {
-                chunk = Some(open);
+                self.open = Some(open);
             }
         }
+        Some(())
     }
-    if let Some(chunk) = chunk {
-        content.push(Bytes::from_owner(chunk));
+
+    /// Creates the next chunk, of what was declared as long as that lasts.
+    fn next_chunk(&mut self) -> Option<Counted<BytesMut>> {
+        let bytes = match self.declared.bytes {
+            0 => self.length.clamp(MIN_CHUNK_BYTES, MAX_CHUNK_BYTES),
+            left => left.min(MAX_CHUNK_BYTES),
+        };
+        let allocation = self.declared.split(bytes);
+        let purpose = (self.purpose)(self.length + bytes);
+        let allocation = allocation.or_else(|| self.account.reserve(bytes, purpose))?;
+        Some(Counted {
+            data: BytesMut::with_capacity(bytes),
+            _allocation: allocation,
+        })
+    }
+
+    /// Returns the body.
+    fn finish(mut self) -> Chunks {
+        if let Some(open) = self.open.take() {
+            self.chunks.push(Bytes::from_owner(open));
+        }
+        self.chunks
     }
-    Ok(content)
 }
