gateway: log the runs that a stream is joined from

The line of a request told which endpoints were asked, but neither which events of which run reached the caller nor how each run ended, so that no log could tell a joined stream from one whose end was taken from its connection. Each run is logged now with its framing, its first and last event id and its end. After an answer without a length or chunks, the log tells whether its endpoint still accepts connections. Nothing that callers get changes.

--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -27,6 +27,8 @@
     buffer: BytesMut,
     /// Length of the prefix of `buffer` that contains no end of an event.
     searched_bytes: usize,
+    /// First event id that was taken since the last [`Splitter::begin_run`].
+    first_id: Option<CompactString>,
     /// Last event id that was taken.
     last_id: Option<CompactString>,
     /// Number of events with an id that the last call took.
@@ -50,12 +52,13 @@
         };
         let events = self.buffer.split_to(from + end).freeze();
         self.searched_bytes = self.buffer.len();
-        let (count, id) = scan_ids(&events);
+        let (count, ids) = scan_ids(&events);
         self.taken_count = count;
         let mut lines = events.split(|byte| *byte == b'\n');
         self.has_taken_field = lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]));
-        if let Some(id) = id {
-            self.last_id = Some(id.into());
+        if let Some([first, last]) = ids {
+            self.first_id.get_or_insert_with(|| first.into());
+            self.last_id = Some(last.into());
         }
         Some(events)
     }
@@ -85,7 +88,7 @@
     }
 
     /// Discards an incomplete event.
-    pub fn discard(&mut self) {
+    fn discard(&mut self) {
         self.searched_bytes = 0;
         self.buffer.clear();
     }
@@ -101,6 +104,17 @@
         self.has_taken_field
     }
 
+    /// Begins another run of the stream, without the rest of the one before.
+    pub fn begin_run(&mut self) {
+        self.discard();
+        self.first_id = None;
+    }
+
+    /// Returns the first event id that was taken from this run.
+    pub fn first_id(&self) -> Option<&str> {
+        self.first_id.as_deref()
+    }
+
     /// Returns the last event id that was taken.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -185,10 +199,14 @@
         .map(|at| at + 1)
 }
 
-/// Returns the number of ids in complete events and the last id.
-fn scan_ids(events: &[u8]) -> (u32, Option<&str>) {
+/// Returns the number of ids in complete events, and the first and the last id.
+fn scan_ids(events: &[u8]) -> (u32, Option<[&str; 2]>) {
     let lines = events.split(|byte| *byte == b'\n');
     let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let ids = ids.filter_map(|id| std::str::from_utf8(id).ok());
-    ids.fold((0, None), |(count, _), id| (count + 1, Some(id.trim())))
+    ids.fold((0, None), |(count, seen), id| {
+        let id = id.trim();
+        let first = seen.map_or(id, |[first, _]| first);
+        (count + 1, Some([first, id]))
+    })
 }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -15,6 +16,7 @@
 use crate::clock::Clock;
 use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
+use crate::gateway::exchange::Framing;
 use crate::gateway::serve::Call;
 use crate::gateway::suspects::LostRun;
 use crate::net::Net;
@@ -58,10 +60,19 @@
     loop {
         call.shared.held.add_spare(&call.input);
         let outcome = copy_events(&mut call, &mut run, &mut splitter, &mut reply).await;
+        let ids = [
+            splitter.first_id(),
+            splitter.first_id().and(splitter.last_id()),
+        ];
+        let endpoint_id = &run.reservation.endpoint.id;
+        call.record.add_run(endpoint_id, ids, outcome.name());
         match outcome {
             Outcome::Complete => {
                 run.reservation.record_completion();
                 let sent_at = run.sent_at;
+                if call.record.framing == Some(Framing::Connection) {
+                    log_unframed_end(&call, run.reservation.endpoint.clone());
+                }
                 drop(run);
                 call.shared.record_success(&call.input, sent_at);
                 call.forget_origin();
@@ -86,7 +97,7 @@
         let id = shared.endpoint_id(key);
         call.record
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
-        splitter.discard();
+        splitter.begin_run();
         progress.excluded.push(key);
         progress.last_event_id = splitter.last_id().map(CompactString::from);
         if call.record.event_count > 0 {
@@ -101,10 +112,23 @@
             call.record.set_outcome("cut off", call.record.status);
             return reply.abort().await;
         };
+        call.shared.metrics.count("stream.joined");
         run = next_run;
     }
 }
 
+/// Logs in the background whether an endpoint still accepts connections after an answer that
+/// ended with its connection. If not, it may have crashed in the middle of the answer.
+fn log_unframed_end<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>, endpoint: Endpoint) {
+    let shared = Arc::clone(&call.shared);
+    let request = call.input.attempt_id.clone();
+    tokio::spawn(async move {
+        let refuses = shared.refuses_connections(&endpoint).await;
+        slog::info!(shared.logger, "stream: ended with its connection";
+            "request" => %request, "endpoint" => %endpoint.id, "refuses" => refuses);
+    });
+}
+
 /// Resumes a broken stream at another endpoint. Returns `None` if that is not
 /// allowed or fails, or if the caller disconnects.
 async fn resume<N: Net, C: Clock, D: Dialect>(
@@ -141,6 +165,17 @@
     CallerGone,
 }
 
+impl Outcome {
+    /// Returns the name in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Complete => "whole",
+            Self::Broken => "broken",
+            Self::CallerGone => "caller gone",
+        }
+    }
+}
+
 /// Copies complete events from a run to the caller.
 async fn copy_events<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -45,6 +45,8 @@
     pub version: CompactString,
     /// Calls to endpoints in order, with their results.
     calls: String,
+    /// Runs whose events were relayed, in order.
+    runs: String,
     /// Outcome for the caller, as logged.
     pub outcome: &'static str,
     /// Status sent to the caller, or zero if none was sent.
@@ -74,6 +76,7 @@
             partial_bytes: 0,
             version: CompactString::default(),
             calls: String::new(),
+            runs: String::new(),
             outcome: "caller gone",
             status: 0,
         }
@@ -90,6 +93,19 @@
         self.calls.push_str(&call);
     }
 
+    /// Adds a run whose stream has ended, with the ids of the first and the last event that
+    /// it added to the caller's stream.
+    pub fn add_run(&mut self, endpoint: &str, ids: [Option<&str>; 2], end: &str) {
+        if self.runs.len() > MAX_CALLS_BYTES {
+            return;
+        }
+        let framing = self.framing.map_or("none", Framing::name);
+        let [first, last] = ids.map(|id| id.unwrap_or_default());
+        let space = if self.runs.is_empty() { "" } else { " " };
+        self.runs
+            .push_str(&format!("{space}{endpoint}:{framing}:{first}-{last}:{end}"));
+    }
+
     /// Sets the outcome and status for the caller.
     pub fn set_outcome(&mut self, outcome: &'static str, status: u16) {
         self.outcome = outcome;
@@ -148,6 +164,7 @@
             "total_ms" => total.as_millis() as u64,
             "framing" => self.framing.map(Framing::name),
             "partial_bytes" => self.partial_bytes,
-            "calls" => %self.calls);
+            "calls" => %self.calls,
+            "runs" => %self.runs);
     }
 }
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -188,7 +188,7 @@
     /// Returns whether an endpoint that lost a request refuses connections, and so has
     /// crashed. One that does not answer, or resets a connection that it accepted, may be
     /// behind a network fault.
-    async fn refuses_connections(&self, endpoint: &Endpoint) -> bool {
+    pub(super) async fn refuses_connections(&self, endpoint: &Endpoint) -> bool {
         let connect = self.net.connect(endpoint.address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
         let refused = io::ErrorKind::ConnectionRefused;
