policy: decide which events make up a stream, and what ends an answer

What may be joined behind the events that a caller already has, and what counts as an end, was decided nowhere: each reader took what its transport gave it. One state machine without I/O decides both from now on, for the gateway and for entry and sidecar. Nothing uses it yet.

--- /dev/null
+++ b/crates/policy/src/answer.rs
@@ -0,0 +1,170 @@
+//! Decides which events of endpoints make up a caller's stream, and what ends an answer.
+//!
+//! A stream may be joined from several runs at different endpoints. What the caller already
+//! has cannot be taken back, so a run that goes on must show with its first event that it
+//! belongs behind the last one: by an id that follows it. The same holds for a stream that
+//! the caller itself takes up.
+//!
+//! An end must be said by the sender of an answer. Where only the connection says it, the
+//! sender must have outlived its answer, as the connections of a process that crashes are
+//! closed in order. An answer without any event or byte is no evidence of either.
+
+use compact_str::CompactString;
+
+/// How the end of an answer is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By the length in its head.
+    Length,
+    /// By an empty chunk.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+}
+
+/// End of an answer whose transport reported no error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// How the end was marked.
+    pub framing: Framing,
+    /// Whether the endpoint accepted connections after the end. Matters only if the
+    /// connection marked it.
+    pub is_endpoint_up: bool,
+}
+
+impl End {
+    /// Returns whether the endpoint has to be asked for [`End::is_endpoint_up`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{End, Framing};
+    /// assert!(End::needs_probe(Framing::Connection));
+    /// assert!(!End::needs_probe(Framing::Chunks));
+    /// ```
+    pub fn needs_probe(framing: Framing) -> bool {
+        framing == Framing::Connection
+    }
+
+    /// Returns whether an answer that is no stream is complete, from whether its body is
+    /// empty. `may_be_empty` tells whether the request or the status allows no body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{End, Framing};
+    /// let closed = End { framing: Framing::Connection, is_endpoint_up: true };
+    /// assert!(closed.completes_body(false, false));
+    /// assert!(!closed.completes_body(true, false));
+    /// ```
+    pub fn completes_body(self, is_empty: bool, may_be_empty: bool) -> bool {
+        self.framing != Framing::Connection || may_be_empty || (self.is_endpoint_up && !is_empty)
+    }
+
+    /// Returns whether the sender said that the answer ends here.
+    fn is_said(self) -> bool {
+        self.framing != Framing::Connection || self.is_endpoint_up
+    }
+}
+
+/// An event of an endpoint's stream. Blocks with neither data nor an id are none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event<'a> {
+    /// Its id, if it has one.
+    pub id: Option<&'a str>,
+}
+
+/// Reason why a run's event does not belong into the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Disorder {
+    /// The first event of a continuation has no id.
+    #[error("a continuation begins without an event id")]
+    Unnumbered,
+    /// The event's id does not follow the last one.
+    #[error("the event id does not follow the last one")]
+    Backward,
+}
+
+/// Events of a caller's stream, over all runs it is joined from.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge_policy::answer::{Disorder, Event, Sequence};
+/// let mut sequence = Sequence::default();
+/// assert_eq!(sequence.admit(Event { id: Some("1") }), Ok(()));
+/// assert_eq!(sequence.admit(Event { id: Some("2") }), Ok(()));
+/// sequence.begin_run();
+/// assert_eq!(sequence.admit(Event { id: None }), Err(Disorder::Unnumbered));
+/// assert_eq!(sequence.admit(Event { id: Some("1") }), Err(Disorder::Backward));
+/// assert_eq!(sequence.admit(Event { id: Some("3") }), Ok(()));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Sequence {
+    /// Id of the last event with one that the caller has.
+    last_id: Option<CompactString>,
+    /// Whether the caller has an event without an id after that one.
+    has_unnumbered: bool,
+    /// Whether the current run has added an event.
+    has_run_event: bool,
+}
+
+impl Sequence {
+    /// Creates the sequence of a caller that takes a stream up after the event `last_id`.
+    pub fn after(last_id: impl Into<CompactString>) -> Self {
+        Self {
+            last_id: Some(last_id.into()),
+            ..Self::default()
+        }
+    }
+
+    /// Begins another run, which is to go on after [`Sequence::last_id`].
+    pub fn begin_run(&mut self) {
+        self.has_run_event = false;
+    }
+
+    /// Adds the next event of the current run.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the event must not be passed on, after which the run is of no use.
+    pub fn admit(&mut self, event: Event<'_>) -> Result<(), Disorder> {
+        match (event.id, &self.last_id) {
+            (None, Some(_)) if !self.has_run_event => return Err(Disorder::Unnumbered),
+            (None, _) => self.has_unnumbered = true,
+            (Some(id), Some(last)) if !follows(id, last) => return Err(Disorder::Backward),
+            (Some(id), _) => {
+                self.last_id = Some(id.into());
+                self.has_unnumbered = false;
+            }
+        }
+        self.has_run_event = true;
+        Ok(())
+    }
+
+    /// Returns the id of the last event with one that the caller has.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Returns whether another run can be asked for exactly what the caller lacks.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
+    /// Returns whether the stream is complete after an end of the current run. `is_inside`
+    /// tells whether the end came inside an event.
+    pub fn is_complete(&self, end: End, is_inside: bool) -> bool {
+        self.has_run_event && !is_inside && end.is_said()
+    }
+}
+
+/// Returns whether the event `id` comes after the event `last`. Ids that are not numbers
+/// tell only that two events are not the same.
+fn follows(id: &str, last: &str) -> bool {
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        (Err(_), Err(_)) => id != last,
+        _ => false,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! where needed, a seeded random source; its outputs are actions. The daemons and the tests
 //! drive these machines step by step.
 
+pub mod answer;
 pub mod claim;
 pub mod gate;
 pub mod gateway;
