policy: test that two returns of the store revive no endpoint that left

A copy of the store brings back the entry of an earlier start, and a later copy that of the start which was leaving. The list then sends requests to it again.

The new test fails at its last assertion.

--- a/crates/policy/tests/era.rs
+++ b/crates/policy/tests/era.rs
@@ -91,6 +91,35 @@
     assert!(used(&mut list, due).is_empty());
 }
 
+/// An entry of an earlier start, which a copy brings back, must not hide that the later
+/// start was leaving.
+#[test]
+fn an_endpoint_that_left_is_not_revived_by_two_returns() {
+    let begin = Instant::now();
+    let later = begin + ENTRY_TTL * 3;
+    for earlier_goes in [false, true] {
+        let mut list = list(begin, vec![start("i-1", 2, false)]);
+        list.put(start("i-1", 2, true));
+        list.begin_era(begin);
+        list.replace(begin, vec![start("i-1", 1, false)]);
+        assert!(used(&mut list, begin).is_empty(), "start 2 was leaving");
+        list.record_read(later);
+        list.replace(later, vec![start("i-1", 1, false)]);
+        used(&mut list, later);
+        if earlier_goes {
+            list.remove(later, "i-1");
+            let end = later + ENTRY_TTL * 2;
+            list.record_read(end);
+            used(&mut list, end);
+        }
+        let last = later + ENTRY_TTL * 3;
+        list.record_read(last);
+        list.begin_era(last);
+        list.replace(last, vec![start("i-1", 2, false)]);
+        assert!(used(&mut list, last).is_empty(), "{earlier_goes}");
+    }
+}
+
 /// Steps of a random series.
 #[derive(Clone, Copy, Debug)]
 enum Step {
