gateway: keep the departure of a later start when an earlier one is listed

An endpoint that was leaving was used again after two returns of the store from older copies within a minute: a copy listed an earlier start of it, and as that entry was taken for valid once stale ones had to have expired, the departure of the later start was forgotten. The next copy then listed the later start as before it was leaving.

A departure is now forgotten, or replaced by another, only for the same start or a later one. The model of the store in the test keeps the entry of an ended start longer than the platform does, but the list needs no such promise.

--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -249,11 +249,15 @@
     }
 
     /// Adds or replaces an endpoint. One that was draining stays so until it
-    /// restarts.
+    /// restarts. The entry of an earlier start does not make the departure of
+    /// a later one forgotten, as a copy may list that one again.
     fn insert(&mut self, mut endpoint: Endpoint, withheld_until: Option<Instant>) {
         endpoint.draining |= self.is_draining(&endpoint);
         if withheld_until.is_none() && !endpoint.draining {
-            self.departed.remove(&endpoint.id);
+            let departure = self.departed.get(&endpoint.id);
+            if departure.is_some_and(|departure| departure.started_ms <= endpoint.started_ms) {
+                self.departed.remove(&endpoint.id);
+            }
         }
         let record = Record {
             endpoint,
@@ -289,7 +293,10 @@
                     draining: record.endpoint.draining,
                     removed_at,
                 };
-                departed.insert(id.clone(), departure);
+                let known = departed.entry(id.clone()).or_insert(departure);
+                if known.started_ms <= departure.started_ms {
+                    *known = departure;
+                }
             }
             is_kept
         });
