platform: test what a second engine may add to a stream

Two or three decode engines, the first answers of which are scripted byte by byte. The first run breaks after two of five events; the next answers in 37 forms that add nothing. A caller that takes up a stream itself gets each of six such forms. Sound continuations pass.

--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -270,7 +270,9 @@
 }
 
 /// Reads a request with its body.
-async fn read_request<S: tokio::io::AsyncRead + Unpin>(stream: &mut S) -> io::Result<Vec<u8>> {
+pub(crate) async fn read_request<S: tokio::io::AsyncRead + Unpin>(
+    stream: &mut S,
+) -> io::Result<Vec<u8>> {
     let mut request = Vec::new();
     while request.len() < MAX_REQUEST_BYTES {
         if stream.read_buf(&mut request).await? == 0 {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod orders;
 pub mod plain;
 pub mod runner;
+pub mod script;
 pub mod server;
 pub mod store;
 pub mod transcript;
