policy: tell whether a run has shown that it goes on after the last event

Until its first event, a continuation may send blocks that are no events: text in place of a stream is among them, so they are not passed on.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -147,6 +147,22 @@
         self.last_id.as_deref()
     }
 
+    /// Returns whether the current run has yet to show that it goes on after the last event.
+    /// What it sends beside events until then is not passed on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{Event, Sequence};
+    /// let mut sequence = Sequence::after("2");
+    /// assert!(sequence.is_unproven());
+    /// sequence.admit(Event { id: Some("3") }).unwrap();
+    /// assert!(!sequence.is_unproven());
+    /// ```
+    pub fn is_unproven(&self) -> bool {
+        self.last_id.is_some() && !self.has_run_event
+    }
+
     /// Returns whether another run can be asked for exactly what the caller lacks.
     pub fn is_resumable(&self) -> bool {
         !self.has_unnumbered
