gateway: hold each event of a run against the stream

Callers got events twice and out of order, and streams that ended as complete after an empty answer: the relay passed on whatever had an empty line behind it, and took the end of any answer for the end of the stream. The id of the last event was kept for the next request and never held against what came.

Each event now has to follow the one before. What comes before one that doesn't is passed on, then the run counts as broken and another may go on. An end counts only if the run has added an event. A stream that has passed on an event without an id is not joined.

--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -4,22 +4,39 @@
 use compact_str::CompactString;
 use http::{header, HeaderMap};
 
+use cranberryridge_policy::answer::{Disorder, Event, Sequence};
+
 use crate::body::Chunks;
 
 /// Maximum size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
+/// Complete events that were taken from a buffer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// The events and what stands between them, unchanged.
+    pub bytes: Bytes,
+    /// Number of events.
+    pub event_count: u32,
+    /// Whether there is a field, and not only comments and empty lines.
+    pub has_field: bool,
+    /// Reason why the stream must not go on after these events.
+    pub disorder: Option<Disorder>,
+}
+
 /// Buffers bytes and returns complete events unchanged.
 ///
 /// # Examples
 ///
 /// ```
 /// use cranberryridge::events::Splitter;
-/// let mut splitter = Splitter::default();
+/// use cranberryridge_policy::answer::Sequence;
+/// let (mut splitter, mut sequence) = (Splitter::default(), Sequence::default());
 /// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-/// assert_eq!(splitter.take_events().as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
-/// assert_eq!(splitter.last_id(), Some("1"));
-/// assert!(splitter.take_events().is_none());
+/// let batch = splitter.take_events(&mut sequence).unwrap();
+/// assert_eq!(&batch.bytes[..], b"id: 1\ndata: a\n\n");
+/// assert_eq!(sequence.last_id(), Some("1"));
+/// assert!(splitter.take_events(&mut sequence).is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -29,12 +46,6 @@
     searched_bytes: usize,
     /// First event id that was taken since the last [`Splitter::begin_run`].
     first_id: Option<CompactString>,
-    /// Last event id that was taken.
-    last_id: Option<CompactString>,
-    /// Number of events with an id that the last call took.
-    taken_count: u32,
-    /// Whether the last call took a field, and not only comments and empty lines.
-    has_taken_field: bool,
 }
 
 impl Splitter {
@@ -43,24 +54,39 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Takes all complete events, or returns `None` if there is none.
-    pub fn take_events(&mut self) -> Option<Bytes> {
+    /// Takes all complete events up to one that does not belong into the stream, or returns
+    /// `None` if there is none.
+    pub fn take_events(&mut self, sequence: &mut Sequence) -> Option<Batch> {
         let from = self.searched_bytes.saturating_sub(3);
         let Some(end) = find_last_end(&self.buffer[from..]) else {
             self.searched_bytes = self.buffer.len();
             return None;
         };
-        let events = self.buffer.split_to(from + end).freeze();
+        let taken = self.buffer.split_to(from + end).freeze();
         self.searched_bytes = self.buffer.len();
-        let (count, ids) = scan_ids(&events);
-        self.taken_count = count;
-        let mut lines = events.split(|byte| *byte == b'\n');
-        self.has_taken_field = lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]));
-        if let Some([first, last]) = ids {
-            self.first_id.get_or_insert_with(|| first.into());
-            self.last_id = Some(last.into());
+        let mut batch = Batch::default();
+        let (mut start, mut end) = (0, 0);
+        while let Some(length) = find_first_end(&taken[end..]) {
+            let block = &taken[end..end + length];
+            match parse_event(block) {
+                Some(event) => {
+                    if let Err(disorder) = sequence.admit(event) {
+                        batch.disorder = Some(disorder);
+                        break;
+                    }
+                    batch.event_count += 1;
+                    if let (Some(id), None) = (event.id, &self.first_id) {
+                        self.first_id = Some(id.into());
+                    }
+                }
+                None if sequence.is_unproven() => start = end + length,
+                None => {}
+            }
+            end += length;
+            batch.has_field |= has_field(block);
         }
-        Some(events)
+        batch.bytes = taken.slice(start..end);
+        Some(batch)
     }
 
     /// Returns whether the bytes after the last complete event belong to another
@@ -87,26 +113,10 @@
         self.buffer.split().freeze()
     }
 
-    /// Discards an incomplete event.
-    fn discard(&mut self) {
-        self.searched_bytes = 0;
-        self.buffer.clear();
-    }
-
-    /// Returns the number of events with an id that were taken last.
-    pub fn taken_count(&self) -> u32 {
-        self.taken_count
-    }
-
-    /// Returns whether what was taken last has a field, and not only comments and empty
-    /// lines.
-    pub fn has_taken_field(&self) -> bool {
-        self.has_taken_field
-    }
-
     /// Begins another run of the stream, without the rest of the one before.
     pub fn begin_run(&mut self) {
-        self.discard();
+        self.searched_bytes = 0;
+        self.buffer.clear();
         self.first_id = None;
     }
 
@@ -114,11 +124,6 @@
     pub fn first_id(&self) -> Option<&str> {
         self.first_id.as_deref()
     }
-
-    /// Returns the last event id that was taken.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
-    }
 }
 
 /// Follows a stream without buffering it, and tells whether it may end here. A
@@ -189,24 +194,49 @@
 
 /// Returns the index after the empty line that ends the last event.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
-    let ends = (0..bytes.len()).rev();
-    let is_end = |at: &usize| {
-        let before = &bytes[..=*at];
-        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
-    };
-    ends.filter(|at| bytes[*at] == b'\n')
-        .find(is_end)
-        .map(|at| at + 1)
+    (1..=bytes.len())
+        .rev()
+        .find(|end| is_event_end(&bytes[..*end]))
 }
 
-/// Returns the number of ids in complete events, and the first and the last id.
-fn scan_ids(events: &[u8]) -> (u32, Option<[&str; 2]>) {
-    let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let ids = ids.filter_map(|id| std::str::from_utf8(id).ok());
-    ids.fold((0, None), |(count, seen), id| {
-        let id = id.trim();
-        let first = seen.map_or(id, |[first, _]| first);
-        (count + 1, Some([first, id]))
-    })
+/// Returns the index after the empty line that ends the first event.
+fn find_first_end(bytes: &[u8]) -> Option<usize> {
+    (1..=bytes.len()).find(|end| is_event_end(&bytes[..*end]))
+}
+
+/// Returns whether the bytes end with an empty line.
+fn is_event_end(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\n\r\n")
+}
+
+/// Parses the lines up to an empty one. Returns `None` if they are no event.
+fn parse_event(block: &[u8]) -> Option<Event<'_>> {
+    let (mut is_event, mut id) = (false, None);
+    for line in lines(block) {
+        let colon = line.iter().position(|byte| *byte == b':');
+        let (name, value) = line.split_at(colon.unwrap_or(line.len()));
+        match name {
+            b"data" => is_event = true,
+            b"id" => {
+                is_event = true;
+                id = std::str::from_utf8(value).ok();
+            }
+            _ => {}
+        }
+    }
+    let id = id.map(|id| id.strip_prefix(':').unwrap_or(id).trim());
+    // An empty id names no event.
+    let id = id.filter(|id| !id.is_empty());
+    is_event.then_some(Event { id })
+}
+
+/// Returns whether one of the lines is neither empty nor a comment.
+fn has_field(block: &[u8]) -> bool {
+    lines(block).any(|line| !matches!(line, [] | [b':', ..]))
+}
+
+/// Returns the lines without their ends.
+fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = block.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
 }
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -9,12 +9,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use http::{response, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -112,8 +112,8 @@
     sends: Sends,
     /// Endpoints that the request is not sent to again.
     excluded: Vec<EndpointKey>,
-    /// Id of the last event that was sent to the caller.
-    last_event_id: Option<CompactString>,
+    /// Events that the caller has.
+    sequence: Sequence,
 }
 
 /// Serves a model request and returns the response, whose body is relayed in
@@ -408,7 +408,7 @@
         remaining_time: call.remaining_time(),
         stage: cache.as_ref().map_or(Stage::Whole, Cache::stage),
         reservation_id: reservation.id(),
-        last_event_id: progress.last_event_id.as_deref(),
+        last_event_id: progress.sequence.last_id(),
     };
     call.record_version(&endpoint);
     let may_have_run_before = progress.may_have_run;
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use http::Response;
 use tokio::time::timeout_at;
 
+use cranberryridge_policy::answer::{self, End, Sequence};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
@@ -59,10 +59,11 @@
     let mut splitter = Splitter::default();
     loop {
         call.shared.held.add_spare(&call.input);
-        let outcome = copy_events(&mut call, &mut run, &mut splitter, &mut reply).await;
+        let sequence = &mut progress.sequence;
+        let outcome = copy_events(&mut call, &mut run, sequence, &mut splitter, &mut reply).await;
         let ids = [
             splitter.first_id(),
-            splitter.first_id().and(splitter.last_id()),
+            splitter.first_id().and(progress.sequence.last_id()),
         ];
         let endpoint_id = &run.reservation.endpoint.id;
         call.record.add_run(endpoint_id, ids, outcome.name());
@@ -99,7 +100,7 @@
             .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
         splitter.begin_run();
         progress.excluded.push(key);
-        progress.last_event_id = splitter.last_id().map(CompactString::from);
+        progress.sequence.begin_run();
         if call.record.event_count > 0 {
             let version = &run.reservation.endpoint.version;
             call.version.get_or_insert_with(|| version.clone());
@@ -137,7 +138,7 @@
     progress: &mut Progress,
     reply: &mut Reply,
 ) -> Option<Run<N, C, D>> {
-    if !is_retry_allowed(call, progress) {
+    if !progress.sequence.is_resumable() || !is_retry_allowed(call, progress) {
         return None;
     }
     if !call.input.retain_body() {
@@ -158,8 +159,8 @@
 enum Outcome {
     /// The stream ended normally.
     Complete,
-    /// The endpoint's connection failed, was silent for too long, or ended inside
-    /// an event.
+    /// The endpoint's connection failed, was silent for too long, sent an event that does
+    /// not belong into the stream, or ended before the stream was complete.
     Broken,
     /// The caller disconnected.
     CallerGone,
@@ -180,6 +181,7 @@
 async fn copy_events<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     run: &mut Run<N, C, D>,
+    sequence: &mut Sequence,
     splitter: &mut Splitter,
     reply: &mut Reply,
 ) -> Outcome {
@@ -198,22 +200,23 @@
     loop {
         if let Some(bytes) = chunk {
             splitter.push(&bytes);
-            let events = splitter.take_events();
+            let batch = splitter.take_events(sequence);
             let now = call.shared.clock.now();
             if run.is_on_probation && now >= run.first_event_at + PROBATION {
                 run.is_on_probation = false;
                 call.shared.record_proof(&call.input, run.sent_at);
             }
-            if let Some(events) = events {
+            let disorder = batch.as_ref().and_then(|batch| batch.disorder);
+            if let Some(batch) = batch.filter(|batch| !batch.bytes.is_empty()) {
                 let gap = now.saturating_duration_since(last_events_at);
                 last_events_at = now;
                 if call.record.event_count > 0 {
                     call.record.record_gap(gap);
                     run.reservation
-                        .record_event_interval(gap / splitter.taken_count().max(1));
+                        .record_event_interval(gap / batch.event_count.max(1));
                 }
-                call.record.event_count += splitter.taken_count();
-                let (events, is_within) = call.shared.held.count(events);
+                call.record.event_count += batch.event_count;
+                let (events, is_within) = call.shared.held.count(batch.bytes);
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
                 }
@@ -221,10 +224,17 @@
                     return Outcome::CallerGone;
                 }
                 // The caller may have taken the piece late.
-                if splitter.has_taken_field() {
+                if batch.has_field {
                     event_deadline = call.shared.clock.now() + idle_timeout;
                 }
             }
+            if let Some(disorder) = disorder {
+                call.shared.metrics.count("endpoint.disorder");
+                slog::info!(call.shared.logger, "stream: run out of order";
+                    "request" => %call.input.attempt_id,
+                    "endpoint" => %run.reservation.endpoint.id, "error" => %disorder);
+                return Outcome::Broken;
+            }
             // Bytes that are no event may come so fast that the timeout below is never
             // polled.
             if splitter.is_overlong() || now >= event_deadline {
@@ -243,8 +253,7 @@
         }
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
-            // Without a length or chunks, a crash ends the body like its last event.
-            Ok(Chunk::End) if splitter.is_inside_event() => {
+            Ok(Chunk::End) if !sequence.is_complete(end_of(call), splitter.is_inside_event()) => {
                 call.shared.metrics.count("endpoint.answer_cut");
                 return Outcome::Broken;
             }
@@ -259,3 +268,16 @@
         }
     }
 }
+
+/// Returns the end of the run's answer.
+fn end_of<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> End {
+    let framing = match call.record.framing {
+        Some(Framing::Length) => answer::Framing::Length,
+        Some(Framing::Chunks) => answer::Framing::Chunks,
+        Some(Framing::Connection) | None => answer::Framing::Connection,
+    };
+    End {
+        framing,
+        is_endpoint_up: true,
+    }
+}
