gateway: let a run go on with a stream only after its first event

Callers got text, or events under another status or media type, in the middle of a stream: the relay dropped the head of a second run unread. And a 500, a 503 that did not say that the request had not run, or a 404 from a second engine ended the stream, though other engines and attempts were left.

A run that is to go on with a stream now has to show a status of 200, the media type of a stream and an event that follows the last one. If not, it counts as a lost run, and another one may be tried. An error response to it counts as a lost run as well.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -36,6 +36,7 @@
 use self::reservation::Reservation;
 
 mod cache;
+mod join;
 mod relay;
 mod reservation;
 
@@ -114,6 +115,8 @@
     excluded: Vec<EndpointKey>,
     /// Events that the caller has.
     sequence: Sequence,
+    /// Whether the caller has the head of an answer, so that no other answer can follow.
+    has_begun: bool,
 }
 
 /// Serves a model request and returns the response, whose body is relayed in
--- /dev/null
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -0,0 +1,123 @@
+//! Starts runs that go on where the caller's stream ends.
+
+use bytes::BytesMut;
+use http::{response, StatusCode};
+
+use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::gateway::route::Engine;
+use cranberryridge_wire::code::Code;
+
+use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run};
+use super::{Answer, Chunk, Progress, Run};
+use crate::clock::Clock;
+use crate::events::{self, Splitter};
+use crate::gateway::dialect::Dialect;
+use crate::gateway::refusal::Refusal;
+use crate::gateway::serve::Call;
+use crate::gateway::suspects::LostRun;
+use crate::net::Net;
+
+/// Sends the request to endpoints until one starts a stream that goes on where the caller's
+/// ends, or returns an error response to a caller that has no answer yet.
+///
+/// # Errors
+///
+/// Returns the reason if no endpoint does.
+pub(super) async fn start<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
+    engine: Engine,
+    progress: &mut Progress,
+) -> Result<Answer<N, C, D>, Refusal> {
+    loop {
+        let answer = start_run(call, engine, progress).await?;
+        let mut run = match answer {
+            Answer::Stream(run) => run,
+            Answer::Failure(..) if progress.has_begun => {
+                let key = progress.current.ok_or(Refusal::new(Code::EndpointLost))?;
+                retry_after_loss(call, progress, key)?;
+                continue;
+            }
+            Answer::Failure(..) => return Ok(answer),
+        };
+        if !progress.has_begun && progress.sequence.last_id().is_none() {
+            return Ok(Answer::Stream(run));
+        }
+        progress.current = Some(run.reservation.key);
+        let is_joinable = is_stream(&run.head) && goes_on(call, &mut run, &progress.sequence).await;
+        progress.current = None;
+        if is_joinable {
+            return Ok(Answer::Stream(run));
+        }
+        abandon(call, progress, &run).await?;
+    }
+}
+
+/// Counts a run that does not go on with the stream as lost.
+///
+/// # Errors
+///
+/// Returns [`Code::EndpointLost`] if the request may not run again.
+async fn abandon<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
+    progress: &mut Progress,
+    run: &Run<N, C, D>,
+) -> Result<(), Refusal> {
+    let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
+    call.shared.metrics.count("stream.not_joined");
+    call.record.add_call("stream", &endpoint.id, "not joined");
+    let lost = LostRun {
+        input: &call.input,
+        key,
+        endpoint,
+        sent_at: run.sent_at,
+        first_event_at: Some(run.first_event_at),
+    };
+    call.shared.record_lost_run(lost).await;
+    progress.excluded.push(key);
+    if is_retry_allowed(call, progress) {
+        return Ok(());
+    }
+    Err(Refusal::new(Code::EndpointLost))
+}
+
+/// Returns whether the head is that of a stream.
+fn is_stream(head: &response::Parts) -> bool {
+    head.status == StatusCode::OK && events::is_event_stream(&head.headers)
+}
+
+/// Waits for the first event of a run, and returns whether it follows the stream's last one.
+async fn goes_on<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    run: &mut Run<N, C, D>,
+    sequence: &Sequence,
+) -> bool {
+    // The relay admits the event when it passes it on.
+    let mut sequence = sequence.clone();
+    let mut splitter = Splitter::default();
+    let mut opening = BytesMut::new();
+    let mut chunk = run.first_chunk.take();
+    loop {
+        if let Some(bytes) = chunk {
+            opening.extend_from_slice(&bytes);
+            splitter.push(&bytes);
+            match splitter.take_events(&mut sequence) {
+                Some(batch) if batch.event_count > 0 => {
+                    run.first_chunk = Some(opening.freeze());
+                    return true;
+                }
+                Some(batch) if batch.disorder.is_some() => return false,
+                // What is no event is not passed on.
+                Some(_) => opening = opening.split_off(opening.len() - splitter.partial_bytes()),
+                None => {}
+            }
+            // Bytes that are no event may come so fast that a timeout is never polled.
+            if splitter.is_overlong() || call.remaining_time().is_zero() {
+                return false;
+            }
+        }
+        match next_chunk(&mut run.body).await {
+            Chunk::Data(bytes) => chunk = Some(bytes),
+            Chunk::End | Chunk::Broken => return false,
+        }
+    }
+}
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -11,7 +11,7 @@
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
-use super::{is_retry_allowed, next_chunk, start_run, Answer, Chunk, Progress, Run};
+use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Run};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::events::Splitter;
@@ -57,6 +57,7 @@
     mut reply: Reply,
 ) {
     let mut splitter = Splitter::default();
+    progress.has_begun = true;
     loop {
         call.shared.held.add_spare(&call.input);
         let sequence = &mut progress.sequence;
@@ -148,7 +149,7 @@
     let deadline = tokio::time::Instant::from_std(call.deadline);
     tokio::select! {
         () = reply.closed() => None,
-        run = timeout_at(deadline, start_run(call, engine, progress)) => match run {
+        run = timeout_at(deadline, join::start(call, engine, progress)) => match run {
             Ok(Ok(Answer::Stream(run))) => Some(*run),
             _ => None,
         },
