gateway: check the first event of a stream that a caller takes up

A caller that named the last event it had got whatever the endpoint sent: the stream from its first event, events without an id, text, or an end without an event. The gateway passed the id on and did not look at the answer.

The caller's stream now begins after that id, so the run has to go on from there, as a run that the gateway itself starts. This holds on routes that may be resumed, as the id says nothing on others.

--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -91,6 +91,8 @@
     pub shared_parts: Vec<CompactString>,
     /// Whether the caller takes up a stream of which it has events.
     pub is_resumption: bool,
+    /// Id of the last event that the caller has of that stream, if it names one.
+    pub last_event_id: Option<CompactString>,
     /// Id of the attempt that brought the first event of that stream, if the caller names
     /// it.
     pub first_attempt_id: Option<CompactString>,
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -129,9 +129,12 @@
     mut call: Call<N, C, D>,
     engine: Engine,
 ) -> Result<Response<Body>, (Call<N, C, D>, Refusal)> {
-    let mut progress = Progress::default();
+    let mut progress = Progress {
+        sequence: begin_sequence(&call),
+        ..Progress::default()
+    };
     let deadline = tokio::time::Instant::from_std(call.deadline);
-    let result = timeout_at(deadline, start_run(&mut call, engine, &mut progress)).await;
+    let result = timeout_at(deadline, join::start(&mut call, engine, &mut progress)).await;
     let result = result.unwrap_or_else(|_| {
         if !progress.may_have_run {
             return Err(Refusal::new(Code::TooLate));
@@ -152,6 +155,13 @@
     }
 }
 
+/// Returns the events that the caller has before the first run.
+fn begin_sequence<N, C: Clock, D>(call: &Call<N, C, D>) -> Sequence {
+    let last_id = call.record.description.last_event_id.clone();
+    let last_id = last_id.filter(|_| call.route.kind == Kind::ResumableStream);
+    last_id.map_or_else(Sequence::default, Sequence::after)
+}
+
 /// Sends the request to endpoints until one starts a stream or returns an error
 /// response.
 async fn start_run<N: Net, C: Clock, D: Dialect>(
