gateway: decide on plain calls of a stopping host as on streams

Stop was asked for streams only. The pool now predicts a call's duration from earlier answers of its service: the mean while the load balancer has not noticed the stop, later the longest recent answer with headroom. Stop is asked before each attempt, and once more when the connection to the endpoint stands. A request of which nothing has run is refused as draining; a retry that is not made ends as the attempt before it did, or as an unknown outcome. Streams that have begun are resumed as before; one that was lost before its first event is no longer tried again if it would be cut.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -16,7 +16,7 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget, Sends};
-use cranberryridge_policy::gateway::drain::Stop;
+use cranberryridge_policy::gateway::drain::{Length, Stop};
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::memory;
@@ -284,6 +284,16 @@
         lock(&self.pool)
     }
 
+    /// Returns whether a request that starts now may be expected to end before this host
+    /// exits.
+    fn accepts(&self, length: Length) -> bool
+    where
+        C: Clock,
+    {
+        let stop = self.stop.get();
+        stop.is_none_or(|stop| stop.accepts(self.clock.now(), length))
+    }
+
     /// Returns an endpoint if it is still listed and accepts work. Called right
     /// before each attempt, as it may have started to leave or to rest since it
     /// was chosen.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
@@ -235,7 +236,8 @@
 }
 
 /// Sends a request to an endpoint, with a permit if it has named a limit, and waits for the
-/// response head.
+/// response head. Nothing is sent if this host is stopping and a request of this length may
+/// not end before.
 pub async fn send<N: Net, C: Clock, D: Dialect>(
     shared: &Arc<Shared<N, C, D>>,
     input: &Arc<Input>,
@@ -243,6 +245,7 @@
     endpoint: &Endpoint,
     permit: Option<Permit>,
     parameters: Parameters<'_>,
+    length: Option<Length>,
 ) -> Outcome {
     let Some(body) = input.body() else {
         return Outcome::NotSent;
@@ -256,6 +259,8 @@
     let answer = match connected {
         // The process may have been paused until after the deadline.
         Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
+        // The stop may have begun while the connection was established.
+        Ok(_) if length.is_some_and(|length| !shared.accepts(length)) => return Outcome::NotSent,
         Ok(_) if !shared.is_permitted(key, permit) => {
             shared.metrics.count("permit.missing");
             return Outcome::NotPermitted;
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
+use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
@@ -52,9 +53,6 @@
 /// Longest wait for a permit of a request whose endpoints have been assigned.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(200);
 
-/// Retry time of a request that another host can serve at once.
-const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// A run whose stream has started.
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
@@ -164,7 +162,10 @@
     let mut kept = None::<Cache<N, C, D>>;
     loop {
         call.check_deadline()?;
-        check_stop(call, engine, need, progress)?;
+        let length = predict_length(call, engine, need);
+        if let Some(length) = length {
+            call.check_stop(length)?;
+        }
         call.exclude_joining(&mut progress.excluded)?;
         let acquire = reservation::acquire(call, engine, need, progress);
         let mut reservation = unless_barred(&shared, &parts, acquire).await?;
@@ -190,7 +191,7 @@
                 }
             }
         };
-        match start_generation(call, need, progress, reservation, cache).await? {
+        match start_generation(call, need, length, progress, reservation, cache).await? {
             Attempt::Answered(answer) => return Ok(answer),
             Attempt::NotRun(cache) => kept = cache,
         }
@@ -231,32 +232,20 @@
     Ok(cache.await?.map_or(Prompt::Unread, Prompt::Remote))
 }
 
-/// Refuses a stream that may not end before this host exits, unless it has begun before.
-///
-/// # Errors
-///
-/// Returns [`Code::Draining`] if so.
-fn check_stop<N: Net, C: Clock, D: Dialect>(
+/// Predicts the duration of the stream from now on. Returns `None` if it has begun, as it is
+/// then resumed even if the host may exit before its end.
+fn predict_length<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     engine: Engine,
     need: Need,
-    progress: &Progress,
-) -> Result<(), Refusal> {
-    let shared = &call.shared;
-    let Some(stop) = shared.stop.get().filter(|_| !progress.may_have_run) else {
-        return Ok(());
-    };
-    let now = shared.clock.now();
-    let longest = call.record.description.max_output_tokens;
-    let pool = shared.pool();
-    let length = pool.predict_length(now, &call.service, engine, need, longest);
-    if stop.accepts(now, length) {
-        return Ok(());
+) -> Option<Length> {
+    if call.record.answer_started_at.is_some() {
+        return None;
     }
-    Err(Refusal::with_retry_after(
-        Code::Draining,
-        OTHER_HOST_RETRY_AFTER,
-    ))
+    let now = call.shared.clock.now();
+    let longest = call.record.description.max_output_tokens;
+    let pool = call.shared.pool();
+    Some(pool.predict_length(now, &call.service, engine, need, longest))
 }
 
 /// Returns the capacity that the request needs.
@@ -337,7 +326,17 @@
         reservation_id: None,
         last_event_id: None,
     };
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let length = predict_length(call, engine, need);
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if matches!(outcome, Outcome::NotPermitted) {
         return Ok(None);
     }
@@ -374,6 +373,7 @@
 async fn start_generation<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     need: Need,
+    length: Option<Length>,
     progress: &mut Progress,
     mut reservation: Reservation<N, C, D>,
     mut cache: Option<Cache<N, C, D>>,
@@ -414,7 +414,16 @@
     let may_have_run_before = progress.may_have_run;
     progress.may_have_run = true;
     progress.current = Some(key);
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if !matches!(outcome, Outcome::NotSent | Outcome::NotPermitted) {
         progress.sends.record();
     }
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
+use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::Kind;
 use cranberryridge_wire::code::Code;
@@ -95,6 +96,10 @@
         if let Err(refusal) = call.exclude_joining(&mut progress.excluded) {
             return failure.ok_or(refusal);
         }
+        let length = predict_length(call);
+        if let Err(refusal) = call.check_stop(length) {
+            return failure.ok_or(refusal);
+        }
         let (key, permit) = match choose(call, progress).await {
             Ok(Choice::Endpoint(key, permit)) => (key, permit),
             Ok(Choice::Again) => continue,
@@ -128,6 +133,14 @@
     }
 }
 
+/// Predicts the duration of the request from now on.
+fn predict_length<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Length {
+    let now = call.shared.clock.now();
+    let target = call.route.latency_target;
+    let pool = call.shared.pool();
+    pool.predict_call(now, &call.service, target, call.remaining_time())
+}
+
 /// Refuses a request for which there is no endpoint.
 fn refuse<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Refusal {
     let shared = &call.shared;
@@ -225,7 +238,17 @@
     progress.may_have_run = true;
     progress.current = Some(key);
     let started_at = shared.clock.now();
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let length = Some(predict_length(call));
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if let Outcome::Answer(answer) = &outcome {
         call.record.framing = Some(Framing::of(answer.headers()));
     }
--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -28,6 +28,9 @@
 /// last seconds.
 pub const STORE_OUTAGE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Retry time of a request that another host can serve at once.
+const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Range of the random factor on retry times, so that callers refused at the
 /// same time do not retry at the same time.
 const JITTER: std::ops::Range<f64> = 0.5..1.5;
@@ -42,6 +45,11 @@
         Self::with_retry_after(code, retry_after)
     }
 
+    /// Creates the refusal of a request that this host does not serve, as it is stopping.
+    pub fn draining() -> Self {
+        Self::with_retry_after(Code::Draining, OTHER_HOST_RETRY_AFTER)
+    }
+
     /// Creates a refusal with a given retry time, to which jitter is applied.
     pub fn with_retry_after(code: Code, retry_after: Duration) -> Self {
         let factor = rand::rng().random_range(JITTER);
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use cranberryridge_policy::gateway::drain::Stop;
+use cranberryridge_policy::gateway::drain::{Length, Stop};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
@@ -157,6 +157,18 @@
         Ok(())
     }
 
+    /// Refuses a request that may not end before this host exits. Called before each attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::Draining`] if so.
+    pub fn check_stop(&self, length: Length) -> Result<(), Refusal> {
+        if self.shared.accepts(length) {
+            return Ok(());
+        }
+        Err(Refusal::draining())
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline
--- a/crates/policy/src/gateway/drain.rs
+++ b/crates/policy/src/gateway/drain.rs
@@ -1,10 +1,10 @@
-//! Decides which streams a stopping host accepts.
+//! Decides which requests a stopping host accepts.
 //!
-//! A stream that is still running when the host exits is cut. Another host would serve it
-//! whole, so it is refused at once if it is not expected to end in time. Until the load
-//! balancer has noticed the stop, the caller's estimate of the length counts: if many hosts
-//! stop together, the longest possible answers would be refused everywhere. Later only few
-//! requests come, and none of them may be cut.
+//! A request that is still running when the host exits gets no result. Another host would
+//! serve it whole, so it is refused at once if it is not expected to end in time. Until the
+//! load balancer has noticed the stop, the estimated duration counts: if many hosts stop
+//! together, the longest requests would be refused everywhere. Later only few requests come,
+//! and none of them may be cut.
 
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,9 @@
 use super::pool::Pool;
 use super::route::Engine;
 
+/// Longest call that is expected, as a multiple of the longest recent one.
+const CALL_HEADROOM: f64 = 1.25;
+
 /// Times of a planned stop.
 ///
 /// # Examples
@@ -30,21 +33,22 @@
 pub struct Stop {
     /// Time until which new connections are accepted.
     pub lame_duck_until: Instant,
-    /// Time at which the process exits.
+    /// Time at which requests that are still open are given up, so that each gets an answer
+    /// before the process exits.
     pub exits_at: Instant,
 }
 
-/// Predicted duration of a stream.
+/// Predicted duration of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Length {
-    /// Duration if the answer is as long as its caller estimates.
+    /// Expected duration. For a stream, that of an answer as long as its caller estimates.
     pub estimated: Duration,
-    /// Duration of the longest possible answer.
+    /// Upper bound of the duration. For a stream, that of the longest possible answer.
     pub longest: Duration,
 }
 
 impl Stop {
-    /// Returns whether a stream that starts now may be expected to end in time.
+    /// Returns whether a request that starts now may be expected to end in time.
     pub fn accepts(&self, now: Instant, length: Length) -> bool {
         let duration = if now < self.lame_duck_until {
             length.estimated
@@ -71,4 +75,24 @@
             longest: run_time(max_output_tokens, token_time),
         }
     }
+
+    /// Predicts the duration of a plain call to a service, from earlier calls.
+    /// `latency_target` is that of its route, which counts until a call has been answered, and
+    /// `remaining_time` is the time until the call's deadline, when its caller gets an answer
+    /// in any case.
+    pub fn predict_call(
+        &self,
+        now: Instant,
+        service: &str,
+        latency_target: Duration,
+        remaining_time: Duration,
+    ) -> Length {
+        let (mean, peak) = self
+            .call_times(now, service)
+            .unwrap_or((latency_target, remaining_time));
+        Length {
+            estimated: mean.min(remaining_time),
+            longest: peak.mul_f64(CALL_HEADROOM).min(remaining_time),
+        }
+    }
 }
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -311,6 +311,14 @@
         let expected = Duration::from_secs_f64(service.run_seconds_or(took));
         state.learn_slowdown(now, expected, took);
         service.learn_run(took);
+        service.learn_peak(now, took);
+    }
+
+    /// Returns the mean duration of a service's plain answers and the longest recent one.
+    /// `None` if there was none yet.
+    pub(super) fn call_times(&self, now: Instant, service: &str) -> Option<(Duration, Duration)> {
+        let service = self.services_by_name.get(service)?;
+        self.services[*service].call_times(now)
     }
 
     /// Records the mean time between two events of a stream.
--- a/crates/policy/src/gateway/pool/baseline.rs
+++ b/crates/policy/src/gateway/pool/baseline.rs
@@ -11,6 +11,10 @@
 /// request, short compared to the time in which an operator reacts.
 const DECAY_TIME: Duration = Duration::from_secs(10);
 
+/// Time in which the longest recent call is forgotten. Long compared to the time between two
+/// calls of a service.
+const PEAK_DECAY_TIME: Duration = Duration::from_secs(60);
+
 /// Weight of a new sample in a slow moving average.
 pub(super) const SLOW_WEIGHT: f64 = 0.05;
 
@@ -30,6 +34,8 @@
     /// Mean duration of a run or of a plain answer. `None` before the first
     /// sample.
     mean_run_seconds: Option<f64>,
+    /// Longest recent plain answer. `None` before the first sample.
+    peak: Option<Peak>,
     /// Mean time between two events of a stream. `None` before the first
     /// sample.
     pub(super) mean_event_seconds: Option<f64>,
@@ -42,6 +48,7 @@
             mean_prompt_tokens: DEFAULT_PROMPT_TOKENS,
             mean_kv_tokens: DEFAULT_PROMPT_TOKENS,
             mean_run_seconds: None,
+            peak: None,
             mean_event_seconds: None,
         }
     }
@@ -54,6 +61,25 @@
         self.mean_run_seconds.unwrap_or(default.as_secs_f64())
     }
 
+    /// Returns the mean duration of a plain answer and the longest recent one. `None` before
+    /// the first sample.
+    pub(super) fn call_times(&self, now: Instant) -> Option<(Duration, Duration)> {
+        let mean = self.mean_run_seconds?;
+        let peak = self.peak?.seconds(now).max(mean);
+        Some((Duration::from_secs_f64(mean), Duration::from_secs_f64(peak)))
+    }
+
+    /// Adds the duration of a plain answer to the longest recent one.
+    pub(super) fn learn_peak(&mut self, now: Instant, took: Duration) {
+        let seconds = took.as_secs_f64();
+        if self.peak.is_none_or(|peak| peak.seconds(now) <= seconds) {
+            self.peak = Some(Peak {
+                last_seconds: seconds,
+                learned_at: now,
+            });
+        }
+    }
+
     /// Adds the duration of a run or of a plain answer to the mean.
     pub(super) fn learn_run(&mut self, took: Duration) {
         let mean = self.run_seconds_or(took);
@@ -61,6 +87,23 @@
     }
 }
 
+/// A maximum that decays between samples.
+#[derive(Clone, Copy, Debug)]
+struct Peak {
+    /// The maximum at `learned_at`, in seconds.
+    last_seconds: f64,
+    /// Time of the last sample that raised it.
+    learned_at: Instant,
+}
+
+impl Peak {
+    /// Returns the maximum at `now`, in seconds.
+    fn seconds(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.learned_at);
+        self.last_seconds * (-age.as_secs_f64() / PEAK_DECAY_TIME.as_secs_f64()).exp()
+    }
+}
+
 /// A moving average that decays to zero between samples.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Deviation {
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -1,12 +1,66 @@
-//! Tests which streams a stopping host accepts.
+//! Tests which requests a stopping host accepts.
 
 mod fixture;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cranberryridge_policy::gateway::drain::{Length, Stop};
+use cranberryridge_policy::gateway::pool::{self, Pool};
 
-use fixture::SECOND;
+use fixture::{endpoint, SECOND};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Creates a pool whose service `orders` has answered calls of these durations, one a second.
+/// Returns the time of the last answer, too.
+fn pool_with_calls(durations: &[Duration]) -> (Pool, Instant) {
+    let mut pool = Pool::new(pool::Settings::default());
+    pool.update(vec![endpoint("i-1", "orders", None)]);
+    let key = pool.key("i-1").unwrap();
+    let mut now = Instant::now();
+    for took in durations {
+        now += SECOND;
+        pool.record_answer_time(now, key, *took);
+    }
+    (pool, now)
+}
+
+/// Guards against a mean that hides the long calls: late in the grace period they would be
+/// passed on and cut.
+#[test]
+fn a_late_call_is_held_to_the_longest_recent_one() {
+    let mut durations = vec![20 * MS; 50];
+    durations[40] = 3 * SECOND;
+    let (pool, now) = pool_with_calls(&durations);
+    let stop = Stop {
+        lame_duck_until: now + 3 * SECOND,
+        exits_at: now + 15 * SECOND / 2,
+    };
+    let predict = |now| pool.predict_call(now, "orders", SECOND, 30 * SECOND);
+    assert!(predict(now).estimated < 300 * MS, "{:?}", predict(now));
+    assert!(predict(now).longest >= 3 * SECOND, "{:?}", predict(now));
+    for (sent_after, accepted) in [(0, true), (2900, true), (3500, true), (6000, false)] {
+        let sent_at = now + sent_after * MS;
+        assert_eq!(
+            stop.accepts(sent_at, predict(sent_at)),
+            accepted,
+            "{sent_after} ms"
+        );
+    }
+    // Only short calls came for a long time.
+    assert!(predict(now + 600 * SECOND).longest < 300 * MS);
+}
+
+/// Guards against calls to a service of which nothing is known yet.
+#[test]
+fn a_call_to_an_unknown_service_is_held_to_its_deadline() {
+    let (pool, now) = pool_with_calls(&[]);
+    let length = pool.predict_call(now, "orders", SECOND, 4 * SECOND);
+    assert_eq!(length.estimated, SECOND);
+    assert_eq!(length.longest, 4 * SECOND);
+    let length = pool.predict_call(now, "orders", SECOND, 500 * MS);
+    assert_eq!(length.estimated, 500 * MS);
+}
 
 /// Guards against a stream that comes just after the host has stopped to accept
 /// connections, and is cut as its answer is longer than estimated.
