gateway: answer each open request before a stopping host exits

A stopping host now gives up what is still open half a second before the end of its grace period. A request that was sent to no endpoint, or whose body is incomplete, is refused as draining. One that was sent is answered with the new code 3008 (stopped, 504), whose class is unknown outcome. A stream that has begun is aborted, so that its caller sees the cut. The answers get 300 ms to be written; then the process exits, and says by its exit code that it gave something up. Requests that arrive after that on open connections are refused at once. A result that is ready at that moment is still delivered.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -5,6 +5,7 @@
 //! store ([`store`]). One thread follows the platform and another carries
 //! traffic. They share the route table and the pool.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget, Sends};
-use cranberryridge_policy::gateway::drain::{Length, Stop};
+use cranberryridge_policy::gateway::drain::{Interruption, Length, Stop};
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::memory;
@@ -181,6 +182,8 @@
     draining: watch::Sender<bool>,
     /// Times of the stop, once the host is terminating.
     stop: OnceLock<Stop>,
+    /// Whether open requests are given up, as the process is about to exit.
+    giving_up: watch::Sender<bool>,
     /// Endpoints that requests are sent to, or `None` before the first read of
     /// the list.
     current_endpoints: watch::Sender<Option<Vec<Endpoint>>>,
@@ -258,6 +261,7 @@
             queues: Mutex::default(),
             draining: watch::Sender::new(false),
             stop: OnceLock::new(),
+            giving_up: watch::Sender::new(false),
             current_endpoints: watch::Sender::new(None),
             listed_endpoints: watch::Sender::default(),
             moving_engines: watch::Sender::default(),
@@ -294,6 +298,32 @@
         stop.is_none_or(|stop| stop.accepts(self.clock.now(), length))
     }
 
+    /// Waits until this host gives up its open requests.
+    async fn wait_for_exit(&self) {
+        let mut giving_up = self.giving_up.subscribe();
+        // The sender lives as long as `self`.
+        let _ = giving_up.wait_for(|giving_up| *giving_up).await;
+    }
+
+    /// Works on a request until its deadline, or until this host gives it up. A result that
+    /// is ready at that time is returned.
+    async fn run_until<T>(
+        &self,
+        deadline: Instant,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Interruption> {
+        if *self.giving_up.borrow() {
+            return Err(Interruption::Exit);
+        }
+        tokio::select! {
+            biased;
+            result = tokio::time::timeout_at(deadline.into(), work) => {
+                result.map_err(|_| Interruption::Deadline)
+            }
+            () = self.wait_for_exit() => Err(Interruption::Exit),
+        }
+    }
+
     /// Returns an endpoint if it is still listed and accepts work. Called right
     /// before each attempt, as it may have started to leave or to rest since it
     /// was chosen.
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -13,10 +13,9 @@
 use http::{response, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
-use cranberryridge_policy::gateway::drain::Length;
+use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
@@ -125,14 +124,14 @@
     engine: Engine,
 ) -> Result<Response<Body>, (Call<N, C, D>, Refusal)> {
     let mut progress = Progress::default();
-    let deadline = tokio::time::Instant::from_std(call.deadline);
-    let result = timeout_at(deadline, start_run(&mut call, engine, &mut progress)).await;
-    let result = result.unwrap_or_else(|_| {
-        if !progress.may_have_run {
-            return Err(Refusal::new(Code::TooLate));
+    let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
+    let work = start_run(&mut call, engine, &mut progress);
+    let result = shared.run_until(deadline, work).await;
+    let result = result.unwrap_or_else(|interruption| {
+        if interruption == Interruption::Deadline && progress.may_have_run {
+            call.record_overdue(progress.current);
         }
-        call.record_overdue(progress.current);
-        Err(Refusal::new(Code::Overdue))
+        Err(Refusal::interrupted(interruption, progress.may_have_run))
     });
     match result {
         Err(refusal) if progress.may_have_run => Err((call, refusal.after_run())),
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream to the caller and resumes a broken one at another endpoint.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -83,6 +84,12 @@
             Outcome::CallerGone => {
                 return call.record.set_outcome("caller gone", call.record.status)
             }
+            Outcome::Stopped => {
+                drop(run);
+                call.record
+                    .set_outcome("stopped midway", call.record.status);
+                return reply.abort().await;
+            }
             Outcome::Broken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
@@ -144,10 +151,10 @@
         call.shared.metrics.count("stream.body_released");
         return None;
     }
-    let deadline = tokio::time::Instant::from_std(call.deadline);
+    let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
     tokio::select! {
         () = reply.closed() => None,
-        run = timeout_at(deadline, start_run(call, engine, progress)) => match run {
+        run = shared.run_until(deadline, start_run(call, engine, progress)) => match run {
             Ok(Ok(Answer::Stream(run))) => Some(*run),
             _ => None,
         },
@@ -163,6 +170,8 @@
     Broken,
     /// The caller disconnected.
     CallerGone,
+    /// This host is about to exit.
+    Stopped,
 }
 
 impl Outcome {
@@ -172,6 +181,7 @@
             Self::Complete => "whole",
             Self::Broken => "broken",
             Self::CallerGone => "caller gone",
+            Self::Stopped => "stopped",
         }
     }
 }
@@ -187,6 +197,8 @@
     // caller's timeout ends it, or the route's if the caller stated none.
     let timeout = call.record.description.timeout;
     let idle_timeout = timeout.unwrap_or(call.route.timeout);
+    let shared = Arc::clone(&call.shared);
+    let mut exit = pin!(shared.wait_for_exit());
     let mut chunk = run.first_chunk.take();
     let mut last_events_at = call.shared.clock.now();
     // Until the first event, the request's deadline holds.
@@ -237,6 +249,7 @@
             biased;
             next = timeout_at(event_deadline.into(), next_chunk(&mut run.body)) => next,
             () = reply.closed() => return Outcome::CallerGone,
+            () = exit.as_mut() => return Outcome::Stopped,
         };
         if !matches!(next, Ok(Chunk::Data(_))) {
             call.record.partial_bytes = splitter.partial_bytes();
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use http::{response, Response, StatusCode};
-use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
-use cranberryridge_policy::gateway::drain::Length;
+use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::Kind;
 use cranberryridge_wire::code::Code;
@@ -52,18 +51,20 @@
 pub async fn serve<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
 ) -> Result<Response<Body>, Refusal> {
-    let deadline = tokio::time::Instant::from_std(call.deadline);
+    let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
     let mut progress = Progress::default();
-    let result = timeout_at(deadline, try_endpoints(call, &mut progress)).await;
+    let work = try_endpoints(call, &mut progress);
+    let result = shared.run_until(deadline, work).await;
     let (mut head, body) = match result {
         Ok(Ok(answer)) => answer,
         Ok(Err(refusal)) if progress.may_have_run => return Err(refusal.after_run()),
         Ok(Err(refusal)) => return Err(refusal),
-        Err(_) if progress.may_have_run => {
-            call.record_overdue(progress.current);
-            return Err(Refusal::new(Code::Overdue));
+        Err(interruption) => {
+            if interruption == Interruption::Deadline && progress.may_have_run {
+                call.record_overdue(progress.current);
+            }
+            return Err(Refusal::interrupted(interruption, progress.may_have_run));
         }
-        Err(_) => return Err(Refusal::new(Code::TooLate)),
     };
     call.shared.dialect.strip_headers(&mut head.headers);
     Ok(Response::from_parts(head, Body::Full(body)))
--- a/crates/lib/src/gateway/refusal.rs
+++ b/crates/lib/src/gateway/refusal.rs
@@ -5,6 +5,7 @@
 use http::{Response, StatusCode};
 use rand::RngExt;
 
+use cranberryridge_policy::gateway::drain::Interruption;
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
@@ -50,6 +51,14 @@
         Self::with_retry_after(Code::Draining, OTHER_HOST_RETRY_AFTER)
     }
 
+    /// Creates the refusal of a request whose work was interrupted.
+    pub fn interrupted(interruption: Interruption, may_have_run: bool) -> Self {
+        match interruption.code(may_have_run) {
+            Code::Draining => Self::draining(),
+            code => Self::new(code),
+        }
+    }
+
     /// Creates a refusal with a given retry time, to which jitter is applied.
     pub fn with_retry_after(code: Code, retry_after: Duration) -> Self {
         let factor = rand::rng().random_range(JITTER);
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -62,9 +62,13 @@
 /// after some seconds.
 const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Part of the grace period that is reserved for the exit of the process.
+/// Part of the grace period that is reserved for giving up open requests and for the exit of
+/// the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
+/// Part of [`EXIT_RESERVE`] in which the answers to requests that were given up are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A request that is being served.
 #[derive(Debug)]
 pub(super) struct Call<N, C: Clock, D> {
@@ -270,7 +274,8 @@
 
 /// Drains the host. Readiness fails at once, and new connections are accepted
 /// until the lame-duck period is over. Afterwards, waits until all connections
-/// are closed or the grace period ends, and returns whether all were closed.
+/// are closed. Shortly before the grace period ends, each request that is still open is given
+/// up with an answer. Returns whether all connections were closed before.
 pub async fn drain<N, C: Clock, D>(shared: &Shared<N, C, D>) -> bool {
     let now = shared.clock.now();
     let grace = shared.settings.grace_period.saturating_sub(EXIT_RESERVE);
@@ -287,6 +292,13 @@
         shared.connections.wait_idle().await;
     });
     let is_complete = ended.await.is_ok();
+    if !is_complete {
+        slog::warn!(shared.logger, "gateway: giving up open requests";
+            "connections" => shared.connections.count());
+        shared.giving_up.send_replace(true);
+        // A caller that does not read is cut off.
+        let _ = tokio::time::timeout(FLUSH_TIMEOUT, shared.connections.wait_idle()).await;
+    }
     slog::info!(shared.logger, "gateway: stopped"; "connections" => shared.connections.count());
     is_complete
 }
@@ -425,7 +437,10 @@
         version: None,
         deadline,
     };
-    if let Err(refusal) = call.restrict_version().await {
+    let restricted = shared.run_until(deadline, call.restrict_version()).await;
+    let restricted =
+        restricted.unwrap_or_else(|interruption| Err(Refusal::interrupted(interruption, false)));
+    if let Err(refusal) = restricted {
         return refuse(&shared, &mut call.record, refusal);
     }
     let engine = engine.filter(|_| call.route.kind.is_stream());
@@ -508,7 +523,7 @@
 /// # Errors
 ///
 /// Returns a refusal if the body is too large or broken, if it is not complete
-/// at the deadline, or if the host has no memory left for it.
+/// at the deadline or when the host exits, or if the host has no memory left for it.
 async fn read_body<N, C, D>(
     shared: &Shared<N, C, D>,
     body: Incoming,
@@ -516,8 +531,8 @@
 ) -> Result<Chunks, Refusal> {
     let limit = shared.table.load().limits().max_body_bytes;
     let read = held::read(&shared.held, body, limit, Purpose::of_request);
-    let read = tokio::time::timeout_at(deadline.into(), read).await;
-    let read = read.map_err(|_| Refusal::new(Code::TooLate))?;
+    let read = shared.run_until(deadline, read).await;
+    let read = read.map_err(|interruption| Refusal::interrupted(interruption, false))?;
     read.map_err(|error| match error {
         ReadError::TooLarge => Refusal::new(Code::BodyTooLarge),
         ReadError::NoMemory => {
--- a/crates/policy/src/gateway/drain.rs
+++ b/crates/policy/src/gateway/drain.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use cranberryridge_wire::code::Code;
+
 use super::place::{run_time, Need};
 use super::pool::Pool;
 use super::route::Engine;
@@ -47,6 +49,37 @@
     pub longest: Duration,
 }
 
+/// Why this host ends work on a request that has no answer yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interruption {
+    /// The request's deadline has passed.
+    Deadline,
+    /// The host is about to exit.
+    Exit,
+}
+
+impl Interruption {
+    /// Returns the code that the caller gets. Only a request that was sent to no endpoint is
+    /// known not to have run.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::gateway::drain::Interruption;
+    /// use cranberryridge_wire::code::{Class, Code};
+    /// assert_eq!(Interruption::Exit.code(false), Code::Draining);
+    /// assert_eq!(Interruption::Exit.code(true).class(), Class::Unknown);
+    /// ```
+    pub fn code(self, may_have_run: bool) -> Code {
+        match (self, may_have_run) {
+            (Self::Deadline, false) => Code::TooLate,
+            (Self::Deadline, true) => Code::Overdue,
+            (Self::Exit, false) => Code::Draining,
+            (Self::Exit, true) => Code::Stopped,
+        }
+    }
+}
+
 impl Stop {
     /// Returns whether a request that starts now may be expected to end in time.
     pub fn accepts(&self, now: Instant, length: Length) -> bool {
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -4,9 +4,11 @@
 
 use std::time::{Duration, Instant};
 
-use cranberryridge_policy::gateway::drain::{Length, Stop};
+use cranberryridge_policy::gateway::drain::{Interruption, Length, Stop};
 use cranberryridge_policy::gateway::pool::{self, Pool};
 
+use cranberryridge_wire::code::Class;
+
 use fixture::{endpoint, SECOND};
 
 const MS: Duration = Duration::from_millis(1);
@@ -85,3 +87,15 @@
     assert!(stop.accepts(begin + 3 * SECOND, short));
     assert!(!stop.accepts(begin + 6 * SECOND, short));
 }
+
+/// Guards against a request that is called not run although an endpoint may have run it: its
+/// caller would send it again.
+#[test]
+fn only_an_interrupted_request_that_was_not_sent_is_called_not_run() {
+    for interruption in [Interruption::Deadline, Interruption::Exit] {
+        let unsent = interruption.code(false);
+        assert_eq!((unsent.class(), unsent.status()), (Class::NotRun, 503));
+        let sent = interruption.code(true);
+        assert_eq!((sent.class(), sent.status()), (Class::Unknown, 504));
+    }
+}
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -131,6 +131,8 @@
     KeyExpired = 3006, 409, "key_expired";
     /// The sidecar that issued the key is gone or not known here; an earlier run cannot be ruled out.
     KeyGone = 3007, 410, "key_gone";
+    /// This host stopped after the request was sent, and its outcome is not known.
+    Stopped = 3008, 504, "stopped";
 }
 
 impl Code {
