--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -12,10 +12,10 @@
 use http::{response, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::budget::Sends;
+use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
@@ -53,9 +53,6 @@
 /// Longest wait for a permit of a request whose endpoints have been assigned.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(200);
 
-/// Retry time of a request that another host can serve at once.
-const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// A run whose stream has started.
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
@@ -133,14 +130,14 @@
         sequence: begin_sequence(&call),
         ..Progress::default()
     };
-    let deadline = tokio::time::Instant::from_std(call.deadline);
-    let result = timeout_at(deadline, join::start(&mut call, engine, &mut progress)).await;
-    let result = result.unwrap_or_else(|_| {
-        if !progress.may_have_run {
-            return Err(Refusal::new(Code::TooLate));
+    let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
+    let work = join::start(&mut call, engine, &mut progress);
+    let result = shared.run_until(deadline, work).await;
+    let result = result.unwrap_or_else(|interruption| {
+        if interruption == Interruption::Deadline && progress.may_have_run {
+            call.record_overdue(progress.current);
         }
-        call.record_overdue(progress.current);
-        Err(Refusal::new(Code::Overdue))
+        Err(Refusal::interrupted(interruption, progress.may_have_run))
     });
     match result {
         Err(refusal) if progress.may_have_run => Err((call, refusal.after_run())),
@@ -177,7 +174,10 @@
     let mut kept = None::<Cache<N, C, D>>;
     loop {
         call.check_deadline()?;
-        check_stop(call, engine, need, progress)?;
+        let length = predict_length(call, engine, need);
+        if let Some(length) = length {
+            call.check_stop(length)?;
+        }
         call.exclude_joining(&mut progress.excluded)?;
         let acquire = reservation::acquire(call, engine, need, progress);
         let mut reservation = unless_barred(&shared, &parts, acquire).await?;
@@ -203,7 +203,7 @@
                 }
             }
         };
-        match start_generation(call, need, progress, reservation, cache).await? {
+        match start_generation(call, need, length, progress, reservation, cache).await? {
             Attempt::Answered(answer) => return Ok(answer),
             Attempt::NotRun(cache) => kept = cache,
         }
@@ -244,32 +244,20 @@
     Ok(cache.await?.map_or(Prompt::Unread, Prompt::Remote))
 }
 
-/// Refuses a stream that may not end before this host exits, unless it has begun before.
-///
-/// # Errors
-///
-/// Returns [`Code::Draining`] if so.
-fn check_stop<N: Net, C: Clock, D: Dialect>(
+/// Predicts the duration of the stream from now on. Returns `None` if it has begun, as it is
+/// then resumed even if the host may exit before its end.
+fn predict_length<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     engine: Engine,
     need: Need,
-    progress: &Progress,
-) -> Result<(), Refusal> {
-    let shared = &call.shared;
-    let Some(stop) = shared.stop.get().filter(|_| !progress.may_have_run) else {
-        return Ok(());
-    };
-    let now = shared.clock.now();
-    let longest = call.record.description.max_output_tokens;
-    let pool = shared.pool();
-    let length = pool.predict_length(now, &call.service, engine, need, longest);
-    if stop.accepts(now, length) {
-        return Ok(());
+) -> Option<Length> {
+    if call.record.answer_started_at.is_some() {
+        return None;
     }
-    Err(Refusal::with_retry_after(
-        Code::Draining,
-        OTHER_HOST_RETRY_AFTER,
-    ))
+    let now = call.shared.clock.now();
+    let longest = call.record.description.max_output_tokens;
+    let pool = call.shared.pool();
+    Some(pool.predict_length(now, &call.service, engine, need, longest))
 }
 
 /// Returns the capacity that the request needs.
@@ -350,7 +338,17 @@
         reservation_id: None,
         last_event_id: None,
     };
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let length = predict_length(call, engine, need);
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if matches!(outcome, Outcome::NotPermitted) {
         return Ok(None);
     }
@@ -387,6 +385,7 @@
 async fn start_generation<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     need: Need,
+    length: Option<Length>,
     progress: &mut Progress,
     mut reservation: Reservation<N, C, D>,
     mut cache: Option<Cache<N, C, D>>,
@@ -427,7 +426,16 @@
     let may_have_run_before = progress.may_have_run;
     progress.may_have_run = true;
     progress.current = Some(key);
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if !matches!(outcome, Outcome::NotSent | Outcome::NotPermitted) {
         progress.sends.record();
     }
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use http::{response, Response, StatusCode};
-use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
+use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::Kind;
 use cranberryridge_wire::code::Code;
@@ -51,18 +51,20 @@
 pub async fn serve<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
 ) -> Result<Response<Body>, Refusal> {
-    let deadline = tokio::time::Instant::from_std(call.deadline);
+    let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
     let mut progress = Progress::default();
-    let result = timeout_at(deadline, try_endpoints(call, &mut progress)).await;
+    let work = try_endpoints(call, &mut progress);
+    let result = shared.run_until(deadline, work).await;
     let (mut head, body) = match result {
         Ok(Ok(answer)) => answer,
         Ok(Err(refusal)) if progress.may_have_run => return Err(refusal.after_run()),
         Ok(Err(refusal)) => return Err(refusal),
-        Err(_) if progress.may_have_run => {
-            call.record_overdue(progress.current);
-            return Err(Refusal::new(Code::Overdue));
+        Err(interruption) => {
+            if interruption == Interruption::Deadline && progress.may_have_run {
+                call.record_overdue(progress.current);
+            }
+            return Err(Refusal::interrupted(interruption, progress.may_have_run));
         }
-        Err(_) => return Err(Refusal::new(Code::TooLate)),
     };
     call.shared.dialect.strip_headers(&mut head.headers);
     Ok(Response::from_parts(head, Body::Full(body)))
@@ -95,6 +97,10 @@
         if let Err(refusal) = call.exclude_joining(&mut progress.excluded) {
             return failure.ok_or(refusal);
         }
+        let length = predict_length(call);
+        if let Err(refusal) = call.check_stop(length) {
+            return failure.ok_or(refusal);
+        }
         let (key, permit) = match choose(call, progress).await {
             Ok(Choice::Endpoint(key, permit)) => (key, permit),
             Ok(Choice::Again) => continue,
@@ -128,6 +134,14 @@
     }
 }
 
+/// Predicts the duration of the request from now on.
+fn predict_length<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Length {
+    let now = call.shared.clock.now();
+    let target = call.route.latency_target;
+    let pool = call.shared.pool();
+    pool.predict_call(now, &call.service, target, call.remaining_time())
+}
+
 /// Refuses a request for which there is no endpoint.
 fn refuse<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> Refusal {
     let shared = &call.shared;
@@ -225,7 +239,17 @@
     progress.may_have_run = true;
     progress.current = Some(key);
     let started_at = shared.clock.now();
-    let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
+    let length = Some(predict_length(call));
+    let sent = exchange::send(
+        &shared,
+        &call.input,
+        key,
+        &endpoint,
+        permit,
+        parameters,
+        length,
+    );
+    let outcome = sent.await;
     if let Outcome::Answer(answer) = &outcome {
         call.record.framing = Some(Framing::of(answer.headers()));
     }
