standin: answer a continuation in other forms than a first attempt

The stand-in's engines answered a request with a last event like any other, and never ended as a process does that is killed between two events.

`Runner::inject_continuation` queues faults for runs that go on after an event: an empty answer with a length or in chunks, text of another media type, the head of an error as text, a first event without an id, the stream from its first event, 503 that says nothing of the run. `Fault::Empty` and `Fault::EmptyChunks` suit first answers as well. `Fault::UnframedCrash` leaves the end of an answer to the process that ends.

A transcript keeps text that is no event of a runner as one out of order, where it panicked.

--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -25,6 +25,8 @@
     pub settings: Arc<Settings>,
     /// Faults of the next runs, one for each run.
     faults: Arc<Mutex<VecDeque<Fault>>>,
+    /// Faults of the next runs that go on after an event, one for each run.
+    continuation_faults: Arc<Mutex<VecDeque<Fault>>>,
     calls: Arc<Mutex<Vec<Call>>>,
     /// Number of runs in progress.
     running: Arc<AtomicUsize>,
@@ -124,6 +126,25 @@
     Unsigned,
     /// Answers with an encoded body.
     Encoded,
+    /// Answers a stream's request with a body of length 0.
+    Empty,
+    /// Answers a stream's request with chunks that hold no event.
+    EmptyChunks,
+    /// Answers a stream's request with text of another media type, in which there are empty
+    /// lines.
+    Text,
+    /// Streams the head of an error as text instead of events.
+    ErrorHead,
+    /// Streams a first event that has no id.
+    Unnumbered,
+    /// Streams from the first event, whatever the request names as the last one.
+    Anew,
+    /// Answers 503 and does not say that the request did not run.
+    Busy,
+    /// As [`Fault::Unframed`], but crashes after this many events, or after the first half of
+    /// a body. Whoever waits for [`Runner::crashed`] must then close the endpoint's listener,
+    /// and after it the connections.
+    UnframedCrash(u32),
 }
 
 impl Fault {
@@ -131,7 +152,7 @@
     fn is_unframed(self) -> bool {
         matches!(
             self,
-            Self::Unframed | Self::UnframedBreak(_) | Self::UnframedEmpty
+            Self::Unframed | Self::UnframedBreak(_) | Self::UnframedEmpty | Self::UnframedCrash(_)
         )
     }
 }
@@ -196,6 +217,7 @@
         Self {
             settings: Arc::new(settings),
             faults: Arc::default(),
+            continuation_faults: Arc::default(),
             calls: Arc::default(),
             running: Arc::default(),
             reservations: Arc::default(),
@@ -230,6 +252,21 @@
         lock(&self.faults).push_back(fault);
     }
 
+    /// Queues a fault for the next run that goes on after an event and has none yet.
+    pub fn inject_continuation(&self, fault: Fault) {
+        lock(&self.continuation_faults).push_back(fault);
+    }
+
+    /// Returns the fault of a run that begins now.
+    fn next_fault(&self, is_continuation: bool) -> Option<Fault> {
+        let fault = if is_continuation {
+            lock(&self.continuation_faults).pop_front()
+        } else {
+            None
+        };
+        fault.or_else(|| lock(&self.faults).pop_front())
+    }
+
     /// Says in all further answers that the endpoint is shutting down. It goes on
     /// to serve.
     pub fn leave(&self) {
@@ -323,6 +360,7 @@
     /// Removes the faults that haven't occurred yet.
     pub fn clear_faults(&self) {
         lock(&self.faults).clear();
+        lock(&self.continuation_faults).clear();
     }
 
     /// Returns the requests received, without those to the control paths
@@ -478,8 +516,9 @@
 
     async fn run(self, request: Request<Bytes>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let fault = lock(&self.faults).pop_front();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let is_prefill = text("serving-stage") == Some("prefill");
+        let fault = self.next_fault(!is_prefill && text("last-event-id").is_some());
         let expected = text("expect-instance").is_none_or(|id| id == self.settings.id);
         let refused = match fault {
             _ if !expected => Some(StatusCode::MISDIRECTED_REQUEST),
@@ -488,7 +527,6 @@
             Some(Fault::Misdirected) => Some(StatusCode::MISDIRECTED_REQUEST),
             _ => None,
         };
-        let is_prefill = text("serving-stage") == Some("prefill");
         lock(&self.calls).push(Call {
             request_line: format!("{} {}", head.method, head.uri),
             headers: head.headers.clone(),
@@ -525,8 +563,8 @@
         } else {
             tokio::time::sleep(self.settings.service_time).await;
             let body = format!("{} {}", head.method, head.uri);
-            if fault == Some(Fault::Unframed) {
-                self.send_halves(body.into())
+            if matches!(fault, Some(Fault::Unframed | Fault::UnframedCrash(_))) {
+                self.send_halves(body.into(), fault)
             } else {
                 Response::new(Body::full(body))
             }
@@ -538,6 +576,9 @@
         if fault == Some(Fault::Failure) {
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         }
+        if fault == Some(Fault::Busy) {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
         let headers = response.headers_mut();
         insert_header(headers, "attempt-id", attempt);
         if fault != Some(Fault::Unsigned) && !is_prefill {
@@ -567,14 +608,19 @@
     }
 
     /// Answers with a body in two halves, one service time apart.
-    fn send_halves(&self, body: Bytes) -> Response<Body> {
+    fn send_halves(&self, body: Bytes, fault: Option<Fault>) -> Response<Body> {
         let (sender, response_body) = Body::channel(1);
         let service_time = self.settings.service_time;
+        let crashed = self.crashed.clone();
         tokio::spawn(async move {
             let (first, second) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
             // A caller that has gone needs neither half.
             let _ = sender.send(Piece::Data(first)).await;
             tokio::time::sleep(service_time).await;
+            if matches!(fault, Some(Fault::UnframedCrash(_))) {
+                crashed.notify_one();
+                return sender.closed().await;
+            }
             let _ = sender.send(Piece::Data(second)).await;
             let _ = sender.send(Piece::End).await;
         });
@@ -595,20 +641,30 @@
         fault: Option<Fault>,
         run: Run,
     ) -> Response<Body> {
+        if let Some(response) = fault.and_then(answer_without_events) {
+            return response;
+        }
         let (sender, response_body) = Body::channel(1);
         let settings = self.settings.clone();
+        let crashed = self.crashed.clone();
         let last_event = head.headers.get("last-event-id");
         let last_event = last_event.and_then(|id| id.to_str().ok()?.parse::<u32>().ok());
+        let last_event = last_event.filter(|_| fault != Some(Fault::Anew));
+        let first_event = last_event.unwrap_or_default() + 1;
         tokio::spawn(async move {
             let _run = run;
-            for event in last_event.unwrap_or_default() + 1..=settings.stream_events {
+            for event in first_event..=settings.stream_events {
                 tokio::select! {
                     () = tokio::time::sleep(settings.event_interval) => {}
                     () = sender.closed() => return,
                 }
-                if fault == Some(Fault::UnframedEmpty) {
+                if matches!(fault, Some(Fault::UnframedEmpty | Fault::EmptyChunks)) {
                     break;
                 }
+                if fault == Some(Fault::UnframedCrash(event - 1)) {
+                    crashed.notify_one();
+                    return sender.closed().await;
+                }
                 if let (Some(Fault::Pause(time)), 3) = (fault, event) {
                     tokio::time::sleep(Duration::from_millis(time)).await;
                 }
@@ -616,7 +672,11 @@
                     "" => String::new(),
                     version => format!(" {version}"),
                 };
-                let text = format!("id: {event}\ndata: token-{event}{version}\n\n");
+                let id = match fault {
+                    Some(Fault::Unnumbered) if event == first_event => String::new(),
+                    _ => format!("id: {event}\n"),
+                };
+                let text = format!("{id}data: token-{event}{version}\n\n");
                 let breaks = [Fault::Break(event - 1), Fault::UnframedBreak(event - 1)];
                 if let Some(fault) = fault.filter(|fault| breaks.contains(fault)) {
                     let partial = Bytes::from(text.into_bytes()).slice(..8);
@@ -641,6 +701,23 @@
     }
 }
 
+/// Returns the whole answer to a stream's request of a fault that has one.
+fn answer_without_events(fault: Fault) -> Option<Response<Body>> {
+    let (media, text) = match fault {
+        Fault::Empty => ("text/event-stream", ""),
+        Fault::Text => ("text/plain", "the service\n\nis not here\n\n"),
+        Fault::ErrorHead => (
+            "text/event-stream",
+            "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
+        ),
+        Fault::Busy => ("text/plain", "busy\n\n"),
+        _ => return None,
+    };
+    let mut response = Response::new(Body::full(text));
+    insert_header(response.headers_mut(), "content-type", media);
+    Some(response)
+}
+
 /// Sets a header unless the text contains characters that headers can't have.
 fn insert_header(headers: &mut HeaderMap, name: &'static str, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -1,5 +1,8 @@
 //! What a caller got of a stream of [`Runner`](crate::runner::Runner), over all its tries.
 
+/// Id of what is no event of a runner, whose ids begin with 1.
+const UNORDERED: u32 = 0;
+
 /// Events of a stream that a caller may take up several times.
 ///
 /// # Examples
@@ -13,6 +16,8 @@
 /// assert_eq!(transcript.last_id(), Some(2));
 /// assert!(transcript.is_in_order());
 /// assert!(transcript.is_mixed());
+/// transcript.push(b"no event\n\n");
+/// assert!(!transcript.is_in_order());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Transcript {
@@ -28,17 +33,15 @@
         self.rest.clear();
     }
 
-    /// Adds a piece of an answer, which holds events of a runner that names its version.
-    ///
-    /// # Panics
-    ///
-    /// Panics if an event is none of a runner.
+    /// Adds a piece of an answer, which holds events of a runner that names its version. Other
+    /// text with an empty line after it counts as an event without a place in the order.
     pub fn push(&mut self, piece: &[u8]) {
-        self.rest.push_str(std::str::from_utf8(piece).unwrap());
+        self.rest.push_str(&String::from_utf8_lossy(piece));
         while let Some((event, rest)) = self.rest.split_once("\n\n") {
-            let id = event.lines().next().unwrap().trim_start_matches("id: ");
-            let version = event.rsplit(' ').next().unwrap();
-            self.events.push((id.parse().unwrap(), version.into()));
+            let id = event.lines().next().and_then(|id| id.strip_prefix("id: "));
+            let id = id.and_then(|id| id.parse().ok()).unwrap_or(UNORDERED);
+            let version = event.rsplit(' ').next().unwrap_or_default();
+            self.events.push((id, version.into()));
             self.rest = rest.into();
         }
     }
