Play continuations, cuts by bytes and late requests in the soak

From seed 7000 on, runs break off and their continuations have faults of their own. First answers hold no event. Endpoints crash between two events of an answer that ends with its connection: the listener closes, then the connections in order; they start again after a while, once no gateway is frozen, as one that thaws later finds them up. Proxies end connections after some bytes, in order or by a reset. A close in order spares answers without a length or chunks, as nothing tells it from their end while the server goes on to serve. Callers on open connections send the rest of their bodies up to 8 s after the heads, on routes of 30 s; every second seed has plain calls of 0.6 s. After the faults, half of the gateways stop one after another while nothing else is amiss.

Checked besides: what became whole, reached an endpoint and was sent to a gateway that was not killed, frozen or thawed meanwhile has an answer; 408 and 421 count as refusals; a stream over its caller's tries does not end as complete before its last event (also in seeds from 6000 on). The number of streams with a second run is printed.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -6,6 +6,7 @@
 
 mod soak {
     pub mod budget;
+    pub mod late;
     pub mod limit;
     pub mod load;
     pub mod proxy;
@@ -21,12 +22,13 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use cranberryridge_standin::runner::Fault;
+use cranberryridge_standin::runner::{self, Fault};
 use cranberryridge_standin::store;
 
+use soak::late;
 use soak::limit;
 use soak::load::{self, Load};
-use soak::proxy::Mode;
+use soak::proxy::{Cut, Mode};
 use soak::site::{self, Site};
 use soak::version::Callers;
 
@@ -55,6 +57,9 @@
 /// Seed with a part that crashes engines that runs if `SOAK_SEEDS` is not set.
 const DEFAULT_PART_SEED: u64 = 4004;
 
+/// Seed with faults of continuations that runs if `SOAK_SEEDS` is not set.
+const DEFAULT_CONTINUATION_SEED: u64 = 7005;
+
 /// Seeds from this one on also let the store come back from an older copy, and
 /// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
 /// they once failed.
@@ -75,6 +80,27 @@
 /// up streams at other gateways instead.
 const FIRST_SEED_WITH_VERSIONS: u64 = 6000;
 
+/// In seeds from this one on, engines answer a continuation in other forms than a first
+/// attempt, processes of endpoints end in the middle of answers without a length, proxies cut
+/// connections by bytes, and requests become whole late instead. Each second seed has longer
+/// plain calls.
+const FIRST_SEED_WITH_CONTINUATIONS: u64 = 7000;
+
+/// Duration of a plain call in seeds with longer ones. A request that becomes whole at the end
+/// of a grace period cannot be answered in the rest of it.
+const LONG_SERVICE_TIME: Duration = Duration::from_millis(600);
+
+/// Time after the last fault in which endpoints that crashed are back. Gateways then stop one
+/// after another as planned, while nothing else is amiss.
+const QUIET_DELAY: Duration = Duration::from_millis(2500);
+
+/// Time between two planned stops.
+const STOP_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Maximum number of bytes from a server before a connection is cut. A stream with its head
+/// has fewer.
+const MAX_CUT_BYTES: usize = 600;
+
 /// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
 const SERIES_GATEWAYS: u8 = 4;
 
@@ -111,6 +137,24 @@
     Fault::NotRun,
 ];
 
+/// Faults that are injected into runs that go on after an event.
+const CONTINUATION_FAULTS: [Fault; 14] = [
+    Fault::Empty,
+    Fault::EmptyChunks,
+    Fault::Text,
+    Fault::ErrorHead,
+    Fault::Unnumbered,
+    Fault::Anew,
+    Fault::Failure,
+    Fault::NotRun,
+    Fault::Busy,
+    Fault::Unframed,
+    Fault::UnframedEmpty,
+    Fault::UnframedBreak(3),
+    Fault::UnframedCrash(3),
+    Fault::Foreign,
+];
+
 /// Faults that are injected into runs at endpoints.
 const RUN_FAULTS: [Fault; 7] = [
     Fault::NotRun,
@@ -143,6 +187,13 @@
     }
 }
 
+#[test]
+fn streams_are_whole_under_faults_of_continuations() {
+    if std::env::var("SOAK_SEEDS").is_err() {
+        run_seeds(&[DEFAULT_CONTINUATION_SEED]);
+    }
+}
+
 /// Held by the test whose seeds run, so that they share the machine with no other's.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -186,6 +237,10 @@
     has_limits: bool,
     /// Whether engines have several software versions.
     has_versions: bool,
+    /// Whether continuations have faults, and requests become whole late.
+    has_continuations: bool,
+    /// Maximum number of faults of runs that a series injects into each endpoint.
+    max_series_faults: usize,
 }
 
 impl Plan {
@@ -216,7 +271,14 @@
             has_series,
             has_crashing_part: (FIRST_SEED_WITH_PARTS..FIRST_SEED_WITH_LIMITS).contains(&seed),
             has_limits: (FIRST_SEED_WITH_LIMITS..FIRST_SEED_WITH_VERSIONS).contains(&seed),
-            has_versions: seed >= FIRST_SEED_WITH_VERSIONS,
+            has_versions: (FIRST_SEED_WITH_VERSIONS..FIRST_SEED_WITH_CONTINUATIONS).contains(&seed),
+            has_continuations: seed >= FIRST_SEED_WITH_CONTINUATIONS,
+            // Many would leave no run that breaks off and is continued.
+            max_series_faults: if seed >= FIRST_SEED_WITH_CONTINUATIONS {
+                5
+            } else {
+                1000
+            },
         }
     }
 }
@@ -225,12 +287,23 @@
 async fn run_seed(seed: u64) {
     let mut random = StdRng::seed_from_u64(seed);
     let plan = Plan::of(seed);
-    let engines = if plan.has_versions {
-        &site::VERSION_ENGINES[..]
-    } else {
-        &site::ENGINES
+    let settings = site::Settings {
+        gateways: plan.gateways,
+        engines: if plan.has_versions {
+            &site::VERSION_ENGINES
+        } else if plan.has_continuations {
+            &site::CONTINUATION_ENGINES
+        } else {
+            &site::ENGINES
+        },
+        service_time: if plan.has_continuations && seed % 2 == 1 {
+            LONG_SERVICE_TIME
+        } else {
+            runner::Settings::default().service_time
+        },
+        has_late_routes: plan.has_continuations,
     };
-    let mut site = Site::start((seed % 200) as u8 + 20, plan.gateways, engines).await;
+    let mut site = Site::start((seed % 200) as u8 + 20, settings).await;
     if plan.has_crashing_part {
         site.crash_engines_on_part();
     }
@@ -241,11 +314,17 @@
         callers: plan.callers,
         routes: plan.routes,
         has_crashing_part: plan.has_crashing_part,
+        has_own_bodies: plan.has_continuations,
     };
     let load = Load::start(site.gateways(), random.random(), settings);
-    let callers = plan
-        .has_versions
-        .then(|| Callers::start(&site.gateways(), random.random()));
+    let callers = (plan.has_versions || plan.has_continuations)
+        .then(|| Callers::start(&site.gateways(), random.random(), plan.has_continuations));
+    let late_callers = plan
+        .has_continuations
+        .then(|| late::Callers::start(&site.gateways(), random.random()));
+    if plan.has_continuations {
+        site.restart_closed_endpoints();
+    }
     let stops_releases = Arc::new(AtomicBool::new(false));
     if plan.has_versions {
         site.release_versions(stops_releases.clone());
@@ -259,7 +338,10 @@
             inject_platform_fault(&mut site, &mut random);
         }
         if plan.has_series {
-            inject_series(&mut site, &mut random).await;
+            inject_series(&mut site, &mut random, plan.max_series_faults).await;
+        }
+        if plan.has_continuations {
+            inject_answer_faults(&site, &mut random);
         }
         let delay = random.random_range(150..900);
         tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -267,6 +349,12 @@
     }
     site.end_faults();
     stops_releases.store(true, Ordering::SeqCst);
+    let mut quiet_from = tokio::time::Instant::now();
+    if let Some(late_callers) = &late_callers {
+        quiet_from += QUIET_DELAY;
+        stop_as_planned(&mut site, quiet_from).await;
+        late_callers.begin_stop();
+    }
     let mut recovery_time = RECOVERY_TIME;
     if plan.has_crashing_part {
         recovery_time += PART_RECOVERY_TIME;
@@ -286,6 +374,9 @@
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
     let mut rows = load.stop().await;
+    if let Some(late_callers) = late_callers {
+        rows.extend(late_callers.stop(seed, &site, quiet_from).await);
+    }
     if let Some(callers) = callers {
         rows.extend(callers.stop(seed).await);
     }
@@ -331,6 +422,52 @@
     }
 }
 
+/// Stops half of the gateways one after another, from a time after which no fault acts.
+async fn stop_as_planned(site: &mut Site, quiet_from: tokio::time::Instant) {
+    let wait = async |site: &mut Site, until| {
+        while tokio::time::Instant::now() < until {
+            site.restart_ended();
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let mut at = quiet_from;
+    wait(site, at).await;
+    for gateway in 0..site.process_count() / 2 {
+        at += STOP_INTERVAL;
+        wait(site, at).await;
+        site.signal(gateway, "TERM");
+    }
+    wait(site, at + STOP_INTERVAL).await;
+}
+
+/// Injects faults into the answers of an endpoint and into continuations at the engines.
+fn inject_answer_faults(site: &Site, random: &mut StdRng) {
+    let index = random.random_range(0..site.runners.len());
+    let crash = Fault::UnframedCrash(random.random_range(0..5));
+    match random.random_range(0..8) {
+        0 | 1 => site.proxies[index].set(Mode::Cut(Cut {
+            bytes: random.random_range(0..MAX_CUT_BYTES),
+            resets: random.random_ratio(1, 2),
+        })),
+        2 => site.runners[index].inject(crash),
+        3 => {
+            for fault in [Fault::Empty, Fault::EmptyChunks] {
+                site.runners[index].inject(fault);
+            }
+        }
+        _ => {
+            let decoders = site.runners.iter();
+            for runner in decoders.filter(|runner| runner.settings.phase == Some("decode")) {
+                for _ in 0..random.random_range(1..6) {
+                    runner.inject(Fault::Break(random.random_range(1..5)));
+                    let fault = CONTINUATION_FAULTS.choose(random).copied();
+                    runner.inject_continuation(fault.unwrap_or(Fault::NotRun));
+                }
+            }
+        }
+    }
+}
+
 /// Lets the store return from a copy, or an endpoint ask for rests, or neither.
 fn inject_platform_fault(site: &mut Site, random: &mut StdRng) {
     let runner = random.random_range(0..site.runners.len());
@@ -343,7 +480,7 @@
 }
 
 /// Injects a series of faults that begin before those before them have ended.
-async fn inject_series(site: &mut Site, random: &mut StdRng) {
+async fn inject_series(site: &mut Site, random: &mut StdRng, max_run_faults: usize) {
     let first = random.random_range(0..site.process_count());
     let gateways = (0..site.process_count()).map(|index| (first + index) % site.process_count());
     let gateways = gateways.collect::<Vec<_>>();
@@ -385,7 +522,7 @@
         }
         _ => {
             for runner in &site.runners {
-                for _ in 0..random.random_range(1..1000) {
+                for _ in 0..random.random_range(1..max_run_faults) {
                     let fault = SERIES_RUN_FAULTS.choose(random).copied();
                     runner.inject(fault.unwrap_or(Fault::NotRun));
                 }
--- a/crates/daemon/tests/soak/budget.rs
+++ b/crates/daemon/tests/soak/budget.rs
@@ -22,7 +22,10 @@
 /// each than its requests and the fixed part allow. Requests count in the window, half a
 /// window before or a window before, whichever has most.
 pub fn assert_within_budget(seed: u64, rows: &[Row], runners: &[Runner]) {
-    let services = [("orders", ["book", "read"]), ("model", ["note", "list"])];
+    let services = [
+        ("orders", &["book", "read", "late-book", "late-read"][..]),
+        ("model", &["note", "list", "late-note"]),
+    ];
     for (service, routes) in services {
         let requests = rows.iter().filter(|row| routes.contains(&row.route));
         let requests = sorted(requests.map(|row| row.sent_at));
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -34,6 +34,8 @@
     pub routes: &'static [&'static str],
     /// Whether some prompts have [`CRASHING_PART`].
     pub has_crashing_part: bool,
+    /// Whether no two requests have the same body, so that a crash speaks against one alone.
+    pub has_own_bodies: bool,
 }
 
 /// A request and its result.
@@ -97,6 +99,9 @@
                     let gateway = gateways[random.random_range(0..gateways.len())];
                     let sent_at = Instant::now();
                     let mut request = request(route, &attempt);
+                    if settings.has_own_bodies {
+                        *request.body_mut() = Full::new(Bytes::from(attempt.clone()));
+                    }
                     if settings.has_crashing_part {
                         add_prompt(&mut request, &attempt, is_crashing);
                     }
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -1,7 +1,7 @@
 //! Gateway processes with stand-ins for the platform and endpoints, and checks of
 //! the results.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use tokio::time::Instant;
 
 use cranberryridge::net::Tcp;
 use cranberryridge_standin::runner::{self, Runner};
@@ -18,6 +19,7 @@
 use cranberryridge_standin::store::{self, Store};
 
 use super::budget::{assert_within_budget, FIXED_RETRIES};
+use super::late::LATE_ROUTES;
 use super::limit::LIMITS;
 use super::load::{Row, CRASHING_PART};
 use super::proxy::{Mode, Proxy};
@@ -54,6 +56,14 @@
     ("decode", "v1.2"),
 ];
 
+/// Engines of a site whose endpoints answer a continuation in other forms.
+pub const CONTINUATION_ENGINES: [Engine; 4] = [
+    ("prefill", "v1"),
+    ("decode", "v1"),
+    ("decode", "v1"),
+    ("decode", "v1"),
+];
+
 /// Time for which an engine that is replaced is listed as draining, and then serves on.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
@@ -73,6 +83,19 @@
     settings: PathBuf,
     /// The child process.
     child: Child,
+    /// Whether a signal has frozen it.
+    is_frozen: bool,
+    /// Times of the signals that kill, freeze or thaw it.
+    interruptions: Vec<Instant>,
+}
+
+/// How the connections of an endpoint that crashes end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Crash {
+    /// All are reset at once.
+    Reset,
+    /// The listener closes, then all are closed in order.
+    InOrder,
 }
 
 /// The gateways, the endpoints behind proxies and the store.
@@ -96,11 +119,28 @@
     /// The last published configuration and its version.
     configuration: Value,
     version: u64,
+    /// Whether the configuration has the routes of late requests.
+    has_late_routes: bool,
+    /// Time at which the last frozen gateway thawed, or `None` while one is frozen.
+    thawed_at: Arc<Mutex<Option<Instant>>>,
+}
+
+/// Parameters of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Number of gateways.
+    pub gateways: u8,
+    /// The engines.
+    pub engines: &'static [Engine],
+    /// Duration of a plain call.
+    pub service_time: Duration,
+    /// Whether there are routes for requests that become whole late.
+    pub has_late_routes: bool,
 }
 
 impl Site {
     /// Starts everything and waits until the gateways accept connections.
-    pub async fn start(subnet: u8, gateways: u8, engines: &[Engine]) -> Self {
+    pub async fn start(subnet: u8, settings: Settings) -> Self {
         let at = |host, port| SocketAddr::from(([127, 0, subnet, host], port));
         let store = Store::default();
         let store_server = store.serve(&Tcp, at(1, 7001)).await.unwrap();
@@ -108,7 +148,7 @@
         let (mut runners, mut proxies) = (Vec::new(), Vec::new());
         let mut entries = Vec::new();
         let plain = [(None, ""), (None, "")].into_iter();
-        let engines = engines
+        let engines = { settings.engines }
             .iter()
             .map(|(phase, version)| (Some(*phase), *version));
         for (index, (phase, version)) in plain.chain(engines).enumerate() {
@@ -117,6 +157,11 @@
                 id: format!("i-{index}"),
                 phase,
                 version: version.into(),
+                service_time: if phase.is_some() {
+                    runner::Settings::default().service_time
+                } else {
+                    settings.service_time
+                },
                 ..runner::Settings::default()
             });
             servers.push(runner.serve(&Tcp, at(host, 7001)).await.ok());
@@ -152,12 +197,19 @@
             entries: Arc::new(Mutex::new(entries)),
             configuration: Value::Null,
             version: 0,
+            has_late_routes: settings.has_late_routes,
+            thawed_at: Arc::new(Mutex::new(Some(Instant::now()))),
         };
         site.publish_configuration();
-        for host in (FIRST_GATEWAY_HOST..FIRST_RUNNER_HOST).take(gateways.into()) {
+        for host in (FIRST_GATEWAY_HOST..FIRST_RUNNER_HOST).take(settings.gateways.into()) {
             let settings = site.write_settings(host);
             let child = start_gateway(&settings);
-            site.processes.push(Process { settings, child });
+            site.processes.push(Process {
+                settings,
+                child,
+                is_frozen: false,
+                interruptions: Vec::new(),
+            });
         }
         for gateway in site.gateways() {
             while tokio::net::TcpStream::connect(gateway).await.is_err() {
@@ -177,38 +229,61 @@
     /// Lets each decode engine crash when it begins to answer a prompt with
     /// [`CRASHING_PART`], and start again after a while.
     pub fn crash_engines_on_part(&mut self) {
-        for (index, runner) in self.runners.iter().enumerate() {
-            if runner.settings.phase != Some("decode") {
-                continue;
+        for index in 0..self.runners.len() {
+            if self.runners[index].settings.phase == Some("decode") {
+                self.runners[index].crash_on_part(CRASHING_PART);
+                self.restart_crashed(index, Crash::Reset);
             }
-            runner.crash_on_part(CRASHING_PART);
-            let Some(server) = self.servers[index].take() else {
-                continue;
-            };
-            let (runner, store, entries) =
-                (runner.clone(), self.store.clone(), self.entries.clone());
-            let proxy = self.proxies[index].clone();
-            tokio::spawn(async move {
-                let (mut runner, mut server) = (runner, server);
-                loop {
-                    runner.crashed().await;
-                    let address = server.address;
+        }
+    }
+
+    /// Lets all endpoints start again a while after they have crashed. A crash closes their
+    /// connections in order.
+    pub fn restart_closed_endpoints(&mut self) {
+        for index in 0..self.runners.len() {
+            self.restart_crashed(index, Crash::InOrder);
+        }
+    }
+
+    /// Lets an endpoint start again a while after each crash.
+    fn restart_crashed(&mut self, index: usize, crash: Crash) {
+        let Some(server) = self.servers[index].take() else {
+            return;
+        };
+        let (runner, store) = (self.runners[index].clone(), self.store.clone());
+        let (entries, thawed_at) = (self.entries.clone(), self.thawed_at.clone());
+        let proxy = self.proxies[index].clone();
+        tokio::spawn(async move {
+            let (mut runner, mut server) = (runner, server);
+            loop {
+                runner.crashed().await;
+                let address = server.address;
+                match crash {
                     // A crash that closed connections in order would look like the end of
                     // answers without a length.
-                    proxy.stop();
-                    server.kill();
-                    drop(server);
-                    tokio::time::sleep(RESTART_TIME).await;
-                    runner = runner.restart_as(&runner.settings.id);
-                    server = runner.serve(&Tcp, address).await.unwrap();
-                    proxy.start_again();
-                    let mut entries = entries.lock().unwrap();
-                    let entry = &mut entries[index].value;
-                    entry["born"] = runner.born().into();
-                    store.put("keyed.servers", &runner.settings.id, Some(entry));
+                    Crash::Reset => proxy.stop(),
+                    Crash::InOrder => proxy.begin_close().await,
                 }
-            });
-        }
+                server.kill();
+                drop(server);
+                let is_frozen = |until: Instant| {
+                    let thawed_at = *thawed_at.lock().unwrap();
+                    thawed_at.is_none_or(|at| at + RESTART_TIME > until)
+                };
+                tokio::time::sleep(RESTART_TIME).await;
+                // A gateway that thaws after the restart finds the endpoint up.
+                while crash == Crash::InOrder && is_frozen(Instant::now()) {
+                    tokio::time::sleep(RESTART_TIME / 10).await;
+                }
+                runner = runner.restart_as(&runner.settings.id);
+                server = runner.serve(&Tcp, address).await.unwrap();
+                proxy.start_again();
+                let mut entries = entries.lock().unwrap();
+                let entry = &mut entries[index].value;
+                entry["born"] = runner.born().into();
+                store.put("keyed.servers", &runner.settings.id, Some(entry));
+            }
+        });
     }
 
     /// Replaces the last decode engine by one of the next version, again and again until
@@ -293,21 +368,46 @@
 
     /// Sends a signal to a gateway if its process is still running.
     pub fn signal(&mut self, index: usize, name: &str) {
-        let child = &mut self.processes[index].child;
-        if matches!(child.try_wait(), Ok(None)) {
-            let command = format!("kill -{name} {}", child.id());
+        let process = &mut self.processes[index];
+        if matches!(process.child.try_wait(), Ok(None)) {
+            let command = format!("kill -{name} {}", process.child.id());
             // The process may have ended in the meantime.
             let _ = Command::new("sh").args(["-c", &command]).status();
+            if ["KILL", "STOP", "CONT"].contains(&name) {
+                process.is_frozen = name == "STOP";
+                process.interruptions.push(Instant::now());
+            }
+        }
+        self.record_thaw();
+    }
+
+    /// Records whether a gateway is frozen, or when the last one thawed.
+    fn record_thaw(&self) {
+        let mut thawed_at = self.thawed_at.lock().unwrap();
+        if self.processes.iter().any(|process| process.is_frozen) {
+            *thawed_at = None;
+        } else if thawed_at.is_none() {
+            *thawed_at = Some(Instant::now());
         }
     }
 
+    /// Returns whether a gateway was killed, frozen or thawed in a time.
+    pub fn is_interrupted(&self, gateway: SocketAddr, from: Instant, until: Instant) -> bool {
+        let index = self.gateways().iter().position(|other| *other == gateway);
+        let interruptions = index.map(|index| &self.processes[index].interruptions);
+        let mut interruptions = interruptions.into_iter().flatten();
+        interruptions.any(|at| (from..=until).contains(at))
+    }
+
     /// Restarts the gateways whose processes have ended.
     pub fn restart_ended(&mut self) {
         for process in &mut self.processes {
             if !matches!(process.child.try_wait(), Ok(None)) {
                 process.child = start_gateway(&process.settings);
+                process.is_frozen = false;
             }
         }
+        self.record_thaw();
     }
 
     /// Ends all faults and resumes stopped gateways.
@@ -337,14 +437,22 @@
         };
         let mut resumable = route("list", "streaming", "model", 2);
         resumable["resumable"] = true.into();
+        let mut routes = vec![
+            route("read", "idempotent", "orders", 2),
+            route("book", "non_idempotent", "orders", 1),
+            route("note", "streaming", "model", 1),
+            resumable,
+        ];
+        if self.has_late_routes {
+            for (name, kind, service, attempts) in LATE_ROUTES {
+                let mut late = route(name, kind, service, attempts);
+                late["timeoutMs"] = (30_000 + self.version).into();
+                routes.push(late);
+            }
+        }
         let configuration = json!({
             "version": self.version,
-            "routes": [
-                route("read", "idempotent", "orders", 2),
-                route("book", "non_idempotent", "orders", 1),
-                route("note", "streaming", "model", 1),
-                resumable,
-            ],
+            "routes": routes,
             "services": [{ "name": "orders" }, { "name": "model", "engine": {
                 "slots": 64, "kvCapacity": 30000, "stride": 11, "holdMs": 2000.0,
             }}],
@@ -373,6 +481,33 @@
         }
     }
 
+    /// Prints how many streams gateways joined from several runs, and how many of them ended as
+    /// complete.
+    fn print_joined(&self, seed: u64, rows: &[Row]) {
+        let calls = self.runners.iter().flat_map(Runner::calls);
+        let calls = calls.filter(|call| call.ran).collect::<Vec<_>>();
+        let attempt = |call: &runner::Call| call.headers["attempt-id"].to_str().unwrap().to_owned();
+        let mut runs = HashMap::<String, usize>::new();
+        for call in &calls {
+            *runs.entry(attempt(call)).or_default() += 1;
+        }
+        let resumed = calls
+            .iter()
+            .filter(|call| call.headers.contains_key("last-event-id"));
+        let resumed = resumed.map(attempt).filter(|attempt| runs[attempt] > 1);
+        let resumed = resumed.collect::<HashSet<_>>();
+        let complete = rows
+            .iter()
+            .filter(|row| row.status == Some(200) && row.body.is_some());
+        let complete = complete
+            .filter(|row| resumed.contains(&row.attempt))
+            .count();
+        println!(
+            "soak: seed {seed}: {} streams had a second run, {complete} of them ended as complete",
+            resumed.len()
+        );
+    }
+
     /// Checks how often requests ran, what callers received, that no endpoint
     /// still runs or reserves anything, and that service has recovered.
     pub fn assert_guarantees(&self, seed: u64, rows: &[Row]) {
@@ -385,22 +520,25 @@
         let expected_note = expected_note.collect::<String>();
         for row in rows {
             let ran = runs.get(&row.attempt).copied().unwrap_or_default();
-            let is_repeatable = ["read", "list"].contains(&row.route);
+            let is_repeatable = ["read", "list", "late-read"].contains(&row.route);
             let max_runs = if is_repeatable { 2 } else { 1 };
             assert!(ran <= max_runs, "seed {seed}: {row:?} ran {ran} times");
-            if matches!(row.status, Some(429 | 503)) && !is_repeatable {
+            if matches!(row.status, Some(408 | 421 | 429 | 503)) && !is_repeatable {
                 assert_eq!(ran, 0, "seed {seed}: {row:?} ran");
             }
             if let (Some(200), Some(body)) = (row.status, &row.body) {
                 let expected = match row.route {
-                    "note" | "list" if is_of_version(body, &expected_note) => continue,
-                    "note" | "list" => expected_note.clone(),
-                    "book" => "POST /book/7?a=b".into(),
-                    _ => "GET /read/7?a=b".into(),
+                    "note" | "list" | "late-note" if is_of_version(body, &expected_note) => {
+                        continue
+                    }
+                    "note" | "list" | "late-note" => expected_note.clone(),
+                    "read" => "GET /read/7?a=b".into(),
+                    route => format!("POST /{route}/7?a=b"),
                 };
                 assert_eq!(*body, expected, "seed {seed}: {row:?}");
             }
         }
+        self.print_joined(seed, rows);
         for runner in &self.runners {
             let id = &runner.settings.id;
             assert_eq!(runner.running_count(), 0, "seed {seed}: {id} still runs");
--- a/crates/daemon/tests/soak/version.rs
+++ b/crates/daemon/tests/soak/version.rs
@@ -1,4 +1,4 @@
-//! Callers that take up streams at other gateways while software versions change.
+//! Callers that take up streams at other gateways.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -41,6 +41,8 @@
     /// Whether the caller took it up, and whether it then went on.
     is_taken_up: bool,
     has_gone_on: bool,
+    /// Try whose answer ended as complete before the last event.
+    false_end: Option<String>,
     /// Tries with the answers' status.
     tries: Vec<(String, SocketAddr, Option<u16>)>,
     after_faults: bool,
@@ -51,13 +53,15 @@
         self.got.len() == EVENTS
     }
 
-    /// Returns whether the events are of several versions, or not in order.
+    /// Returns whether the events are of several versions, not in order, or ended as complete
+    /// before the last one.
     fn is_broken(&self) -> bool {
-        !self.got.is_in_order() || self.got.is_mixed()
+        !self.got.is_in_order() || self.got.is_mixed() || self.false_end.is_some()
     }
 
-    fn request(&self, attempt: &str) -> Request<Full<Bytes>> {
+    fn request(&self, attempt: &str, body: &str) -> Request<Full<Bytes>> {
         let mut request = load::request("list", attempt);
+        *request.body_mut() = Full::new(Bytes::from(body.to_owned()));
         if let (Some(id), Some(first)) = (self.got.last_id(), &self.first_attempt) {
             let headers = request.headers_mut();
             headers.insert("last-event-id", id.into());
@@ -71,8 +75,15 @@
         let mut body = answer.into_body();
         self.got.begin_try();
         while self.got.len() < max_events {
-            let Some(Ok(frame)) = body.frame().await else {
-                return;
+            let frame = match body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => return,
+                None => {
+                    if !self.is_complete() {
+                        self.false_end.get_or_insert_with(|| attempt.into());
+                    }
+                    return;
+                }
             };
             let before = self.got.len();
             self.got.push(frame.data_ref().map_or(&[], |data| data));
@@ -94,8 +105,9 @@
 }
 
 impl Callers {
-    /// Starts callers that send each try to a random gateway.
-    pub fn start(gateways: &[SocketAddr], seed: u64) -> Self {
+    /// Starts callers that send each try to a random gateway. The streams have a body each if
+    /// `has_own_bodies`.
+    pub fn start(gateways: &[SocketAddr], seed: u64, has_own_bodies: bool) -> Self {
         let mut all = Self {
             callers: Vec::new(),
             streams: Arc::default(),
@@ -118,7 +130,8 @@
                         after_faults: faults_over.load(Ordering::SeqCst),
                         ..Stream::default()
                     };
-                    play(&mut stream, &name, &gateways, &mut random, &rows).await;
+                    let body = if has_own_bodies { &name } else { "body" };
+                    play(&mut stream, (&name, body), &gateways, &mut random, &rows).await;
                     streams.lock().unwrap().push(stream);
                     let pause = random.random_range(5..60);
                     tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -144,7 +157,7 @@
         let broken = broken.collect::<Vec<_>>();
         assert!(
             broken.is_empty(),
-            "seed {seed}: mixed or out of order: {broken:?}"
+            "seed {seed}: mixed, out of order or ended early: {broken:?}"
         );
         let count = |after_faults, is: fn(&&Stream) -> bool| {
             let streams = streams.iter().filter(|stream| stream.is_taken_up);
@@ -176,7 +189,7 @@
 /// Plays one stream, whose caller leaves at random after some events and takes it up again.
 async fn play(
     stream: &mut Stream,
-    name: &str,
+    (name, body): (&str, &str),
     gateways: &[SocketAddr],
     random: &mut StdRng,
     rows: &Mutex<Vec<Row>>,
@@ -193,7 +206,7 @@
         stream.is_taken_up |= !stream.got.is_empty();
         let (sent_at, after_faults) = (Instant::now(), stream.after_faults);
         let deadline = sent_at + CALL_DEADLINE;
-        let answer = timeout_at(deadline, send(gateway, stream.request(&attempt))).await;
+        let answer = timeout_at(deadline, send(gateway, stream.request(&attempt, body))).await;
         let answer = answer.ok().flatten();
         let status = answer.as_ref().map(|answer| answer.status().as_u16());
         let wait = answer.as_ref().and_then(|answer| {
