--- a/crates/standin/tests/drain.rs
+++ b/crates/standin/tests/drain.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Version};
+use http::{Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 
 use cranberryridge::client::Client;
@@ -217,3 +217,53 @@
         assert!(with_timeout(drained).await.unwrap());
     }
 }
+
+/// Guards against an entry whose drain times out with open requests and tells their callers
+/// nothing.
+#[tokio::test(start_paused = true)]
+async fn an_entry_whose_drain_times_out_answers_each_open_request() {
+    let plan = Plan {
+        plain_call_time: Duration::from_secs(90),
+        ..peer::pair_plan()
+    };
+    let (net, fleet) = start_fleet(plan).await;
+    let mut services = fleet.services();
+    for service in &mut services {
+        service.deadline_ms = 100_000;
+    }
+    fleet.publish(Default::default(), services);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let entry = fleet.entries[0].clone();
+    let address = entry.address();
+    let order = || peer::post("/services/orders/book", &1.into());
+    let client = Client::new(net.clone(), address);
+    let call = tokio::spawn(async move { client.fetch(order()).await });
+    let mut http2 = connect_http2(&net, address).await;
+    let http2_call = tokio::spawn(async move { http2.send_request(order()).await });
+    let client = Client::new(net.clone(), address);
+    let stream = with_timeout(client.send(completion("long", 3000)))
+        .await
+        .unwrap();
+    let in_flight = || *entry.shared().in_flight.borrow();
+    wait_until(Duration::from_secs(1), "load runs", || in_flight() == 3).await;
+    let drained = tokio::spawn({
+        let (entry, net) = (entry.clone(), net.clone());
+        async move {
+            let whole = entry.drain().await;
+            // The process ends. What it wrote still arrives.
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            net.kill(address.ip());
+            whole
+        }
+    });
+    assert!(with_timeout(stream.into_body().collect()).await.is_err());
+    let answer = with_timeout(call).await.unwrap().expect("an answer");
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(
+        answer.headers()["x-cranberryridge-class"],
+        "unknown outcome"
+    );
+    let answer = with_timeout(http2_call).await.unwrap().expect("an answer");
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert!(!with_timeout(drained).await.unwrap());
+}
