entry: answer each open request before the process exits

When a drain timed out, or a second signal ended it, the entry exited with open requests and their callers saw a reset connection (an_entry_whose_drain_times_out_answers_each_open_request: an answer: Broken(hyper::Error(Io, Kind(ConnectionReset)))).

The entry now gives up what is open by the gateway's rule (policy::gateway::drain::Interruption): an incomplete body, or a plain call that was not sent, as draining, and everything else as stopped. Whether a plain call may still be sent is decided once, by its first attempt or by the exit, so that one that was called not run does not run afterwards. Callers of model requests always get an unknown outcome. Streams that have begun are cut as before.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -79,10 +79,11 @@
         })
         .await?;
         let complete = daemon::drain_on_signal(entry.drain()).await?;
-        Ok(if complete {
-            0
-        } else {
-            daemon::EXIT_DRAIN_INCOMPLETE
-        })
+        if complete {
+            return Ok(0);
+        }
+        // A second signal may have abandoned the drain.
+        entry.give_up().await;
+        Ok(daemon::EXIT_DRAIN_INCOMPLETE)
     })
 }
--- a/crates/lib/src/entry.rs
+++ b/crates/lib/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry: accepts requests from callers and owns each one until its last byte.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,6 +12,7 @@
 use slog::{info, Logger};
 use tokio::sync::watch;
 
+use cranberryridge_policy::gateway::drain::Interruption;
 use cranberryridge_policy::{limit, place, publish::Configuration, retry};
 use cranberryridge_wire::id::{Incarnation, Request};
 use cranberryridge_wire::{setting, Map};
@@ -32,6 +34,9 @@
 pub mod openai;
 pub mod plain;
 
+/// Time in which the answers to requests that were given up are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Dependencies and settings that an entry starts with.
 #[derive(Clone, Debug)]
 pub struct Parts<N, C, L, H> {
@@ -94,6 +99,8 @@
     pub claims: Arc<claims::Claims>,
     /// Whether the entry is shutting down.
     pub draining: watch::Sender<bool>,
+    /// Whether open requests are given up, as the process is about to exit.
+    pub giving_up: watch::Sender<bool>,
     /// Open connections of callers.
     pub connections: Tally,
     /// Number of requests in flight.
@@ -139,6 +146,7 @@
             configuration,
             claims: claims.clone(),
             draining: watch::Sender::new(false),
+            giving_up: watch::Sender::new(false),
             connections: Tally::default(),
             in_flight: watch::Sender::new(0),
             client_limits: Mutex::default(),
@@ -182,7 +190,7 @@
 
     /// Shuts down gracefully: reports not ready, keeps the listener open for the grace
     /// period, then waits until the last connection has closed after its last answer.
-    /// Returns false if the drain timeout cut off connections or requests.
+    /// Returns false if requests were given up as the drain timed out.
     pub async fn drain(&self) -> bool {
         let common = &self.shared.settings.common;
         info!(self.shared.logger, "entry: draining");
@@ -198,9 +206,26 @@
             let _ = in_flight.wait_for(|in_flight| *in_flight == 0).await;
         };
         let complete = tokio::time::timeout(timeout, idle).await.is_ok();
+        if !complete {
+            self.give_up().await;
+        }
         info!(self.shared.logger, "entry: drained"; "whole" => complete);
         complete
     }
+
+    /// Answers all requests that are still open, as the process is about to exit, and waits
+    /// for a short time until the answers are written. Streams that have begun are cut off
+    /// when the process exits. Further calls return at once.
+    pub async fn give_up(&self) {
+        let shared = &self.shared;
+        if shared.giving_up.send_replace(true) {
+            return;
+        }
+        info!(shared.logger, "entry: giving up open requests";
+            "requests" => *shared.in_flight.borrow());
+        // A caller that does not read is cut off.
+        let _ = tokio::time::timeout(FLUSH_TIMEOUT, shared.connections.wait_idle()).await;
+    }
 }
 
 impl<N, C> Shared<N, C> {
@@ -217,6 +242,28 @@
         !*self.draining.borrow() && self.configuration.borrow().version.0 > 0
     }
 
+    /// Works on a request until the entry gives up its open requests. A result that is ready
+    /// at that time is returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Interruption::Exit`] if the work was interrupted.
+    pub async fn run_until_exit<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Interruption> {
+        if *self.giving_up.borrow() {
+            return Err(Interruption::Exit);
+        }
+        let mut giving_up = self.giving_up.subscribe();
+        tokio::select! {
+            biased;
+            result = work => Ok(result),
+            // The sender lives as long as the entry, so the wait cannot fail.
+            _ = giving_up.wait_for(|giving_up| *giving_up) => Err(Interruption::Exit),
+        }
+    }
+
     /// Runs a closure with the retry budget of a service, creating the budget if
     /// needed.
     pub fn with_budget<T>(
--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -262,7 +262,9 @@
 async fn read_body<N, C>(shared: &Shared<N, C>, body: Incoming) -> Result<Bytes, Problem> {
     let limit = shared.settings.max_body_bytes as usize;
     let read = body::read(body, limit);
-    let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
+    let read = tokio::time::timeout(BODY_TIMEOUT, read);
+    let read = shared.run_until_exit(read).await;
+    let read = read.map_err(|interruption| Problem::new(interruption.code(false)))?;
     let read =
         read.map_err(|_| Problem::with_detail(Code::BadRequest, "the body came too slowly"))?;
     read.map_err(|error| match error {
--- a/crates/lib/src/entry/model.rs
+++ b/crates/lib/src/entry/model.rs
@@ -80,6 +80,7 @@
     };
 
     let (reply, head) = Reply::new();
+    let entry = shared.clone();
     let task = Task::new(shared, input, request, service, reply);
     if task.shared.snapshot.load().barred.contains(&task.digest) {
         return Err(Problem::new(Code::Barred));
@@ -88,7 +89,11 @@
         task.run().await;
         drop(permit);
     });
-    head.await.map_err(|_| Problem::new(Code::CallerGone))
+    match entry.run_until_exit(head).await {
+        Ok(head) => head.map_err(|_| Problem::new(Code::CallerGone)),
+        // The task may have sent the request, and ends with the process.
+        Err(interruption) => Err(Problem::new(interruption.code(true))),
+    }
 }
 
 /// Task that drives one model request.
--- a/crates/lib/src/entry/plain.rs
+++ b/crates/lib/src/entry/plain.rs
@@ -1,6 +1,6 @@
 //! Drives the state machine of a plain call.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -111,12 +111,14 @@
         return Err(Problem::new(Code::Barred));
     }
     let (reply, head) = Reply::new();
+    let may_send = Arc::new(OnceLock::new());
     let deadline = input.arrival + Duration::from_millis(u64::from(service.deadline_ms));
     let settings = Settings {
         idempotent,
         pinned: key.is_some(),
         ..Settings::default()
     };
+    let entry = shared.clone();
     let task = Task {
         id: shared.next_request_id(),
         digest,
@@ -129,6 +131,7 @@
         path,
         idempotent,
         reply,
+        may_send: may_send.clone(),
         stream: None,
         endpoint: None,
         link: None,
@@ -142,7 +145,14 @@
         task.run().await;
         drop(permit);
     });
-    head.await.map_err(|_| Problem::new(Code::CallerGone))
+    match entry.run_until_exit(head).await {
+        Ok(head) => head.map_err(|_| Problem::new(Code::CallerGone)),
+        Err(interruption) => {
+            // A call that was not sent yet is not sent any more.
+            let may_have_run = *may_send.get_or_init(|| false);
+            Err(Problem::new(interruption.code(may_have_run)))
+        }
+    }
 }
 
 /// Whether a call may run more than once: according to the longest matching route, or
@@ -175,6 +185,8 @@
     owner: Option<Owner>,
     machine: Machine,
     reply: Reply,
+    /// Whether the call may be sent, decided by the first attempt or by the exit of the entry.
+    may_send: Arc<OnceLock<bool>>,
     /// Stream of the current attempt.
     stream: Option<(Sender, Receiver)>,
     /// Endpoint of the current attempt.
@@ -375,6 +387,9 @@
         let Some(link) = model::link_to(&self.shared, endpoint) else {
             return Event::Unplaced(Code::NoEndpoint);
         };
+        if !*self.may_send.get_or_init(|| true) {
+            return Event::Unplaced(Code::Draining);
+        }
         self.link = Some(link.clone());
         // From here on the call may have been sent, even if opening the stream fails.
         self.machine.handle(self.shared.clock.now(), Event::Sent);
--- a/crates/standin/tests/drain.rs
+++ b/crates/standin/tests/drain.rs
@@ -267,3 +267,39 @@
     assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
     assert!(!with_timeout(drained).await.unwrap());
 }
+
+/// Guards against an entry that is told twice to stop, and tells callers nothing or calls a
+/// request not run that runs.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_stops_at_once_answers_each_open_request() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let plan = Plan {
+        plain_call_time: Duration::from_secs(5),
+        ..peer::pair_plan()
+    };
+    let (net, fleet) = start_fleet(plan).await;
+    let entry = fleet.entries[0].clone();
+    let client = Client::new(net.clone(), entry.address());
+    let order = peer::post("/services/orders/book", &1.into());
+    let call = tokio::spawn(async move { client.fetch(order).await });
+    let mut upload = net.connect(entry.address()).await.unwrap();
+    let head = "POST /services/orders/book HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nhal";
+    upload.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The second signal abandons the drain.
+    let drained = tokio::time::timeout(Duration::from_millis(100), entry.drain()).await;
+    assert!(drained.is_err());
+    let began = tokio::time::Instant::now();
+    entry.give_up().await;
+    assert!(began.elapsed() < Duration::from_secs(1));
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    let mut answer = [0; 12];
+    upload.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 503");
+    net.kill(entry.address().ip());
+    let answer = with_timeout(call).await.unwrap().expect("an answer");
+    assert_eq!(
+        answer.headers()["x-cranberryridge-class"],
+        "unknown outcome"
+    );
+}
