gateway: try a part that most requests have soon after it was barred

Callers were refused for 600 s after three crashes of an engine that no prompt caused: all prompts shared a part, as with a common system prompt, and a part of every request cannot be told from a fault of the engine by crashes. The same happened beside a culprit whose runs nobody observed, as their host had ended or their caller had left.

Each host now samples the parts of arriving requests by service. The bar of a part that three quarters of them have lapses 5 s after its last crash, and each further crash doubles that, up to the 600 s of all others. One request tries it then, and a proof ends the bar at all hosts. A rarer part keeps its bar, so the targets for parts that crash engines hold.

--- a/crates/lib/src/gateway/parts.rs
+++ b/crates/lib/src/gateway/parts.rs
@@ -136,6 +136,13 @@
         lock(&self.parts.table).admit(self.clock.now(), &input.parts)
     }
 
+    /// Records that a request to a service has arrived, whether or not it is admitted.
+    pub(super) fn record_arrival(&self, service: &str, input: &Input) {
+        let mut table = lock(&self.parts.table);
+        let (now, random) = (self.clock.now(), &mut rand::rng());
+        table.record_arrival(now, service, &input.parts, random);
+    }
+
     /// Records that a run outlived its probation, which proves its parts harmless.
     pub(super) fn record_proof(&self, input: &Input, sent_at: Instant) {
         for part in input.parts.iter() {
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -397,6 +397,7 @@
     let service = record.service.clone();
     shared.earn_retry(now, &service);
     let input = prepare_input(&shared, head, body, &record, deadline);
+    shared.record_arrival(&service, &input);
     if let Err(time) = shared.admit(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
         return refuse(&shared, &mut record, refusal);
--- a/crates/policy/src/gateway/part.rs
+++ b/crates/policy/src/gateway/part.rs
@@ -15,9 +15,18 @@
 //! Parts that are always together share their crashes. A request is not refused for one
 //! of them if it lacks another that explains all of its crashes but one. If it then crashes
 //! engines, the other no longer explains them; if it does not, it is proof.
+//!
+//! Crashes of runs with a part that most requests to a service have cannot be told from
+//! faults of the engines, or from crashes whose culprit was not observed, and its bar
+//! protects few requests. Such a part is tried soon, and after each further crash half as
+//! often.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
+use rand::{Rng, RngExt};
+
 use cranberryridge_wire::id::{Digest, Incarnation};
 use cranberryridge_wire::Map;
 
@@ -49,6 +58,20 @@
 /// Time for which a request that tries a part has the part for itself.
 const TRIAL_TIME: Duration = Duration::from_secs(10);
 
+/// Time after its last crash for which a part that most requests have is barred at first.
+/// Each further crash doubles it.
+const FIRST_COMMON_RETENTION: Duration = Duration::from_secs(5);
+
+/// Number of recent requests to a service that tell which parts most of them have.
+const SAMPLE_LEN: usize = 64;
+
+/// Least number of them that have a part which most have.
+const MIN_COMMON: usize = SAMPLE_LEN * 3 / 4;
+
+/// Mean of the shortest time between two of them, as one caller may send many equal ones at
+/// once. It varies, as callers may send theirs at regular intervals.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Maximum number of losses that are kept for one part. The oldest are forgotten first.
 const MAX_LOSSES: usize = 32;
 
@@ -105,6 +128,17 @@
     rows: Map<Digest, Row>,
     /// Crashes of runs on probation, whatever their parts, oldest first.
     crashes: Vec<Crash>,
+    /// Recent requests by service.
+    services: Map<CompactString, Sample>,
+}
+
+/// Sample of the recent requests to one service.
+#[derive(Debug, Default)]
+struct Sample {
+    /// Time from which on the next request is taken, or `None` if none was.
+    next_at: Option<Instant>,
+    /// Parts of the requests, oldest first.
+    arrivals: VecDeque<Box<[Digest]>>,
 }
 
 /// Crash of an endpoint.
@@ -188,6 +222,26 @@
     }
 }
 
+impl Sample {
+    /// Records the parts of a request.
+    fn record<R: Rng>(&mut self, now: Instant, parts: &[Digest], random: &mut R) {
+        if self.next_at.is_some_and(|next_at| now < next_at) {
+            return;
+        }
+        if self.arrivals.len() >= SAMPLE_LEN {
+            self.arrivals.pop_front();
+        }
+        self.next_at = Some(now + SAMPLE_INTERVAL.mul_f64(random.random_range(0.5..1.5)));
+        self.arrivals.push_back(parts.into());
+    }
+
+    /// Returns whether most requests have a part.
+    fn is_common(&self, part: Digest) -> bool {
+        let arrivals = self.arrivals.iter();
+        arrivals.filter(|parts| parts.contains(&part)).count() >= MIN_COMMON
+    }
+}
+
 impl Row {
     /// Returns the losses that no proof has refuted, oldest crash first.
     fn unrefuted(&self) -> impl Iterator<Item = &Counted> {
@@ -232,6 +286,14 @@
         self.weight(|_| true) >= BARRING_WEIGHT
     }
 
+    /// Returns the time after the last crash for which the part is barred if most requests
+    /// have it.
+    fn common_retention(&self) -> Duration {
+        let excess = self.weight(|_| true).saturating_sub(BARRING_WEIGHT);
+        let factor = 2_u32.saturating_pow(excess / SINGLE_CRASH_WEIGHT);
+        FIRST_COMMON_RETENTION.saturating_mul(factor)
+    }
+
     /// Returns the weight of the crashes that pass a filter. Of runs that overlap, one
     /// counts.
     fn weight(&self, filter: impl Fn(&Crash) -> bool) -> u32 {
@@ -255,6 +317,35 @@
             settings,
             rows: Map::default(),
             crashes: Vec::new(),
+            services: Map::default(),
+        }
+    }
+
+    /// Records that a request to a service has arrived, whether or not it is admitted.
+    /// `random` decides when the next one is taken into the sample.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::gateway::part::{Settings, Table};
+    /// use cranberryridge_wire::id::Digest;
+    /// let (mut table, now) = (Table::new(Settings::default()), Instant::now());
+    /// table.record_arrival(now, "model", &[Digest([1, 2])], &mut rand::rng());
+    /// assert_eq!(table.admit(now, &[Digest([1, 2])]), Ok(()));
+    /// ```
+    pub fn record_arrival<R: Rng>(
+        &mut self,
+        now: Instant,
+        service: &str,
+        parts: &[Digest],
+        random: &mut R,
+    ) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.into(), Sample::default());
+        }
+        if let Some(sample) = self.services.get_mut(service) {
+            sample.record(now, parts, random);
         }
     }
 
@@ -266,8 +357,8 @@
     /// Returns the time for which the request is refused.
     pub fn admit(&mut self, now: Instant, parts: &[Digest]) -> Result<(), Duration> {
         let barred = self.barred_rows(parts).collect::<Vec<_>>();
-        for (_, row) in &barred {
-            let lapses_at = self.lapse_time(row);
+        for (part, row) in &barred {
+            let lapses_at = self.lapse_time(*part, row);
             let tried_until = row.tried_at.map(|at| at + TRIAL_TIME);
             let until = lapses_at.max(tried_until);
             if let Some(until) = until.filter(|until| now < *until) {
@@ -286,7 +377,7 @@
     /// `None` if it is not.
     pub fn barred_time(&self, now: Instant, parts: &[Digest]) -> Option<Duration> {
         let barred = self.barred_rows(parts);
-        let lapse_times = barred.filter_map(|(_, row)| self.lapse_time(row));
+        let lapse_times = barred.filter_map(|(part, row)| self.lapse_time(part, row));
         let until = lapse_times.max().filter(|until| now < *until)?;
         Some(until - now)
     }
@@ -393,13 +484,27 @@
 
     /// Returns the time at which the bar of a part lapses, or `None` if all its crashes
     /// are refuted.
-    fn lapse_time(&self, row: &Row) -> Option<Instant> {
+    fn lapse_time(&self, part: Digest, row: &Row) -> Option<Instant> {
+        let full = self.settings.retention;
+        let retention = if self.is_common(part) {
+            row.common_retention().min(full)
+        } else {
+            full
+        };
         let delay = if row.has_seen_last {
             Duration::ZERO
         } else {
-            self.settings.trial_delay
+            // As much shorter as the bar itself.
+            let share = retention.as_secs_f64() / full.as_secs_f64();
+            self.settings.trial_delay.mul_f64(share)
         };
-        Some(row.last_crash()? + self.settings.retention + delay)
+        Some(row.last_crash()? + retention + delay)
+    }
+
+    /// Returns whether most recent requests to a service have a part.
+    fn is_common(&self, part: Digest) -> bool {
+        let mut services = self.services.values();
+        services.any(|sample| sample.is_common(part))
     }
 
     /// Adds to the crashes that may be simultaneous with others.
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -298,9 +298,122 @@
     assert!(table.admit(seconds(start, 500.0), &[CULPRIT]).is_err());
 }
 
+/// Records at a table that requests with these parts, and one of their own each, arrive
+/// over 20 s from a time on.
+fn arrive(table: &mut Table, from: Instant, parts: &[Digest]) {
+    let random = &mut StdRng::seed_from_u64(1);
+    for number in 0..200 {
+        let parts = [parts, &[Digest([8, number])]].concat();
+        let at = from + Duration::from_millis(100) * number as u32;
+        table.record_arrival(at, "model", &parts, random);
+    }
+}
+
+#[test]
+fn a_part_that_most_requests_have_is_tried_soon_and_ever_less_often() {
+    let start = Instant::now();
+    let mut table = Table::new(Settings::default());
+    arrive(&mut table, start, &[FIRST]);
+    let mut now = start + Duration::from_secs(20);
+    for round in 0..3 {
+        now += Duration::from_secs(2);
+        assert_eq!(table.admit(now, &[FIRST]), Ok(()));
+        crash(&mut table, round, now, &[FIRST]);
+    }
+    let retention = Settings::default().retention;
+    let (mut trials, mut last_wait) = (0, Duration::ZERO);
+    let end = now + retention;
+    while now < end {
+        let wait = table.admit(now, &[FIRST]).unwrap_err();
+        assert!(wait > last_wait && wait <= retention, "{wait:?}");
+        assert_eq!(table.barred_time(now, &[FIRST]), Some(wait));
+        (now, last_wait) = (now + wait, wait);
+        assert_eq!(table.admit(now, &[FIRST]), Ok(()));
+        assert!(table.admit(now, &[FIRST]).is_err(), "one at a time");
+        crash(&mut table, 100 + trials, now, &[FIRST]);
+        trials += 1;
+    }
+    assert!((4..=8).contains(&trials), "{trials}");
+    assert!(last_wait >= retention / 2, "{last_wait:?}");
+}
+
+/// A caller may repeat a request so often that few others arrive beside it.
+#[test]
+fn a_part_that_many_requests_lack_is_not_tried_soon() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(20);
+    let retention = Settings::default().retention;
+    let (mut table, random) = (
+        Table::new(Settings::default()),
+        &mut StdRng::seed_from_u64(2),
+    );
+    for number in 0..1000 {
+        let at = start + Duration::from_millis(number);
+        table.record_arrival(at, "model", &[CULPRIT], random);
+    }
+    for round in 0..3 {
+        let at = later + Duration::from_secs(2 * round);
+        crash(&mut table, round, at, &[CULPRIT]);
+    }
+    let now = later + Duration::from_secs(4);
+    assert_eq!(table.admit(now, &[CULPRIT]), Err(retention));
+    // Requests to another service have parts of their own.
+    arrive(&mut table, later, &[CULPRIT]);
+    for number in 0..100 {
+        let at = later + Duration::from_millis(200) * number;
+        table.record_arrival(at, "other", &[FIRST], random);
+    }
+    let wait = table.admit(now, &[CULPRIT]).unwrap_err();
+    assert!(wait < retention / 10, "{wait:?}");
+    for number in 0..32 {
+        let at = later + Duration::from_secs(20) + Duration::from_millis(200) * number;
+        table.record_arrival(at, "model", &[FIRST], random);
+    }
+    assert_eq!(table.admit(now, &[CULPRIT]), Err(retention));
+}
+
+/// The hosts that sent the culprit ended with the crashes, or its callers had left.
+#[test]
+fn crashes_whose_culprits_were_not_observed_refuse_others_only_for_a_while() {
+    let start = Instant::now();
+    let (mut table, random) = (
+        Table::new(Settings::default()),
+        &mut StdRng::seed_from_u64(3),
+    );
+    for number in 0..1200 {
+        let at = start + Duration::from_millis(20) * number;
+        let second = if number % 12 == 0 { CULPRIT } else { SECOND };
+        table.record_arrival(at, "model", &[FIRST, second], random);
+    }
+    for (round, second) in [(20, None), (22, None), (24, Some(CULPRIT))] {
+        let at = start + Duration::from_secs(round);
+        crash(&mut table, round, at, &[FIRST, SECOND]);
+        if let Some(second) = second {
+            crash(&mut table, round, at, &[second]);
+        }
+    }
+    let crashed_at = start + Duration::from_secs(24);
+    assert!(table.admit(crashed_at, &[FIRST, SECOND]).is_err());
+    let now = crashed_at + Duration::from_secs(6);
+    assert_eq!(table.admit(now, &[FIRST, SECOND]), Ok(()));
+    for part in [FIRST, SECOND] {
+        table.record_proof(part, now);
+    }
+    // The culprit still counts as it did.
+    for round in [31, 33] {
+        let at = start + Duration::from_secs(round);
+        crash(&mut table, round, at, &[FIRST, CULPRIT]);
+    }
+    let now = start + Duration::from_secs(34);
+    assert_eq!(table.admit(now, &[FIRST, SECOND]), Ok(()));
+    assert!(table.admit(now, &[FIRST, CULPRIT]).is_err());
+}
+
 /// A day of hosts, engines and requests, some of which have a part that crashes engines.
 struct Day {
     random: StdRng,
+    /// Decides which requests hosts take into their samples.
+    sampling: StdRng,
     hosts: Vec<Table>,
     /// Time of the next start of each engine, or `None` while it runs.
     engines: Vec<Option<f64>>,
@@ -308,6 +421,7 @@
     /// Evidence on its way to all hosts but one, with the time of its arrival.
     mail: Vec<(f64, usize, Digest, Evidence)>,
     start: Instant,
+    unobserved_share: f64,
 }
 
 /// A run of a request.
@@ -336,6 +450,12 @@
     rare_parts: u64,
     /// Time of a failure of a quarter of the engines, three times in a row, or `None`.
     rack_fails_at: Option<f64>,
+    /// Number of failures of the first engine, each soon after it is back. The first is
+    /// after [`FIRST_FAILURE_SECONDS`].
+    lone_failures: usize,
+    /// Share of the crashed runs with the culprit that nobody observes, as their hosts end or
+    /// their callers leave.
+    unobserved_share: f64,
 }
 
 /// What a day did.
@@ -350,18 +470,24 @@
     /// The same, of those that came later than 6 s after the fifth crash.
     late_sound: usize,
     late_refused: usize,
+    /// The same, of those that came later than 12 s after the last failure of the first
+    /// engine alone.
+    recovered_sound: usize,
+    recovered_refused: usize,
 }
 
 const DAY_SECONDS: f64 = 40.0;
 const STEP_SECONDS: f64 = 0.01;
 const MESSAGE_SECONDS: f64 = 0.02;
 const RESTART_SECONDS: f64 = 2.0;
+const FIRST_FAILURE_SECONDS: f64 = 13.0;
 
 impl Day {
     /// Plays a day.
     fn play(seed: u64, plan: &Plan) -> Outcome {
         let mut day = Self {
             random: StdRng::seed_from_u64(seed),
+            sampling: StdRng::seed_from_u64(!seed),
             hosts: (0..plan.hosts)
                 .map(|_| Table::new(Settings::default()))
                 .collect(),
@@ -369,9 +495,11 @@
             runs: Vec::new(),
             mail: Vec::new(),
             start: Instant::now(),
+            unobserved_share: plan.unobserved_share,
         };
         let mut outcome = Outcome::default();
         let mut crashes = Vec::new();
+        let mut failures = Vec::new();
         let steps = (DAY_SECONDS / STEP_SECONDS) as usize;
         for step in 0..steps {
             let now = step as f64 * STEP_SECONDS;
@@ -392,6 +520,14 @@
                     }
                 }
             }
+            let is_due = failures.len() < plan.lone_failures && now >= FIRST_FAILURE_SECONDS;
+            // A run that just began shows that the engine is back.
+            let mut runs = day.runs.iter().filter(|run| run.engine == 0);
+            if is_due && runs.any(|run| !run.is_proven && now > run.sent_at + 0.04) {
+                failures.push(now);
+                day.crash(now, 0);
+            }
+            let recovered_at = failures.last().map(|at| at + RESTART_SECONDS + 12.0);
             day.advance(now, plan, &mut crashes);
             let learned = crashes.get(4).copied();
             if day.random.random_bool(plan.crashing_rate * STEP_SECONDS) {
@@ -406,6 +542,9 @@
                 outcome.refused += usize::from(!is_sent);
                 outcome.late_sound += usize::from(is_late);
                 outcome.late_refused += usize::from(is_late && !is_sent);
+                let has_recovered = recovered_at.is_some_and(|at| now > at);
+                outcome.recovered_sound += usize::from(has_recovered);
+                outcome.recovered_refused += usize::from(has_recovered && !is_sent);
             }
         }
         outcome.crashes = crashes.len();
@@ -450,6 +589,7 @@
         }
         let host = self.random.random_range(0..self.hosts.len());
         let at = self.at(now);
+        self.hosts[host].record_arrival(at, "model", &parts, &mut self.sampling);
         if self.hosts[host].admit(at, &parts).is_err() {
             return false;
         }
@@ -506,7 +646,9 @@
         self.engines[engine] = Some(now + RESTART_SECONDS);
         let lost = self.runs.extract_if(.., |run| run.engine == engine);
         for run in lost.collect::<Vec<_>>() {
-            if run.is_proven {
+            let is_culprit = run.parts.contains(&CULPRIT);
+            let is_unobserved = is_culprit && self.sampling.random_bool(self.unobserved_share);
+            if run.is_proven || is_unobserved {
                 continue;
             }
             let crash = Crash {
@@ -537,6 +679,8 @@
             position: random.random_range(0..3),
             rare_parts: [1, 5, 50, 100_000][random.random_range(0..4)],
             rack_fails_at: [None, Some(4.0)][random.random_range(0..2)],
+            lone_failures: 0,
+            unobserved_share: 0.0,
         };
         let outcome = Day::play(seed, &plan);
         assert!(
@@ -564,8 +708,67 @@
             position: 2,
             rare_parts: [1, 5, 50, 100_000][random.random_range(0..4)],
             rack_fails_at: Some(10.0),
+            lone_failures: 0,
+            unobserved_share: 0.0,
         };
         let outcome = Day::play(seed, &plan);
         assert_eq!(outcome.refused, 0, "seed {seed}: {plan:?}, {outcome:?}");
     }
 }
+
+/// Faults of one engine, which no prompt causes, must not refuse all requests for the part
+/// that they share.
+#[test]
+fn an_engine_that_fails_alone_bars_no_part_of_all_requests_for_long() {
+    let (mut refused, mut sound) = (0, 0);
+    for seed in 0..100 {
+        let mut random = StdRng::seed_from_u64(seed + 3000);
+        let plan = Plan {
+            hosts: random.random_range(1..4),
+            engines: random.random_range(1..4),
+            crashing_rate: 0.0,
+            sound_rate: random.random_range(30.0..60.0),
+            position: 2,
+            rare_parts: [50, 100_000][random.random_range(0..2)],
+            rack_fails_at: None,
+            lone_failures: random.random_range(3..5),
+            unobserved_share: 0.0,
+        };
+        let outcome = Day::play(seed, &plan);
+        assert!(outcome.recovered_sound > 50, "seed {seed}: {outcome:?}");
+        let served = 1.0 - outcome.recovered_refused as f64 / outcome.recovered_sound as f64;
+        assert!(served >= 0.95, "seed {seed}: {plan:?}, {outcome:?}");
+        refused += outcome.recovered_refused;
+        sound += outcome.recovered_sound;
+    }
+    println!("{refused} of {sound} requests refused");
+}
+
+/// Crashes of which nobody observed the culprit's run speak against the parts beside it.
+#[test]
+fn culprits_that_are_seldom_observed_do_not_refuse_others_for_long() {
+    let (mut crashes, mut refused, mut sound) = (0, 0, 0);
+    for seed in 0..100 {
+        let mut random = StdRng::seed_from_u64(seed + 4000);
+        let plan = Plan {
+            hosts: random.random_range(1..5),
+            engines: random.random_range(1..4),
+            crashing_rate: random.random_range(0.5..3.0),
+            sound_rate: random.random_range(15.0..40.0),
+            position: 1,
+            rare_parts: 1,
+            rack_fails_at: None,
+            lone_failures: 0,
+            unobserved_share: random.random_range(0.3..0.7),
+        };
+        let outcome = Day::play(seed, &plan);
+        assert!(
+            outcome.refused * 2 < outcome.sound,
+            "seed {seed}: {plan:?}, {outcome:?}"
+        );
+        crashes += outcome.crashes;
+        refused += outcome.refused;
+        sound += outcome.sound;
+    }
+    println!("{crashes} crashes, {refused} of {sound} sound requests refused");
+}
