policy: bound the services whose recent requests are kept

The table kept a sample of the requests of each service it had ever heard of, and services come and go with the configuration. The one without a request for longest is forgotten now beyond 256.

--- a/crates/policy/src/gateway/part.rs
+++ b/crates/policy/src/gateway/part.rs
@@ -62,6 +62,9 @@
 /// Each further crash doubles it.
 const FIRST_COMMON_RETENTION: Duration = Duration::from_secs(5);
 
+/// Maximum number of services whose recent requests are kept.
+const MAX_SERVICES: usize = 256;
+
 /// Number of recent requests to a service that tell which parts most of them have.
 const SAMPLE_LEN: usize = 64;
 
@@ -342,6 +345,7 @@
         random: &mut R,
     ) {
         if !self.services.contains_key(service) {
+            self.make_room_for_service();
             self.services.insert(service.into(), Sample::default());
         }
         if let Some(sample) = self.services.get_mut(service) {
@@ -507,6 +511,19 @@
         services.any(|sample| sample.is_common(part))
     }
 
+    /// Forgets the service that has had no request for longest, if there are too many.
+    fn make_room_for_service(&mut self) {
+        if self.services.len() < MAX_SERVICES {
+            return;
+        }
+        let longest = self
+            .services
+            .iter()
+            .min_by_key(|(_, sample)| sample.next_at);
+        let longest = longest.map(|(service, _)| service.clone());
+        longest.and_then(|service| self.services.remove(&service));
+    }
+
     /// Adds to the crashes that may be simultaneous with others.
     fn record_crash(&mut self, crash: Crash) {
         if self.crashes.iter().any(|known| known.is_same(&crash)) {
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -372,6 +372,27 @@
     assert_eq!(table.admit(now, &[CULPRIT]), Err(retention));
 }
 
+/// Services come and go with the configuration, and the table must not grow with them.
+#[test]
+fn requests_of_a_service_are_forgotten_after_many_others() {
+    let start = Instant::now();
+    let mut table = Table::new(Settings::default());
+    arrive(&mut table, start, &[FIRST]);
+    let later = start + Duration::from_secs(20);
+    for round in 0..3 {
+        let at = later + Duration::from_secs(2 * round);
+        crash(&mut table, round, at, &[FIRST]);
+    }
+    let now = later + Duration::from_secs(4);
+    let retention = Settings::default().retention;
+    assert!(table.admit(now, &[FIRST]).unwrap_err() < retention);
+    let random = &mut StdRng::seed_from_u64(4);
+    for service in 0..1000 {
+        table.record_arrival(now, &format!("service-{service}"), &[], random);
+    }
+    assert_eq!(table.admit(now, &[FIRST]), Err(retention));
+}
+
 /// The hosts that sent the culprit ended with the crashes, or its callers had left.
 #[test]
 fn crashes_whose_culprits_were_not_observed_refuse_others_only_for_a_while() {
