--- a/crates/daemon/tests/host/mod.rs
+++ b/crates/daemon/tests/host/mod.rs
@@ -1,5 +1,7 @@
 //! A gateway process, with stand-ins for the platform's store and endpoints.
 
+#![allow(dead_code)]
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -59,6 +61,12 @@
 
     /// Lists an endpoint of a service, and waits until the gateway knows it.
     pub async fn list(&mut self, host: u8, id: &str, service: &str, phase: Option<&str>) {
+        self.list_soon(host, id, service, phase);
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+    }
+
+    /// Lists an endpoint of a service.
+    pub fn list_soon(&self, host: u8, id: &str, service: &str, phase: Option<&str>) {
         let mut entry = json!({
             "service": service, "address": address(self.subnet, host).to_string(),
             "zone": "a", "slots": 64, "state": "ready", "born": 1,
@@ -67,7 +75,11 @@
             entry["phase"] = phase.into();
         }
         self.store.put("keyed.servers", id, Some(&entry));
-        tokio::time::sleep(Duration::from_millis(2500)).await;
+    }
+
+    /// Removes an endpoint from the list.
+    pub fn unlist(&self, id: &str) {
+        self.store.put("keyed.servers", id, None);
     }
 
     /// Address of the gateway for callers.
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A network whose connections can be cut and redirected.
 
+#![allow(dead_code)]
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
