policy: tell whether an end completes a stream that is read whole

The relay of a stream follows it with a sequence. Streams that are read whole before they are passed on, and those behind a sidecar, need only the rule of the end.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -22,6 +22,24 @@
     Connection,
 }
 
+impl Framing {
+    /// Returns the name in logs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::Framing;
+    /// assert_eq!(Framing::Chunks.name(), "chunks");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// End of an answer whose transport reported no error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
@@ -61,6 +79,21 @@
         self.framing != Framing::Connection || may_be_empty || (self.is_endpoint_up && !is_empty)
     }
 
+    /// Returns whether a stream is complete, from whether it has an event and whether it ends
+    /// inside one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{End, Framing};
+    /// let sized = End { framing: Framing::Length, is_endpoint_up: false };
+    /// assert!(sized.completes_stream(true, false));
+    /// assert!(!sized.completes_stream(false, false));
+    /// ```
+    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
+        has_event && !is_inside && self.is_said()
+    }
+
     /// Returns whether the sender said that the answer ends here.
     fn is_said(self) -> bool {
         self.framing != Framing::Connection || self.is_endpoint_up
@@ -155,7 +188,7 @@
     /// Returns whether the stream is complete after an end of the current run. `is_inside`
     /// tells whether the end came inside an event.
     pub fn is_complete(&self, end: End, is_inside: bool) -> bool {
-        self.has_run_event && !is_inside && end.is_said()
+        end.completes_stream(self.has_run_event, is_inside)
     }
 }
 
