gateway: pass on no answer whose end nobody said

Callers got an answer that a crash had cut as whole: without a length or chunks the connection ends an answer, and the kernel closes the connections of a process that is killed in order. They also got an empty stream, or another answer in place of one, as a whole stream.

Where only the connection marks an end, the gateway now asks the endpoint for a connection. It does so 20 ms later: the kernel closes the sockets of a killed process one after the other. A 2xx answer on a route of streams must be an event stream whose first event has begun before its head is passed on. Otherwise the run is lost: another endpoint runs the request if it may, or the caller gets a 502 or a cut stream. Answers with a length or chunks need no connection.

--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{header, HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use cranberryridge_policy::answer::Framing;
+
 use crate::body;
 use crate::net::Net;
 
@@ -23,6 +25,65 @@
 /// seconds, so this allows for two repeats.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after the end of an answer at which its server is asked whether it is up. The kernel
+/// closes the sockets of a process that was killed one after the other, and its listener may
+/// be the last.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
+
+/// Returns how the end of an answer with a body is marked, from its headers.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge::client;
+/// use cranberryridge::policy::answer::Framing;
+/// let mut headers = http::HeaderMap::new();
+/// assert_eq!(client::framing(&headers), Framing::Connection);
+/// headers.insert("content-length", 5.into());
+/// assert_eq!(client::framing(&headers), Framing::Length);
+/// ```
+pub fn framing(headers: &HeaderMap) -> Framing {
+    // A coding other than chunks takes precedence over a length, and has no end of its own.
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match codings.last() {
+        Some(codings) if is_chunked(codings.as_bytes()) => Framing::Chunks,
+        Some(_) => Framing::Connection,
+        None if headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
+        None => Framing::Connection,
+    }
+}
+
+/// Returns whether the last one of the transfer codings is that of chunks.
+fn is_chunked(codings: &[u8]) -> bool {
+    let last = codings.rsplit(|byte| *byte == b',').next();
+    last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
+/// Returns whether a server is up after the end of its answer: whether it accepts a connection
+/// within a time.
+///
+/// # Examples
+///
+/// ```
+/// # let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// # runtime.block_on(async {
+/// use std::time::Duration;
+/// use cranberryridge::client;
+/// use cranberryridge::net::memory::Memory;
+/// use cranberryridge::net::Net;
+/// let net = Memory::default();
+/// let server = "127.0.0.1:80".parse().unwrap();
+/// assert!(!client::outlives_answer(&net, server, Duration::from_secs(1)).await);
+/// let _listener = net.bind(server).await.unwrap();
+/// assert!(client::outlives_answer(&net, server, Duration::from_secs(1)).await);
+/// # });
+/// ```
+pub async fn outlives_answer<N: Net>(net: &N, server: SocketAddr, timeout: Duration) -> bool {
+    tokio::time::sleep(PROBE_DELAY).await;
+    let connected = tokio::time::timeout(timeout, net.connect(server)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 /// Error of a call.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -35,8 +96,8 @@
     /// The answer is too large or was cut off.
     #[error("answer unreadable: {0}")]
     Unreadable(Box<dyn std::error::Error + Send + Sync>),
-    /// The answer is a stream of events that ended inside one.
-    #[error("answer ended inside an event")]
+    /// The answer is no complete one, though the connection reported no error.
+    #[error("answer incomplete")]
     Truncated,
 }
 
--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -122,15 +122,18 @@
 }
 
 /// Follows a stream without buffering it, and tells whether it may end here. A
-/// stream that ends inside an event was broken off, however it is framed.
+/// stream that ends inside an event, or without any, was broken off, however it is
+/// framed.
 ///
 /// # Examples
 ///
 /// ```
 /// use cranberryridge::events::Scanner;
 /// let mut scanner = Scanner::default();
+/// scanner.push(b": comment\n\n");
+/// assert!(!scanner.has_event());
 /// scanner.push(b"id: 1\ndata: a\n\n: comment\n");
-/// assert!(!scanner.is_inside_event());
+/// assert!(scanner.has_event() && !scanner.is_inside_event());
 /// scanner.push(b"id: 2\n");
 /// assert!(scanner.is_inside_event());
 /// ```
@@ -140,25 +143,69 @@
     has_field: bool,
     /// First byte of the current line, or `None` at its start.
     line_start: Option<u8>,
+    /// First bytes of the current line, up to the end of a field's name.
+    name: [u8; MAX_NAME_BYTES],
+    /// Number of bytes in `name`, or `None` after its end.
+    name_bytes: Option<usize>,
+    /// Whether the current event has data or an id.
+    has_content: bool,
+    /// Whether an event has ended.
+    has_event: bool,
 }
 
+/// Maximum length of a field's name that makes an event, in bytes.
+const MAX_NAME_BYTES: usize = 4;
+
 impl Scanner {
     /// Advances over the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         for byte in bytes {
             match (byte, self.line_start) {
                 (b'\n', Some(start)) => {
+                    self.end_name();
                     self.has_field |= start != b':';
                     self.line_start = None;
                 }
-                (b'\n', None) => self.has_field = false,
+                (b'\n', None) => {
+                    self.has_event |= self.has_content;
+                    self.has_field = false;
+                    self.has_content = false;
+                }
                 (b'\r', None) => {}
-                (byte, None) => self.line_start = Some(*byte),
-                (_, Some(_)) => {}
+                (byte, None) => {
+                    self.line_start = Some(*byte);
+                    self.name_bytes = Some(0);
+                    self.push_name(*byte);
+                }
+                (byte, Some(_)) => self.push_name(*byte),
             }
         }
     }
 
+    /// Advances over a byte of a line that may belong to a field's name.
+    fn push_name(&mut self, byte: u8) {
+        let Some(count) = self.name_bytes else { return };
+        if matches!(byte, b':' | b'\r') {
+            self.end_name();
+        } else if let Some(next) = self.name.get_mut(count) {
+            *next = byte;
+            self.name_bytes = Some(count + 1);
+        } else {
+            self.name_bytes = None;
+        }
+    }
+
+    /// Ends the name of a field.
+    fn end_name(&mut self) {
+        let name = self.name_bytes.take().map(|count| &self.name[..count]);
+        self.has_content |= name.is_some_and(|name| name == b"data" || name == b"id");
+    }
+
+    /// Returns whether an event has ended. Blocks with neither data nor an id are none.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Returns whether the last event, or a line between events, has not ended.
     pub fn is_inside_event(&self) -> bool {
         self.has_field || self.line_start.is_some()
@@ -178,13 +225,13 @@
     })
 }
 
-/// Returns whether a complete body is a stream of events that ends inside one.
-pub fn is_truncated(headers: &HeaderMap, body: &Chunks) -> bool {
+/// Follows a whole body.
+pub fn scan(body: &Chunks) -> Scanner {
     let mut scanner = Scanner::default();
     for chunk in body.iter() {
         scanner.push(chunk);
     }
-    is_event_stream(headers) && scanner.is_inside_event()
+    scanner
 }
 
 /// Returns the index after the empty line that ends the last event.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -13,10 +13,11 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::uri::PathAndQuery;
-use http::{header, request, response, HeaderMap, HeaderValue, Request, Response};
+use http::{header, request, response, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use cranberryridge_policy::answer::End;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
@@ -28,7 +29,7 @@
 use super::suspects::LostRun;
 use super::{held, lock, Shared};
 use crate::body::Chunks;
-use crate::client::{Client, Error};
+use crate::client::{self, Client, Error};
 use crate::clock::Clock;
 use crate::events;
 use crate::net::Net;
@@ -140,40 +141,6 @@
     }
 }
 
-/// How the end of an answer is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// By the length in its head.
-    Length,
-    /// By an empty chunk.
-    Chunks,
-    /// By the end of the connection, so that an answer may end early without
-    /// a transport error.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the framing of an HTTP/1 answer with a body from its headers.
-    pub fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            Self::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Connection
-        }
-    }
-
-    /// Returns the name in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunks => "chunks",
-            Self::Connection => "connection",
-        }
-    }
-}
-
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -357,23 +324,30 @@
 
 impl<N: Net, C: Clock, D: Dialect> Call<N, C, D> {
     /// Reads an answer completely, so that a truncated one is never forwarded as
-    /// complete. Returns `None` if it is truncated or too large, or if the answers that
-    /// are being read take too much memory. Each counts as a lost run of a request that
-    /// was sent at `sent_at`.
+    /// complete. Returns `None` if it is truncated or too large, or no stream where
+    /// `expects_stream` is set, or if the answers that are being read take too much memory.
+    /// Each counts as a lost run of a request that was sent at `sent_at`.
     pub async fn read_answer(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
         sent_at: Instant,
         answer: Response<Incoming>,
+        expects_stream: bool,
         max_bytes: usize,
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
         let body = held::read(&shared.held, body, max_bytes, |_| Purpose::Answer).await;
         let error = match body {
-            Ok(body) if events::is_truncated(&head.headers, &body) => Error::Truncated,
-            Ok(body) => return Some((head, body)),
+            Ok(body) => {
+                let framing = client::framing(&head.headers);
+                let end = shared.observe_end(framing, endpoint).await;
+                if self.is_complete(&head, &body, end, expects_stream) {
+                    return Some((head, body));
+                }
+                Error::Truncated
+            }
             Err(error) => Error::Unreadable(error.into()),
         };
         shared.metrics.count("endpoint.answer_cut");
@@ -388,6 +362,33 @@
         shared.record_lost_run(run).await;
         None
     }
+
+    /// Returns whether an answer is complete, and a stream if one is expected.
+    fn is_complete(
+        &self,
+        head: &response::Parts,
+        body: &Chunks,
+        end: End,
+        expects_stream: bool,
+    ) -> bool {
+        let events = events::scan(body);
+        if expects_stream {
+            return is_stream(head)
+                && end.completes_stream(events.has_event(), events.is_inside_event());
+        }
+        let may_be_empty = self.input.head.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        let is_cut = events::is_event_stream(&head.headers) && events.is_inside_event();
+        !is_cut && end.completes_body(body.size() == 0, may_be_empty)
+    }
+}
+
+/// Returns whether the head of an answer is that of a stream.
+pub fn is_stream(head: &response::Parts) -> bool {
+    head.status == StatusCode::OK && events::is_event_stream(&head.headers)
 }
 
 /// Makes a control call to an endpoint. Returns `None` if no answer came within
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use http::{response, Response};
+use http::{response, Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -22,14 +22,16 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, Framing, InFlight, Outcome};
+use super::exchange::{self, InFlight, Outcome};
 use super::exchange::{MAX_ANSWER_BYTES, MAX_DOCUMENT_BYTES};
 use super::parts::unless_barred;
 use super::refusal::Refusal;
 use super::serve::Call;
 use super::suspects::LostRun;
 use crate::body::{Body, Chunks};
+use crate::client;
 use crate::clock::Clock;
+use crate::events::{Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
 
 use self::cache::Cache;
@@ -76,7 +78,7 @@
 enum Answer<N: Net, C: Clock, D: Dialect> {
     /// A stream that has started.
     Stream(Box<Run<N, C, D>>),
-    /// A complete error response.
+    /// A complete answer that is no stream: an error response, or one without a body.
     Failure(response::Parts, Chunks),
 }
 
@@ -347,7 +349,15 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.status().is_success() => {
-            let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_DOCUMENT_BYTES);
+            let (expects_stream, max_bytes) = (false, MAX_DOCUMENT_BYTES);
+            let answer = call.read_answer(
+                key,
+                &endpoint,
+                started_at,
+                answer,
+                expects_stream,
+                max_bytes,
+            );
             answer
                 .await
                 .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body.to_bytes()))
@@ -441,33 +451,37 @@
     if let Some(cache) = &mut cache {
         cache.mark_taken();
     }
-    if !answer.status().is_success() {
-        call.record.add_call(stage, &endpoint.id, "failed");
-        let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_ANSWER_BYTES);
+    let has_no_body = call.input.head.method == Method::HEAD;
+    if !answer.status().is_success() || has_no_body {
+        let result = if has_no_body { "answered" } else { "failed" };
+        call.record.add_call(stage, &endpoint.id, result);
+        let (expects_stream, max_bytes) = (false, MAX_ANSWER_BYTES);
+        let answer = call.read_answer(
+            key,
+            &endpoint,
+            started_at,
+            answer,
+            expects_stream,
+            max_bytes,
+        );
         let Some((head, body)) = answer.await else {
             return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
     let (head, mut body) = answer.into_parts();
-    let framing = Framing::of(&head.headers);
-    call.record.framing = Some(framing);
-    let first_chunk = match next_chunk(&mut body).await {
-        Chunk::Data(bytes) => Some(bytes),
-        Chunk::End if framing != Framing::Connection => None,
-        // A crash before the first event ends the connection as well.
-        Chunk::End | Chunk::Broken => {
-            call.record.add_call(stage, &endpoint.id, "broken");
-            let run = LostRun {
-                input: &call.input,
-                key,
-                endpoint: &endpoint,
-                sent_at: started_at,
-                first_event_at: None,
-            };
-            shared.record_lost_run(run).await;
-            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
-        }
+    call.record.framing = Some(client::framing(&head.headers));
+    let Some(first_chunk) = read_start(&head, &mut body).await else {
+        call.record.add_call(stage, &endpoint.id, "broken");
+        let run = LostRun {
+            input: &call.input,
+            key,
+            endpoint: &endpoint,
+            sent_at: started_at,
+            first_event_at: None,
+        };
+        shared.record_lost_run(run).await;
+        return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
     };
     let now = shared.clock.now();
     let took = now.saturating_duration_since(started_at);
@@ -478,7 +492,7 @@
     Ok(Attempt::Answered(Answer::Stream(Box::new(Run {
         head,
         body,
-        first_chunk,
+        first_chunk: Some(first_chunk),
         reservation,
         sent_at: started_at,
         first_event_at: now,
@@ -515,6 +529,26 @@
         && call.shared.may_resend(&call.input)
 }
 
+/// Reads a stream until its first event has begun. Returns `None` if the answer is no stream,
+/// or ends or grows too long before that.
+async fn read_start(head: &response::Parts, body: &mut Incoming) -> Option<Bytes> {
+    if !exchange::is_stream(head) {
+        return None;
+    }
+    let (mut scanner, mut start) = (Scanner::default(), BytesMut::new());
+    while start.len() <= MAX_EVENT_BYTES {
+        let Chunk::Data(bytes) = next_chunk(body).await else {
+            return None;
+        };
+        scanner.push(&bytes);
+        start.extend_from_slice(&bytes);
+        if scanner.has_event() || scanner.is_inside_event() {
+            return Some(start.freeze());
+        }
+    }
+    None
+}
+
 /// Result of reading from a body.
 enum Chunk {
     Data(Bytes),
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,6 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -16,7 +15,6 @@
 use crate::clock::Clock;
 use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
-use crate::gateway::exchange::Framing;
 use crate::gateway::serve::Call;
 use crate::gateway::suspects::LostRun;
 use crate::net::Net;
@@ -60,6 +58,7 @@
     loop {
         call.shared.held.add_spare(&call.input);
         let outcome = copy_events(&mut call, &mut run, &mut splitter, &mut reply).await;
+        let outcome = confirm_end(&call, &run, outcome).await;
         let ids = [
             splitter.first_id(),
             splitter.first_id().and(splitter.last_id()),
@@ -70,9 +69,6 @@
             Outcome::Complete => {
                 run.reservation.record_completion();
                 let sent_at = run.sent_at;
-                if call.record.framing == Some(Framing::Connection) {
-                    log_unframed_end(&call, run.reservation.endpoint.clone());
-                }
                 drop(run);
                 call.shared.record_success(&call.input, sent_at);
                 call.forget_origin();
@@ -117,16 +113,22 @@
     }
 }
 
-/// Logs in the background whether an endpoint still accepts connections after an answer that
-/// ended with its connection. If not, it may have crashed in the middle of the answer.
-fn log_unframed_end<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>, endpoint: Endpoint) {
-    let shared = Arc::clone(&call.shared);
-    let request = call.input.attempt_id.clone();
-    tokio::spawn(async move {
-        let refuses = shared.refuses_connections(&endpoint).await;
-        slog::info!(shared.logger, "stream: ended with its connection";
-            "request" => %request, "endpoint" => %endpoint.id, "refuses" => refuses);
-    });
+/// Returns [`Outcome::Broken`] for a complete stream if only its connection marked the end and
+/// its endpoint is gone.
+async fn confirm_end<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    run: &Run<N, C, D>,
+    outcome: Outcome,
+) -> Outcome {
+    let Some(framing) = call.record.framing.filter(|_| outcome == Outcome::Complete) else {
+        return outcome;
+    };
+    let endpoint = &run.reservation.endpoint;
+    let end = call.shared.observe_end(framing, endpoint).await;
+    if end.completes_stream(true, false) {
+        return outcome;
+    }
+    Outcome::Broken
 }
 
 /// Resumes a broken stream at another endpoint. Returns `None` if that is not
@@ -155,6 +157,7 @@
 }
 
 /// Outcome of relaying one run's stream.
+#[derive(PartialEq, Eq)]
 enum Outcome {
     /// The stream ended normally.
     Complete,
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{response, Response, StatusCode};
+use http::{response, Method, Response, StatusCode};
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::gateway::budget::Sends;
@@ -12,12 +12,13 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, Framing, InFlight, Outcome, MAX_ANSWER_BYTES};
+use super::exchange::{self, InFlight, Outcome, MAX_ANSWER_BYTES};
 use super::permit::Permit;
 use super::refusal::Refusal;
 use super::schedule::request_permit;
 use super::serve::Call;
 use crate::body::{Body, Chunks};
+use crate::client;
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -227,11 +228,21 @@
     let started_at = shared.clock.now();
     let outcome = exchange::send(&shared, &call.input, key, &endpoint, permit, parameters).await;
     if let Outcome::Answer(answer) = &outcome {
-        call.record.framing = Some(Framing::of(answer.headers()));
+        call.record.framing = Some(client::framing(answer.headers()));
     }
     let attempt = match outcome {
         Outcome::Answer(answer) => {
-            let answer = call.read_answer(key, &endpoint, started_at, answer, MAX_ANSWER_BYTES);
+            let expects_stream = call.route.kind.is_stream()
+                && answer.status().is_success()
+                && call.input.head.method != Method::HEAD;
+            let answer = call.read_answer(
+                key,
+                &endpoint,
+                started_at,
+                answer,
+                expects_stream,
+                MAX_ANSWER_BYTES,
+            );
             match answer.await {
                 Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
                 Some(answer) => {
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -6,8 +6,9 @@
 use compact_str::CompactString;
 use slog::Logger;
 
+use cranberryridge_policy::answer::Framing;
+
 use super::dialect::Description;
-use super::exchange::Framing;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::broadcast;
 
+use cranberryridge_policy::answer::{End, Framing};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, State};
@@ -20,6 +21,7 @@
 use super::exchange::{self, Input, CONNECT_TIMEOUT};
 use super::parts::LostPrompt;
 use super::{lock, Shared};
+use crate::client;
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -195,6 +197,27 @@
         matches!(connected, Ok(Err(error)) if error.kind() == refused)
     }
 
+    /// Returns how an answer with a framing ended that its transport reported as complete.
+    /// Asks the endpoint whether it is up if only its connection marked the end.
+    pub(super) async fn observe_end(&self, framing: Framing, endpoint: &Endpoint) -> End {
+        let is_endpoint_up = !End::needs_probe(framing) || self.outlives(endpoint).await;
+        if !is_endpoint_up {
+            self.metrics.count("endpoint.gone_at_end");
+            slog::info!(self.logger, "gateway: endpoint is gone after an answer without a length";
+                "endpoint" => %endpoint.id);
+        }
+        End {
+            framing,
+            is_endpoint_up,
+        }
+    }
+
+    /// Returns whether an endpoint accepts connections after the end of its answer. If not, it
+    /// may have crashed in the middle of it.
+    async fn outlives(&self, endpoint: &Endpoint) -> bool {
+        client::outlives_answer(&self.net, endpoint.address, CONNECT_TIMEOUT).await
+    }
+
     /// Asks an engine when it started. Returns whether it is still the start that is known.
     async fn is_still_running(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
         let request = self.dialect.report_request(endpoint.address);
