--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -1,7 +1,6 @@
 //! Starts runs that go on where the caller's stream ends.
 
 use bytes::BytesMut;
-use http::{response, StatusCode};
 
 use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::route::Engine;
@@ -10,7 +9,7 @@
 use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run};
 use super::{Answer, Chunk, Progress, Run};
 use crate::clock::Clock;
-use crate::events::{self, Splitter};
+use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::serve::Call;
@@ -43,7 +42,7 @@
             return Ok(Answer::Stream(run));
         }
         progress.current = Some(run.reservation.key);
-        let is_joinable = is_stream(&run.head) && goes_on(call, &mut run, &progress.sequence).await;
+        let is_joinable = goes_on(call, &mut run, &progress.sequence).await;
         progress.current = None;
         if is_joinable {
             return Ok(Answer::Stream(run));
@@ -80,11 +79,6 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
-/// Returns whether the head is that of a stream.
-fn is_stream(head: &response::Parts) -> bool {
-    head.status == StatusCode::OK && events::is_event_stream(&head.headers)
-}
-
 /// Waits for the first event of a run, and returns whether it follows the stream's last one.
 async fn goes_on<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,8 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{self, End, Sequence};
-use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -17,7 +16,6 @@
 use crate::clock::Clock;
 use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
-use crate::gateway::exchange::Framing;
 use crate::gateway::serve::Call;
 use crate::gateway::suspects::LostRun;
 use crate::net::Net;
@@ -73,9 +71,6 @@
             Outcome::Complete => {
                 run.reservation.record_completion();
                 let sent_at = run.sent_at;
-                if call.record.framing == Some(Framing::Connection) {
-                    log_unframed_end(&call, run.reservation.endpoint.clone());
-                }
                 drop(run);
                 call.shared.record_success(&call.input, sent_at);
                 call.forget_origin();
@@ -126,18 +121,6 @@
     }
 }
 
-/// Logs in the background whether an endpoint still accepts connections after an answer that
-/// ended with its connection. If not, it may have crashed in the middle of the answer.
-fn log_unframed_end<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>, endpoint: Endpoint) {
-    let shared = Arc::clone(&call.shared);
-    let request = call.input.attempt_id.clone();
-    tokio::spawn(async move {
-        let refuses = shared.refuses_connections(&endpoint).await;
-        slog::info!(shared.logger, "stream: ended with its connection";
-            "request" => %request, "endpoint" => %endpoint.id, "refuses" => refuses);
-    });
-}
-
 /// Resumes a broken stream at another endpoint. Returns `None` if that is not
 /// allowed or fails, or if the caller disconnects.
 async fn resume<N: Net, C: Clock, D: Dialect>(
@@ -267,11 +250,14 @@
         }
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
-            Ok(Chunk::End) if !sequence.is_complete(end_of(call), splitter.is_inside_event()) => {
-                call.shared.metrics.count("endpoint.answer_cut");
-                return Outcome::Broken;
-            }
             Ok(Chunk::End) => {
+                let framing = call.record.framing.unwrap_or(Framing::Connection);
+                let endpoint = &run.reservation.endpoint;
+                let end = shared.observe_end(framing, endpoint).await;
+                if !sequence.is_complete(end, splitter.is_inside_event()) {
+                    shared.metrics.count("endpoint.answer_cut");
+                    return Outcome::Broken;
+                }
                 let rest = splitter.take_rest();
                 if !rest.is_empty() && reply.send_piece(rest).await.is_err() {
                     return Outcome::CallerGone;
@@ -282,16 +268,3 @@
         }
     }
 }
-
-/// Returns the end of the run's answer.
-fn end_of<N: Net, C: Clock, D: Dialect>(call: &Call<N, C, D>) -> End {
-    let framing = match call.record.framing {
-        Some(Framing::Length) => answer::Framing::Length,
-        Some(Framing::Chunks) => answer::Framing::Chunks,
-        Some(Framing::Connection) | None => answer::Framing::Connection,
-    };
-    End {
-        framing,
-        is_endpoint_up: true,
-    }
-}
