--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{header, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, Notify};
@@ -419,7 +419,7 @@
             ledger.record_stage(at, &answer.id, &prompt, Stage::Generated);
             drop(memory);
         });
-        Response::new(response_body)
+        stream_response(response_body)
     }
 
     /// Pulls a result from another engine. Returns whether it arrived whole.
@@ -614,5 +614,13 @@
 /// Returns a response whose body breaks off at once.
 fn truncated_response() -> Response<Body> {
     let (_, body) = Body::channel(1);
-    Response::new(body)
+    stream_response(body)
+}
+
+/// Returns the response of a stream of events.
+fn stream_response(body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    let media = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, media);
+    response
 }
