sidecar: take an engine's answer only if it is a stream with events

Callers got text from an engine as a whole answer if it had lines that look like events. A stream of [DONE] alone ended the answer before its head was sent, and the caller got 499 with the class not run, although the engine ran the request.

The sidecar read the media type of no answer and took [DONE] for an end after no event. It now asks for the media type of a stream, and an end counts only if the sequence of events is complete. Anything else is a failure of the endpoint, after which the entry tries another one. It is no crash, so it does not count against the request.

--- a/crates/lib/src/sidecar/engine.rs
+++ b/crates/lib/src/sidecar/engine.rs
@@ -16,12 +16,13 @@
 use hyper::body::Incoming;
 use serde_json::{json, Value};
 
+use cranberryridge_policy::answer::{self, Sequence};
 use cranberryridge_wire::blob::Blob;
 use cranberryridge_wire::code::Code;
 use cranberryridge_wire::message::Ticket;
 
 use crate::client::{self, Client};
-use crate::events::MAX_EVENT_BYTES;
+use crate::events::{self, MAX_EVENT_BYTES};
 use crate::net::Net;
 
 /// Time without progress after which a decode fails as stalled.
@@ -30,6 +31,12 @@
 /// Maximum size of an answer that is no stream, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
 
+/// End of a stream, which its last event says.
+const END: answer::End = answer::End {
+    framing: answer::Framing::Chunks,
+    is_endpoint_up: true,
+};
+
 /// Timeout of a cancellation and of a listing.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -96,6 +103,9 @@
     /// The connection broke or the answer was invalid, as after a crash.
     #[error("engine broke off: {0}")]
     Broken(String),
+    /// The engine answered with something other than a stream of events.
+    #[error("engine sent no stream: {0}")]
+    NoStream(&'static str),
     /// The engine made no progress in time.
     #[error("engine stalled")]
     Stalled,
@@ -111,7 +121,7 @@
             Self::Refused {
                 status: 400..=499, ..
             } => Code::BadBody,
-            Self::Refused { .. } => Code::EndpointFailed,
+            Self::Refused { .. } | Self::NoStream(_) => Code::EndpointFailed,
             Self::Broken(_) => Code::EndpointCrashed,
             Self::Stalled => Code::TransferFailed,
         }
@@ -178,6 +188,9 @@
         if answer.status() != StatusCode::OK {
             return Err(refusal(answer.status(), b""));
         }
+        if !events::is_event_stream(answer.headers()) {
+            return Err(Error::NoStream("other media type"));
+        }
         let unparsed_bytes = Arc::new(AtomicUsize::new(0));
         let data = Data {
             inner: BodyDataStream::new(answer.into_body()),
@@ -186,6 +199,7 @@
         Ok(Events {
             inner: data.eventsource(),
             unparsed_bytes,
+            sequence: Sequence::default(),
         })
     }
 
@@ -214,6 +228,8 @@
     inner: EventStream<Data>,
     /// Bytes that were read since the last event.
     unparsed_bytes: Arc<AtomicUsize>,
+    /// Events so far. Their ids are not kept, as the sidecar numbers them.
+    sequence: Sequence,
 }
 
 /// Bytes of an answer. Fails if an event is too long, as the parser keeps all of it.
@@ -245,8 +261,17 @@
         let event = tokio::time::timeout(STALL_TIMEOUT, pin!(self.inner.next())).await;
         self.unparsed_bytes.store(0, Ordering::Relaxed);
         match event.map_err(|_| Error::Stalled)? {
-            Some(Ok(event)) if event.data == "[DONE]" => Ok(None),
-            Some(Ok(event)) => Ok(Some(event.data.into_bytes().into())),
+            Some(Ok(event)) if event.data == "[DONE]" => {
+                if !self.sequence.is_complete(END, false) {
+                    return Err(Error::NoStream("no event"));
+                }
+                Ok(None)
+            }
+            Some(Ok(event)) => {
+                let admitted = self.sequence.admit(answer::Event { id: None });
+                admitted.map_err(|_| Error::NoStream("out of order"))?;
+                Ok(Some(event.data.into_bytes().into()))
+            }
             Some(Err(error)) => Err(Error::Broken(error.to_string())),
             None => Err(Error::Broken("no end of the stream".into())),
         }
