gateway: ask no endpoint after an answer without a body

Answers to HEAD, and those of status 204 and 304, end with their head, so their end is said however they are framed. They waited for a connection to their endpoint in vain.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -340,6 +340,8 @@
         let (head, body) = answer.into_parts();
         let body = held::read(&shared.held, body, max_bytes, |_| Purpose::Answer).await;
         let error = match body {
+            // Its head is the whole answer.
+            Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
                 let framing = client::framing(&head.headers);
                 let end = shared.observe_end(framing, endpoint).await;
@@ -376,13 +378,14 @@
             return is_stream(head)
                 && end.completes_stream(events.has_event(), events.is_inside_event());
         }
-        let may_be_empty = self.input.head.method == Method::HEAD
-            || matches!(
-                head.status,
-                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-            );
         let is_cut = events::is_event_stream(&head.headers) && events.is_inside_event();
-        !is_cut && end.completes_body(body.size() == 0, may_be_empty)
+        !is_cut && end.completes_body(body.size() == 0, false)
+    }
+
+    /// Returns whether an answer with a head has no body, however it is framed.
+    fn has_no_body(&self, head: &response::Parts) -> bool {
+        let is_empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+        self.input.head.method == Method::HEAD || is_empty.contains(&head.status)
     }
 }
 
