platform: test killed processes with different requests

Equal requests are refused after two crashes, as they should be: with the end of answers checked, the first four runs of killed processes were lost, and six requests were refused as barred and killed nothing. Each kill now has a request of its own.

--- a/crates/daemon/tests/ending.rs
+++ b/crates/daemon/tests/ending.rs
@@ -204,8 +204,9 @@
     }
 }
 
-/// Builds a request for a route.
-fn request(route: &str, case: Option<usize>) -> Request<Full<Bytes>> {
+/// Builds a request for a route, whose body is told apart by its number. Equal requests would
+/// be refused after two crashes.
+fn request(route: &str, number: usize, case: Option<usize>) -> Request<Full<Bytes>> {
     let mut request = Request::post(format!("/{route}/7"))
         .header("host", "desk.example")
         .header("attempt-id", "a1")
@@ -215,13 +216,19 @@
     if let Some(case) = case {
         request = request.header(CASE, case);
     }
-    request.body(Full::new(Bytes::from("call"))).unwrap()
+    let body = format!("call {number}");
+    request.body(Full::new(Bytes::from(body))).unwrap()
 }
 
 /// Sends a request. Returns status and body, or `None` if the answer is cut off.
-async fn fetch(site: &Site, route: &str, case: Option<usize>) -> Option<(u16, Bytes)> {
+async fn fetch(
+    site: &Site,
+    route: &str,
+    number: usize,
+    case: Option<usize>,
+) -> Option<(u16, Bytes)> {
     let client = Client::new(Tcp, site.gateway());
-    let answer = client.send(request(route, case)).await.ok()?;
+    let answer = client.send(request(route, number, case)).await.ok()?;
     let status = answer.status().as_u16();
     let body = answer.into_body().collect().await.ok()?;
     Some((status, body.to_bytes()))
@@ -249,8 +256,10 @@
             tokio::time::sleep(TIME_TO_KILL).await;
             drop(processes);
         };
-        let plain = fetch(&site, "book", None);
-        let (plain, stream, ()) = tokio::join!(plain, fetch(&site, "note", None), killed);
+        let number = usize::from(kill);
+        let plain = fetch(&site, "book", number, None);
+        let stream = fetch(&site, "note", number, None);
+        let (plain, stream, ()) = tokio::join!(plain, stream, killed);
         for (route, got) in [("book", plain), ("note", stream)] {
             if !is_lost(&got) {
                 whole.push(format!("{route}: {got:?}"));
@@ -278,11 +287,11 @@
     let mut whole = Vec::new();
     for (case, (framing, cut, end)) in cases().into_iter().enumerate() {
         for route in ["book", "note"] {
-            let mut got = fetch(&site, route, Some(case)).await;
+            let mut got = fetch(&site, route, case, Some(case)).await;
             // The endpoints of earlier cases are not used for a while.
             while matches!(got, Some((503, _))) {
                 tokio::time::sleep(Duration::from_millis(300)).await;
-                got = fetch(&site, route, Some(case)).await;
+                got = fetch(&site, route, case, Some(case)).await;
             }
             if !is_lost(&got) {
                 let framing = FRAMINGS[framing].0;
