--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -44,8 +44,8 @@
 /// ```
 pub fn framing(headers: &HeaderMap) -> Framing {
     // A coding other than chunks takes precedence over a length, and has no end of its own.
-    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    match codings.last() {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match codings.next_back() {
         Some(codings) if is_chunked(codings.as_bytes()) => Framing::Chunks,
         Some(_) => Framing::Connection,
         None if headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
