--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -202,70 +202,6 @@
     }
 }
 
-/// Sends a request to an endpoint, with a permit if it has named a limit, and waits for the
-/// response head. Nothing is sent if this host is stopping and a request of this length may
-/// not end before.
-pub async fn send<N: Net, C: Clock, D: Dialect>(
-    shared: &Arc<Shared<N, C, D>>,
-    input: &Arc<Input>,
-    key: EndpointKey,
-    endpoint: &Endpoint,
-    permit: Option<Permit>,
-    parameters: Parameters<'_>,
-    length: Option<Length>,
-) -> Outcome {
-    let Some(body) = input.body() else {
-        return Outcome::NotSent;
-    };
-    let client =
-        Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
-    let connected = client.connect().await;
-    let sent_at = shared.clock.now();
-    let remaining_time = input.deadline.saturating_duration_since(sent_at);
-    let known_limit = shared.pool().limit(key).version;
-    let answer = match connected {
-        // The process may have been paused until after the deadline.
-        Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
-        // The stop may have begun while the connection was established.
-        Ok(_) if length.is_some_and(|length| !shared.accepts(length)) => return Outcome::NotSent,
-        Ok(_) if !shared.is_permitted(key, permit) => {
-            shared.metrics.count("permit.missing");
-            return Outcome::NotPermitted;
-        }
-        Ok(connection) => {
-            let parameters = Parameters {
-                remaining_time,
-                ..parameters
-            };
-            let request = build_request(&shared.dialect, input, body, &parameters);
-            connection.send(request).await
-        }
-        Err(error) => Err(error),
-    };
-    let answer = match answer {
-        Ok(answer) => answer,
-        Err(error) => {
-            shared.metrics.count("endpoint.unreachable");
-            slog::debug!(shared.logger, "gateway: attempt failed";
-                "request" => %input.attempt_id, "endpoint" => %endpoint.id, "error" => %error);
-            if matches!(error, Error::Connect(_)) {
-                shared.record_failure(shared.clock.now(), key, Failure::Broken);
-                return Outcome::NotSent;
-            }
-            let run = LostRun {
-                input,
-                key,
-                endpoint,
-                sent_at,
-                first_event_at: None,
-            };
-            shared.record_lost_run(run).await;
-            return Outcome::Lost;
-        }
-    };
-    classify(shared, input, key, known_limit, parameters.stage, answer)
-}
-
 /// Builds the request of an attempt.
 fn build_request<D: Dialect>(
     dialect: &D,
@@ -328,6 +264,72 @@
 }
 
 impl<N: Net, C: Clock, D: Dialect> Call<N, C, D> {
+    /// Sends the request to an endpoint, with a permit if it has named a limit, and waits for the
+    /// response head. Nothing is sent if this host is stopping and a request of this length may
+    /// not end before.
+    pub async fn send(
+        &self,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        permit: Option<Permit>,
+        parameters: Parameters<'_>,
+        length: Option<Length>,
+    ) -> Outcome {
+        let (shared, input) = (&self.shared, &self.input);
+        let Some(body) = input.body() else {
+            return Outcome::NotSent;
+        };
+        let client =
+            Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
+        let connected = client.connect().await;
+        let sent_at = shared.clock.now();
+        let remaining_time = input.deadline.saturating_duration_since(sent_at);
+        let known_limit = shared.pool().limit(key).version;
+        let answer = match connected {
+            // The process may have been paused until after the deadline.
+            Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
+            // The stop may have begun while the connection was established.
+            Ok(_) if length.is_some_and(|length| !shared.accepts(length)) => {
+                return Outcome::NotSent
+            }
+            Ok(_) if !shared.is_permitted(key, permit) => {
+                shared.metrics.count("permit.missing");
+                return Outcome::NotPermitted;
+            }
+            Ok(connection) => {
+                let parameters = Parameters {
+                    remaining_time,
+                    ..parameters
+                };
+                let request = build_request(&shared.dialect, input, body, &parameters);
+                connection.send(request).await
+            }
+            Err(error) => Err(error),
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                shared.metrics.count("endpoint.unreachable");
+                slog::debug!(shared.logger, "gateway: attempt failed";
+                    "request" => %input.attempt_id, "endpoint" => %endpoint.id, "error" => %error);
+                if matches!(error, Error::Connect(_)) {
+                    shared.record_failure(shared.clock.now(), key, Failure::Broken);
+                    return Outcome::NotSent;
+                }
+                let run = LostRun {
+                    input,
+                    key,
+                    endpoint,
+                    sent_at,
+                    first_event_at: None,
+                };
+                shared.record_lost_run(run).await;
+                return Outcome::Lost;
+            }
+        };
+        classify(shared, input, key, known_limit, parameters.stage, answer)
+    }
+
     /// Reads an answer completely, so that a truncated one is never forwarded as
     /// complete. Returns `None` if it is truncated or too large, or no stream where
     /// `expects_stream` is set, or if the answers that are being read take too much memory.
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -341,15 +341,7 @@
         last_event_id: None,
     };
     let length = predict_length(call, engine, need);
-    let sent = exchange::send(
-        &shared,
-        &call.input,
-        key,
-        &endpoint,
-        permit,
-        parameters,
-        length,
-    );
+    let sent = call.send(key, &endpoint, permit, parameters, length);
     let outcome = sent.await;
     if matches!(outcome, Outcome::NotPermitted) {
         return Ok(None);
@@ -436,15 +428,7 @@
     let may_have_run_before = progress.may_have_run;
     progress.may_have_run = true;
     progress.current = Some(key);
-    let sent = exchange::send(
-        &shared,
-        &call.input,
-        key,
-        &endpoint,
-        permit,
-        parameters,
-        length,
-    );
+    let sent = call.send(key, &endpoint, permit, parameters, length);
     let outcome = sent.await;
     if !matches!(outcome, Outcome::NotSent | Outcome::NotPermitted) {
         progress.sends.record();
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -12,7 +12,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, InFlight, Outcome, MAX_ANSWER_BYTES};
+use super::exchange::{InFlight, Outcome, MAX_ANSWER_BYTES};
 use super::permit::Permit;
 use super::refusal::Refusal;
 use super::schedule::request_permit;
@@ -241,15 +241,7 @@
     progress.current = Some(key);
     let started_at = shared.clock.now();
     let length = Some(predict_length(call));
-    let sent = exchange::send(
-        &shared,
-        &call.input,
-        key,
-        &endpoint,
-        permit,
-        parameters,
-        length,
-    );
+    let sent = call.send(key, &endpoint, permit, parameters, length);
     let outcome = sent.await;
     if let Outcome::Answer(answer) = &outcome {
         call.record.framing = Some(client::framing(answer.headers()));
