--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -145,7 +145,8 @@
 
 /// Answers and streams of events without end.
 fn endless_streams() -> Vec<Answer> {
-    let body = |rest: &str| format!("{HEAD}content-type: text/event-stream\r\n\r\n{rest}");
+    let head = format!("{HEAD}content-type: text/event-stream\r\n");
+    let body = |rest: &str| format!("{head}\r\n{rest}");
     let event = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n";
     let streams = [
         ("event", body("data: "), "a"),
@@ -159,7 +160,12 @@
         prefix,
         filler,
     });
-    [endless_answers(HEAD), streams.into()].concat()
+    [
+        endless_answers(HEAD),
+        endless_answers(&head),
+        streams.into(),
+    ]
+    .concat()
 }
 
 #[test]
