events: pass on the empty lines behind the last event of a read

A caller got other bytes than its endpoint sent if more than one empty line ended a read: the bytes behind the first of them were dropped.

--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -85,6 +85,10 @@
             end += length;
             batch.has_field |= has_field(block);
         }
+        if batch.disorder.is_none() {
+            // Further empty lines may follow the last event.
+            end = taken.len();
+        }
         batch.bytes = taken.slice(start..end);
         Some(batch)
     }
@@ -206,6 +210,11 @@
         self.has_content |= name.is_some_and(|name| name == b"data" || name == b"id");
     }
 
+    /// Returns whether an event has begun, and not only a comment.
+    pub fn has_begun_event(&self) -> bool {
+        self.has_event || self.has_field || self.line_start.is_some_and(|start| start != b':')
+    }
+
     /// Returns whether an event has ended. Blocks with neither data nor an id are none.
     pub fn has_event(&self) -> bool {
         self.has_event
