gateway: hold streams of plain services against what their callers have

A caller that took up a stream of a service without engines got it from its first event, and as complete, if the endpoint ignored the id: only the relay of engines' streams used the rule of what may be joined. Such an answer, which is read whole before it is passed on, is held against the same rule now.

Also from the review: an engine that is up after an answer without a length has to be the start that gave it; the end of an endpoint that leaves counts as no crash of its request; a run that does not go on is closed before its endpoint is asked; a comment that has begun is no event; the framing of a run belongs to the run, not to its log line.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -32,7 +32,7 @@
 use crate::body::Chunks;
 use crate::client::{self, Client, Error};
 use crate::clock::Clock;
-use crate::events;
+use crate::events::{self, Splitter};
 use crate::net::Net;
 
 /// Timeout of connecting to an endpoint. It covers several round trips between
@@ -351,7 +351,7 @@
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
                 let framing = client::framing(&head.headers);
-                let end = shared.observe_end(framing, endpoint).await;
+                let end = shared.observe_end(framing, key, endpoint).await;
                 if self.is_complete(&head, &body, end, expects_stream) {
                     return Some((head, body));
                 }
@@ -380,15 +380,23 @@
         end: End,
         expects_stream: bool,
     ) -> bool {
-        let events = events::scan(body);
         if expects_stream {
-            return is_stream(head)
-                && end.completes_stream(events.has_event(), events.is_inside_event());
+            return is_stream(head) && self.is_whole_stream(body, end);
         }
-        let is_cut = events::is_event_stream(&head.headers) && events.is_inside_event();
+        let is_event_stream = events::is_event_stream(&head.headers);
+        let is_cut = is_event_stream && events::scan(body).is_inside_event();
         !is_cut && end.completes_body(body.size() == 0, false)
     }
 
+    /// Returns whether a body is a stream that goes on behind the events that the caller has.
+    fn is_whole_stream(&self, body: &Chunks, end: End) -> bool {
+        let (mut splitter, mut sequence) = (Splitter::default(), self.begin_sequence());
+        body.iter().for_each(|chunk| splitter.push(chunk));
+        let batch = splitter.take_events(&mut sequence);
+        let is_ordered = batch.is_none_or(|batch| batch.disorder.is_none());
+        is_ordered && sequence.is_complete(end, splitter.is_inside_event())
+    }
+
     /// Returns whether an answer with a head has no body, however it is framed.
     fn has_no_body(&self, head: &response::Parts) -> bool {
         let is_empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
     head: response::Parts,
+    /// How the end of the body is marked.
+    framing: Framing,
     /// Rest of the body after `first_chunk`.
     body: Incoming,
     first_chunk: Option<Bytes>,
@@ -129,7 +131,7 @@
     engine: Engine,
 ) -> Result<Response<Body>, (Call<N, C, D>, Refusal)> {
     let mut progress = Progress {
-        sequence: begin_sequence(&call),
+        sequence: call.begin_sequence(),
         ..Progress::default()
     };
     let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
@@ -154,13 +156,6 @@
     }
 }
 
-/// Returns the events that the caller has before the first run.
-fn begin_sequence<N, C: Clock, D>(call: &Call<N, C, D>) -> Sequence {
-    let last_id = call.record.description.last_event_id.clone();
-    let last_id = last_id.filter(|_| call.route.kind == Kind::ResumableStream);
-    last_id.map_or_else(Sequence::default, Sequence::after)
-}
-
 /// Sends the request to endpoints until one starts a stream or returns an error
 /// response.
 async fn start_run<N: Net, C: Clock, D: Dialect>(
@@ -475,7 +470,8 @@
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
     let (head, mut body) = answer.into_parts();
-    call.record.framing = Some(client::framing(&head.headers));
+    let framing = client::framing(&head.headers);
+    call.record.framing = Some(framing);
     let Some(first_chunk) = read_start(&head, &mut body).await else {
         call.record.add_call(stage, &endpoint.id, "broken");
         let run = LostRun {
@@ -496,6 +492,7 @@
     progress.run_count += 1;
     Ok(Attempt::Answered(Answer::Stream(Box::new(Run {
         head,
+        framing,
         body,
         first_chunk: Some(first_chunk),
         reservation,
@@ -547,7 +544,7 @@
         };
         scanner.push(&bytes);
         start.extend_from_slice(&bytes);
-        if scanner.has_event() || scanner.is_inside_event() {
+        if scanner.has_begun_event() {
             return Some(start.freeze());
         }
     }
--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -47,7 +47,7 @@
         if is_joinable {
             return Ok(Answer::Stream(run));
         }
-        abandon(call, progress, &run).await?;
+        abandon(call, progress, *run).await?;
     }
 }
 
@@ -59,8 +59,10 @@
 async fn abandon<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     progress: &mut Progress,
-    run: &Run<N, C, D>,
+    run: Run<N, C, D>,
 ) -> Result<(), Refusal> {
+    // Closes the connection, which ends the run before another one starts.
+    drop(run.body);
     let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
     call.shared.metrics.count("stream.not_joined");
     call.record.add_call("stream", &endpoint.id, "not joined");
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{Framing, Sequence};
+use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -251,9 +251,8 @@
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
             Ok(Chunk::End) => {
-                let framing = call.record.framing.unwrap_or(Framing::Connection);
-                let endpoint = &run.reservation.endpoint;
-                let end = shared.observe_end(framing, endpoint).await;
+                let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
+                let end = shared.observe_end(run.framing, key, endpoint).await;
                 if !sequence.is_complete(end, splitter.is_inside_event()) {
                     shared.metrics.count("endpoint.answer_cut");
                     return Outcome::Broken;
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -17,12 +17,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 
+use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::drain::{Length, Stop};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
-use cranberryridge_policy::gateway::route::{Limits, Route};
+use cranberryridge_policy::gateway::route::{Kind, Limits, Route};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
@@ -173,6 +174,13 @@
         Err(Refusal::draining())
     }
 
+    /// Returns the events that the caller has before the first run.
+    pub fn begin_sequence(&self) -> Sequence {
+        let last_id = self.record.description.last_event_id.clone();
+        let last_id = last_id.filter(|_| self.route.kind == Kind::ResumableStream);
+        last_id.map_or_else(Sequence::default, Sequence::after)
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -164,7 +164,10 @@
             lost_at: now,
         });
         // The end of an endpoint that leaves is no crash.
-        let is_leaving = self.pool().get(run.key).is_none_or(State::is_leaving);
+        if self.pool().get(run.key).is_some_and(State::is_leaving) {
+            return;
+        }
+        let is_listed = self.pool().get(run.key).is_some();
         let key = run.key;
         let investigation = tokio::spawn(async move {
             if shared.refuses_connections(&endpoint).await {
@@ -172,7 +175,7 @@
                 lost.inspect(|lost| shared.record_lost_prompt(lost));
                 return;
             }
-            let Some(lost) = lost.filter(|lost| !is_leaving && !lost.parts.is_empty()) else {
+            let Some(lost) = lost.filter(|lost| is_listed && !lost.parts.is_empty()) else {
                 return;
             };
             if !shared.is_still_running(key, &endpoint).await {
@@ -199,8 +202,13 @@
 
     /// Returns how an answer with a framing ended that its transport reported as complete.
     /// Asks the endpoint whether it is up if only its connection marked the end.
-    pub(super) async fn observe_end(&self, framing: Framing, endpoint: &Endpoint) -> End {
-        let is_endpoint_up = !End::needs_probe(framing) || self.outlives(endpoint).await;
+    pub(super) async fn observe_end(
+        &self,
+        framing: Framing,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+    ) -> End {
+        let is_endpoint_up = !End::needs_probe(framing) || self.outlives(key, endpoint).await;
         if !is_endpoint_up {
             self.metrics.count("endpoint.gone_at_end");
             slog::info!(self.logger, "gateway: endpoint is gone after an answer without a length";
@@ -212,10 +220,12 @@
         }
     }
 
-    /// Returns whether an endpoint accepts connections after the end of its answer. If not, it
-    /// may have crashed in the middle of it.
-    async fn outlives(&self, endpoint: &Endpoint) -> bool {
-        client::outlives_answer(&self.net, endpoint.address, CONNECT_TIMEOUT).await
+    /// Returns whether an endpoint accepts connections after the end of its answer, and is the
+    /// start that gave it if it is an engine. If not, it may have crashed in the middle of the
+    /// answer.
+    async fn outlives(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
+        let is_up = client::outlives_answer(&self.net, endpoint.address, CONNECT_TIMEOUT).await;
+        is_up && (endpoint.phase.is_none() || self.is_still_running(key, endpoint).await)
     }
 
     /// Asks an engine when it started. Returns whether it is still the start that is known.
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -91,11 +91,11 @@
     /// assert!(!sized.completes_stream(false, false));
     /// ```
     pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
-        has_event && !is_inside && self.is_said()
+        has_event && !is_inside && self.is_confirmed()
     }
 
     /// Returns whether the sender said that the answer ends here.
-    fn is_said(self) -> bool {
+    fn is_confirmed(self) -> bool {
         self.framing != Framing::Connection || self.is_endpoint_up
     }
 }
