soak: count a kill from the time at which its signal is sent

The gateway's log has two starts 1.15 s apart around that time and no stop between them, so the process was killed, which excuses it. The time of the kill was taken after the command that sends the signal had ended, later than the end of the call. A call now counts as interrupted if it overlaps the time in which the signal was sent; nothing else is excused.

--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::fs::File;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -85,8 +86,8 @@
     child: Child,
     /// Whether a signal has frozen it.
     is_frozen: bool,
-    /// Times of the signals that kill, freeze or thaw it.
-    interruptions: Vec<Instant>,
+    /// Times from when to when signals were sent that kill, freeze or thaw it.
+    interruptions: Vec<RangeInclusive<Instant>>,
 }
 
 /// How the connections of an endpoint that crashes end.
@@ -371,11 +372,12 @@
         let process = &mut self.processes[index];
         if matches!(process.child.try_wait(), Ok(None)) {
             let command = format!("kill -{name} {}", process.child.id());
+            let sent_from = Instant::now();
             // The process may have ended in the meantime.
             let _ = Command::new("sh").args(["-c", &command]).status();
             if ["KILL", "STOP", "CONT"].contains(&name) {
                 process.is_frozen = name == "STOP";
-                process.interruptions.push(Instant::now());
+                process.interruptions.push(sent_from..=Instant::now());
             }
         }
         self.record_thaw();
@@ -396,7 +398,7 @@
         let index = self.gateways().iter().position(|other| *other == gateway);
         let interruptions = index.map(|index| &self.processes[index].interruptions);
         let mut interruptions = interruptions.into_iter().flatten();
-        interruptions.any(|at| (from..=until).contains(at))
+        interruptions.any(|at| *at.start() <= until && from <= *at.end())
     }
 
     /// Restarts the gateways whose processes have ended.
