sidecar: log answers that their end does not complete

Callers saw a broken connection and operators saw nothing: the sidecar reported the answer of a plain service as lost without saying whether its link broke, or its end proved nothing.

`answer.incomplete` counts the latter, and a line names the endpoint, the framing and whether the answer is a stream. The test plays a crash without a length, a stream without an event and a sound stream: 1, 1 and 0 counted.

--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -9,6 +9,7 @@
 use http::{response, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use slog::{info, Logger};
 use tokio::time::{sleep_until, Instant};
 
 use cranberryridge_policy::answer::End;
@@ -26,6 +27,7 @@
 use crate::client::{self, Client, Error};
 use crate::clock::Clock;
 use crate::events::{self, Scanner};
+use crate::metrics::Metrics;
 use crate::net::Net;
 use crate::stream;
 
@@ -94,6 +96,8 @@
     }
     let service = Service {
         net: &shared.net,
+        metrics: &shared.metrics,
+        logger: &shared.logger,
         address,
         is_head,
     };
@@ -206,6 +210,8 @@
 /// The service that answers a call.
 struct Service<'a, N> {
     net: &'a N,
+    metrics: &'a Metrics,
+    logger: &'a Logger,
     address: SocketAddr,
     /// Whether the request asks for a head without a body.
     is_head: bool,
@@ -240,6 +246,15 @@
             None => end.completes_body(is_empty, false),
         }
     }
+
+    /// Records an answer that is not complete, though its transport reported it as such.
+    fn record_incomplete(&self, head: &response::Parts) {
+        self.metrics.count("answer.incomplete");
+        info!(self.logger, "sidecar: answer incomplete";
+            "endpoint" => %self.address,
+            "framing" => client::framing(&head.headers).name(),
+            "stream" => events::is_event_stream(&head.headers));
+    }
 }
 
 /// Relays the service's answer to the entry. With `read_to_end`, reads it to its end even
@@ -300,6 +315,7 @@
         count += 1;
     }
     if !service.is_complete(&parts, kept.is_empty(), scanner).await {
+        service.record_incomplete(&parts);
         return report_lost(&Error::Truncated, streams).await;
     }
     let done = Down::Done(Done { attempt, count });
--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -144,6 +144,22 @@
     assert!(whole.is_empty(), "{}", whole.join("\n"));
 }
 
+// Guards against operators who cannot tell why an answer was cut.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_its_end_does_not_complete_is_counted() {
+    for (answer, is_crash, count) in [
+        (format!("{STREAM}\r\n{EVENTS}"), true, 1),
+        (sized_stream(""), false, 1),
+        (sized_stream(EVENTS), false, 0),
+    ] {
+        let bench = Bench::start(answer.clone(), is_crash).await;
+        bench.reserve(Method::POST, "").await;
+        let sidecar = bench.fleet.sidecars.last().unwrap();
+        let counted = sidecar.metrics().get("answer.incomplete");
+        assert_eq!(counted, count, "{answer:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_sound_answer_is_passed_on_and_kept_however_it_is_framed() {
     let chunks = format!(
