sidecar: test streams whose link closes between two events

A plain service answers with events, without a length or chunks, and the link closes in order between two of them while the service lives on. The caller gets the stream as whole, and so does everyone who asks with the same key. The probe of the service tells nothing of the answer.

The test fails: an answer that ends after its first event is whole by POST with and without a key and by GET, and is sent again for its key.

--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -190,3 +190,29 @@
     let got = bench.reserve(Method::HEAD, "").await;
     assert_eq!(got, (None, false, Some(Bytes::new())), "HEAD");
 }
+
+// Guards against a stream that its link cut between two events, and that was passed on and
+// kept as whole because the service lives on.
+#[tokio::test(start_paused = true)]
+async fn a_stream_whose_link_closes_between_events_is_cut_and_not_kept() {
+    let mut whole = Vec::new();
+    for events in ["id: 1\ndata: a\n\n", EVENTS] {
+        let bench = Bench::start(format!("{STREAM}\r\n{events}"), false).await;
+        let key = bench.issue_key().await;
+        for (method, key) in [
+            (Method::POST, key.as_str()),
+            (Method::POST, ""),
+            (Method::GET, ""),
+        ] {
+            let (code, _, body) = bench.reserve(method.clone(), key).await;
+            if body.is_some() {
+                whole.push(format!("{method}, {key:?}: {code:?}, {body:?}"));
+            }
+        }
+        let again = bench.reserve(Method::POST, &key).await;
+        if again.0 != Some(Code::KeyUnknown) {
+            whole.push(format!("again: {again:?}"));
+        }
+    }
+    assert!(whole.is_empty(), "{}", whole.join("\n"));
+}
