sidecar: test that an engine's stream ends with its last event

A stream of an engine ends with an event of its own. The test ends it before, inside and after this event, with a length, with chunks and with the connection, for callers of streams and of documents: only after the whole event is the answer whole. It holds without a change.

--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -216,3 +216,107 @@
     }
     assert!(whole.is_empty(), "{}", whole.join("\n"));
 }
+
+/// Event of an engine.
+const TOKEN: &str = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n";
+
+/// Starts a deployment whose only decode engine answers decodes with raw bytes.
+async fn start_engine(answer: String) -> (FaultyNet, Fleet<FaultyNet, Tokio>) {
+    let net = FaultyNet::default();
+    let plan = Plan {
+        prefill_runners: 1,
+        decode_runners: 1,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(net.clone(), Tokio, plan).await.unwrap();
+    fleet.publish(Version::default(), fleet.services());
+    let runner = fleet.runner_address(1);
+    let (raw, behind) = (
+        SocketAddr::new(runner.ip(), 7400),
+        SocketAddr::new(runner.ip(), 7401),
+    );
+    let server = fleet.engines[1].serve(behind).await.unwrap();
+    let mut listener = net.bind(raw).await.unwrap();
+    net.redirect(runner, raw);
+    let onward_net = net.clone();
+    tokio::spawn(async move {
+        let _server = server;
+        while let Ok(mut stream) = listener.accept().await {
+            let (net, answer) = (onward_net.clone(), answer.clone());
+            tokio::spawn(async move {
+                let mut request = vec![0; 64 * 1024];
+                let count = stream.read(&mut request).await.unwrap_or_default();
+                if request.starts_with(b"POST /v1/") {
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                    return;
+                }
+                let mut onward = net.connect(behind).await.unwrap();
+                onward.write_all(&request[..count]).await.unwrap();
+                // How the connection ends does not matter.
+                let _ = tokio::io::copy_bidirectional(&mut stream, &mut onward).await;
+            });
+        }
+    });
+    let ready = tokio::time::timeout(Duration::from_secs(10), fleet.wait_ready());
+    ready.await.expect("fleet not ready");
+    (net, fleet)
+}
+
+/// Requests a completion. Returns its status, and its body, which is `None` if it was cut off.
+async fn complete(
+    net: &FaultyNet,
+    fleet: &Fleet<FaultyNet, Tokio>,
+    stream: bool,
+) -> (u16, Option<Bytes>) {
+    let body = serde_json::json!({
+        "model": fleet.services()[0].name, "prompt": "p", "max_tokens": 5, "stream": stream,
+    });
+    let mut request = Request::new(Full::new(Bytes::from(body.to_string())));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = "/v1/completions".parse().unwrap();
+    let client = Client::new(net.clone(), fleet.entries[0].address());
+    let answer = client.send(request).await.unwrap();
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok();
+    (status, body.map(|body| body.to_bytes()))
+}
+
+// Guards against the stream of an engine that has no last event, and that its caller gets as
+// whole.
+#[tokio::test(start_paused = true)]
+async fn a_stream_of_an_engine_is_whole_only_after_its_last_event() {
+    let ends = [
+        ("", false),
+        ("data: [DO", false),
+        ("data: [DONE]", false),
+        ("data: [DONE]\n", false),
+        ("data: [DONE]\n\n", true),
+    ];
+    for (end, is_whole) in ends {
+        let events = format!("{TOKEN}{TOKEN}{end}");
+        let chunks = format!(
+            "{STREAM}transfer-encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
+            events.len()
+        );
+        let answers = [
+            ("length", sized_stream(&events)),
+            ("chunks", chunks),
+            ("connection", format!("{STREAM}\r\n{events}")),
+        ];
+        for (framing, answer) in answers {
+            for stream in [true, false] {
+                let case = format!("{end:?}, {framing}, stream {stream}");
+                let (net, fleet) = start_engine(answer.clone()).await;
+                let (status, body) = complete(&net, &fleet, stream).await;
+                let text = body.as_deref().map(String::from_utf8_lossy);
+                let is_said = if stream {
+                    text.as_ref()
+                        .is_some_and(|text| text.ends_with("data: [DONE]\n\n"))
+                } else {
+                    status == 200 && text.is_some()
+                };
+                assert_eq!(is_said, is_whole, "{case}: {status}, {text:?}");
+            }
+        }
+    }
+}
