sidecar: complete no stream whose end only its connection marks

Callers of plain services behind sidecars got a stream as whole if its link closed in order between two events, and got it again for their key.

The sidecar asked whether the service accepts a connection. It does, as it lives on; it may have given up the answer, or a link between the two ended. Nothing tells such an end from a true one, and there is no way to ask again, so the stream is cut now and no answer is kept. Plain answers that are no streams keep the probe, which a stream no longer causes.

Two tests asked for the old rule.

--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -235,8 +235,10 @@
             return true;
         }
         let framing = client::framing(&head.headers);
-        let is_endpoint_up = !End::needs_probe(framing)
-            || client::outlives_answer(self.net, self.address, PROBE_TIMEOUT).await;
+        // A service that lives on may have given up a stream, and a link may have ended it.
+        let is_endpoint_up = events.is_none()
+            && End::needs_probe(framing)
+            && client::outlives_answer(self.net, self.address, PROBE_TIMEOUT).await;
         let end = End {
             framing,
             is_endpoint_up,
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -17,10 +17,13 @@
 /// Header with the tag under which the ledger records a run.
 pub const TAG_HEADER: &str = "x-tag";
 
-/// Header that asks for events instead of JSON, without a length or chunks: the number of
-/// bytes of [`EVENTS`] to send.
+/// Header that asks for events instead of JSON: the number of bytes of [`EVENTS`] to send.
+/// Without [`CHUNKS_HEADER`] the answer has neither a length nor chunks.
 pub const EVENT_BYTES_HEADER: &str = "x-event-bytes";
 
+/// Header that asks for chunks around the events.
+pub const CHUNKS_HEADER: &str = "x-event-chunks";
+
 /// Events that are sent on request.
 pub const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
@@ -78,7 +81,8 @@
         tokio::time::sleep(self.settings.service_time).await;
         let event_bytes = request.headers().get(EVENT_BYTES_HEADER);
         if let Some(bytes) = event_bytes.and_then(|bytes| bytes.to_str().ok()?.parse().ok()) {
-            return unframed_events(bytes).await;
+            let has_chunks = request.headers().contains_key(CHUNKS_HEADER);
+            return send_events(bytes, has_chunks).await;
         }
         let answer = json!({
             "tag": tag,
@@ -90,15 +94,18 @@
     }
 }
 
-/// Returns the first bytes of [`EVENTS`] in a response that ends with its connection.
-async fn unframed_events(bytes: usize) -> Response<Body> {
+/// Returns the first bytes of [`EVENTS`] in a response that has chunks or ends with its
+/// connection.
+async fn send_events(bytes: usize, has_chunks: bool) -> Response<Body> {
     let (sender, body) = Body::channel(2);
     // The channel has room for both.
     let _ = sender.send(Piece::Data(EVENTS[..bytes].into())).await;
     let _ = sender.send(Piece::End).await;
     let mut response = Response::new(body);
-    // HTTP/1.0 has no chunks.
-    *response.version_mut() = Version::HTTP_10;
+    if !has_chunks {
+        // HTTP/1.0 has no chunks.
+        *response.version_mut() = Version::HTTP_10;
+    }
     let media = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, media);
     response
--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -167,7 +167,6 @@
         EVENTS.len()
     );
     let cases = [
-        (format!("{STREAM}\r\n{EVENTS}"), EVENTS, false),
         (sized_stream(EVENTS), EVENTS, true),
         (chunks, EVENTS, true),
         ("HTTP/1.1 200 OK\r\n\r\nwhole".to_owned(), "whole", false),
--- a/crates/standin/tests/path.rs
+++ b/crates/standin/tests/path.rs
@@ -14,7 +14,7 @@
 use cranberryridge::wire::id::Version;
 use cranberryridge_standin::engine::expected_answer;
 use cranberryridge_standin::fleet::{Fleet, Plan};
-use cranberryridge_standin::plain::{EVENTS, EVENT_BYTES_HEADER};
+use cranberryridge_standin::plain::{CHUNKS_HEADER, EVENTS, EVENT_BYTES_HEADER};
 
 /// Starts a small deployment and waits until it is ready.
 async fn fleet() -> (Memory, Fleet<Memory, Tokio>) {
@@ -129,17 +129,23 @@
 async fn a_plain_stream_that_ends_inside_an_event_is_not_passed_on_as_complete() {
     let (net, fleet) = fleet().await;
     let client = Client::new(net.clone(), fleet.entries[0].address());
-    for bytes in 0..=EVENTS.len() {
+    let cases =
+        [false, true].map(|has_chunks| (0..=EVENTS.len()).map(move |bytes| (has_chunks, bytes)));
+    for (has_chunks, bytes) in cases.into_iter().flatten() {
         let mut request = post("/services/orders/book", &json!({}));
         let headers = request.headers_mut();
         headers.insert(EVENT_BYTES_HEADER, bytes.into());
+        if has_chunks {
+            headers.insert(CHUNKS_HEADER, 1.into());
+        }
         let answer = client.send(request).await.unwrap();
         let body = answer.into_body().collect().await.ok();
         let body = body.map(|body| body.to_bytes());
-        if EVENTS[..bytes].ends_with("\n\n") {
+        // An end that only the connection marks completes no stream.
+        if has_chunks && EVENTS[..bytes].ends_with("\n\n") {
             assert_eq!(body.as_deref(), Some(&EVENTS.as_bytes()[..bytes]));
         } else {
-            assert_eq!(body, None, "{bytes} bytes");
+            assert_eq!(body, None, "{bytes} bytes, chunks {has_chunks}");
         }
     }
 }
