--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -6,10 +6,13 @@
 
 mod soak {
     pub mod budget;
+    pub mod fault;
     pub mod late;
     pub mod limit;
     pub mod load;
+    pub mod plan;
     pub mod proxy;
+    pub mod restart;
     pub mod site;
     pub mod version;
 }
@@ -19,16 +22,15 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use cranberryridge_standin::runner::{self, Fault};
-use cranberryridge_standin::store;
+use cranberryridge_standin::runner;
 
+use soak::fault;
 use soak::late;
 use soak::limit;
 use soak::load::{self, Load};
-use soak::proxy::{Cut, Mode};
+use soak::plan::Plan;
 use soak::site::{self, Site};
 use soak::version::Callers;
 
@@ -60,32 +62,6 @@
 /// Seed with faults of continuations that runs if `SOAK_SEEDS` is not set.
 const DEFAULT_CONTINUATION_SEED: u64 = 7005;
 
-/// Seeds from this one on also let the store come back from an older copy, and
-/// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
-/// they once failed.
-const FIRST_SEED_WITH_COPIES: u64 = 1000;
-
-/// Seeds from this one on have more gateways, and inject signals, restarts, changes and
-/// answers without a length in series that overlap.
-const FIRST_SEED_WITH_SERIES: u64 = 2000;
-
-/// In seeds from this one on, some prompts have a part that crashes the engine that begins
-/// to answer it.
-const FIRST_SEED_WITH_PARTS: u64 = 4000;
-
-/// In seeds from this one on, some endpoints name limits instead.
-const FIRST_SEED_WITH_LIMITS: u64 = 5000;
-
-/// In seeds from this one on, engines of several software versions serve, and callers take
-/// up streams at other gateways instead.
-const FIRST_SEED_WITH_VERSIONS: u64 = 6000;
-
-/// In seeds from this one on, engines answer a continuation in other forms than a first
-/// attempt, processes of endpoints end in the middle of answers without a length, proxies cut
-/// connections by bytes, and requests become whole late instead. Each second seed has longer
-/// plain calls.
-const FIRST_SEED_WITH_CONTINUATIONS: u64 = 7000;
-
 /// Duration of a plain call in seeds with longer ones. A request that becomes whole at the end
 /// of a grace period cannot be answered in the rest of it.
 const LONG_SERVICE_TIME: Duration = Duration::from_millis(600);
@@ -97,13 +73,6 @@
 /// Time between two planned stops.
 const STOP_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Maximum number of bytes from a server before a connection is cut. A stream with its head
-/// has fewer.
-const MAX_CUT_BYTES: usize = 600;
-
-/// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
-const SERIES_GATEWAYS: u8 = 4;
-
 /// Number of seeds that run concurrently, each on its own addresses. Seeds that are
 /// equal modulo 200 share addresses and cannot run together.
 const MAX_PARALLEL_SEEDS: usize = 3;
@@ -124,48 +93,6 @@
 /// has just started may not know them.
 const LIMIT_CHECK_TIME: Duration = Duration::from_secs(8);
 
-/// Faults that a series injects into runs at endpoints. Refusals are frequent, as each
-/// causes a retry.
-const SERIES_RUN_FAULTS: [Fault; 8] = [
-    Fault::Unframed,
-    Fault::UnframedBreak(0),
-    Fault::UnframedBreak(3),
-    Fault::UnframedEmpty,
-    Fault::Failure,
-    Fault::NotRun,
-    Fault::NotRun,
-    Fault::NotRun,
-];
-
-/// Faults that are injected into runs that go on after an event.
-const CONTINUATION_FAULTS: [Fault; 14] = [
-    Fault::Empty,
-    Fault::EmptyChunks,
-    Fault::Text,
-    Fault::ErrorHead,
-    Fault::Unnumbered,
-    Fault::Anew,
-    Fault::Failure,
-    Fault::NotRun,
-    Fault::Busy,
-    Fault::Unframed,
-    Fault::UnframedEmpty,
-    Fault::UnframedBreak(3),
-    Fault::UnframedCrash(3),
-    Fault::Foreign,
-];
-
-/// Faults that are injected into runs at endpoints.
-const RUN_FAULTS: [Fault; 7] = [
-    Fault::NotRun,
-    Fault::Misdirected,
-    Fault::Failure,
-    Fault::Hang,
-    Fault::Break(2),
-    Fault::Foreign,
-    Fault::Unsigned,
-];
-
 #[test]
 fn promises_hold_under_faults() {
     let seeds = std::env::var("SOAK_SEEDS").unwrap_or_default();
@@ -217,72 +144,6 @@
     runtime.block_on(run_seed(seed));
 }
 
-/// What a seed injects, and where.
-struct Plan {
-    /// Number of gateways.
-    gateways: u8,
-    /// Number of concurrent callers.
-    callers: u64,
-    /// Routes that callers use.
-    routes: &'static [&'static str],
-    /// Network faults between gateways and endpoints.
-    modes: &'static [Mode],
-    /// Whether the store returns from copies and endpoints ask for rests.
-    has_copies: bool,
-    /// Whether faults also come in series.
-    has_series: bool,
-    /// Whether a part of prompts crashes engines.
-    has_crashing_part: bool,
-    /// Whether some endpoints name limits.
-    has_limits: bool,
-    /// Whether engines have several software versions.
-    has_versions: bool,
-    /// Whether continuations have faults, and requests become whole late.
-    has_continuations: bool,
-    /// Maximum number of faults of runs that a series injects into each endpoint.
-    max_series_faults: usize,
-}
-
-impl Plan {
-    /// Returns the plan of a seed.
-    fn of(seed: u64) -> Self {
-        let has_series = seed >= FIRST_SEED_WITH_SERIES;
-        let gateways = std::env::var("SOAK_GATEWAYS").ok();
-        let gateways = gateways.map(|number| number.parse().unwrap());
-        Self {
-            gateways: if has_series {
-                gateways.unwrap_or(SERIES_GATEWAYS)
-            } else {
-                2
-            },
-            callers: if has_series { 24 } else { 8 },
-            routes: if has_series {
-                &["book", "read", "note", "list"]
-            } else {
-                &["book", "read", "note"]
-            },
-            // A proxy that was silent forwards all retries of that time at once.
-            modes: if has_series {
-                &[Mode::Delayed, Mode::RequestsOnly, Mode::Reset]
-            } else {
-                &[Mode::Delayed, Mode::Silent, Mode::RequestsOnly, Mode::Reset]
-            },
-            has_copies: seed >= FIRST_SEED_WITH_COPIES,
-            has_series,
-            has_crashing_part: (FIRST_SEED_WITH_PARTS..FIRST_SEED_WITH_LIMITS).contains(&seed),
-            has_limits: (FIRST_SEED_WITH_LIMITS..FIRST_SEED_WITH_VERSIONS).contains(&seed),
-            has_versions: (FIRST_SEED_WITH_VERSIONS..FIRST_SEED_WITH_CONTINUATIONS).contains(&seed),
-            has_continuations: seed >= FIRST_SEED_WITH_CONTINUATIONS,
-            // Many would leave no run that breaks off and is continued.
-            max_series_faults: if seed >= FIRST_SEED_WITH_CONTINUATIONS {
-                5
-            } else {
-                1000
-            },
-        }
-    }
-}
-
 /// Injects faults under load, lets the site recover and checks the results.
 async fn run_seed(seed: u64) {
     let mut random = StdRng::seed_from_u64(seed);
@@ -333,15 +194,15 @@
     let seconds = seconds.map_or(DEFAULT_FAULT_SECONDS, |seconds| seconds.parse().unwrap());
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
     while tokio::time::Instant::now() < end {
-        inject_fault(&mut site, &mut random, plan.modes);
+        fault::inject_fault(&mut site, &mut random, plan.modes);
         if plan.has_copies {
-            inject_platform_fault(&mut site, &mut random);
+            fault::inject_platform_fault(&mut site, &mut random);
         }
         if plan.has_series {
-            inject_series(&mut site, &mut random, plan.max_series_faults).await;
+            fault::inject_series(&mut site, &mut random, plan.max_series_faults).await;
         }
         if plan.has_continuations {
-            inject_answer_faults(&site, &mut random);
+            fault::inject_answer_faults(&site, &mut random);
         }
         let delay = random.random_range(150..900);
         tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -387,41 +248,6 @@
     }
 }
 
-/// Injects or ends one random fault.
-fn inject_fault(site: &mut Site, random: &mut StdRng, modes: &[Mode]) {
-    let gateway = random.random_range(0..site.process_count());
-    let runner = random.random_range(0..site.runners.len());
-    match random.random_range(0..12) {
-        0 => site.signal(gateway, "KILL"),
-        1 | 2 => site.signal(gateway, "TERM"),
-        3 => site.signal(gateway, "HUP"),
-        4 => site.signal(gateway, "STOP"),
-        5 => site.signal(gateway, "CONT"),
-        6 => {
-            let faults = [
-                store::Fault::Unavailable,
-                store::Fault::Silent,
-                store::Fault::AnswersLost,
-            ];
-            let fault = faults.choose(random).copied().unwrap_or_default();
-            site.store.set_fault(fault);
-        }
-        7 => site.store.set_fault(store::Fault::None),
-        8 => site.publish_configuration(),
-        9 => {
-            let mode = modes.choose(random).copied().unwrap_or_default();
-            site.proxies[runner].set(mode);
-        }
-        10 => site.proxies[runner].set(Mode::Open),
-        _ => {
-            for _ in 0..random.random_range(1..6) {
-                let fault = RUN_FAULTS.choose(random).copied();
-                site.runners[runner].inject(fault.unwrap_or(Fault::NotRun));
-            }
-        }
-    }
-}
-
 /// Stops half of the gateways one after another, from a time after which no fault acts.
 async fn stop_as_planned(site: &mut Site, quiet_from: tokio::time::Instant) {
     let wait = async |site: &mut Site, until| {
@@ -439,101 +265,3 @@
     }
     wait(site, at + STOP_INTERVAL).await;
 }
-
-/// Injects faults into the answers of an endpoint and into continuations at the engines.
-fn inject_answer_faults(site: &Site, random: &mut StdRng) {
-    let index = random.random_range(0..site.runners.len());
-    let crash = Fault::UnframedCrash(random.random_range(0..5));
-    match random.random_range(0..8) {
-        0 => site.proxies[index].set(Mode::Cut(Cut {
-            bytes: random.random_range(0..MAX_CUT_BYTES),
-            resets: random.random_ratio(1, 2),
-        })),
-        // With these faults all over the site, hardly a stream would begin.
-        1 => {
-            site.store.set_fault(store::Fault::None);
-            for proxy in &site.proxies {
-                proxy.set(Mode::Open);
-            }
-        }
-        2 => site.runners[index].inject(crash),
-        3 => {
-            for fault in [Fault::Empty, Fault::EmptyChunks] {
-                site.runners[index].inject(fault);
-            }
-        }
-        _ => {
-            let decoders = site.runners.iter();
-            for runner in decoders.filter(|runner| runner.settings.phase == Some("decode")) {
-                for _ in 0..random.random_range(1..6) {
-                    runner.inject(Fault::Break(random.random_range(1..5)));
-                    let fault = CONTINUATION_FAULTS.choose(random).copied();
-                    runner.inject_continuation(fault.unwrap_or(Fault::NotRun));
-                }
-            }
-        }
-    }
-}
-
-/// Lets the store return from a copy, or an endpoint ask for rests, or neither.
-fn inject_platform_fault(site: &mut Site, random: &mut StdRng) {
-    let runner = random.random_range(0..site.runners.len());
-    match random.random_range(0..6) {
-        0 => site.restore_store(Duration::from_millis(random.random_range(0..6000))),
-        1 => site.runners[runner].set_rest(Some("0.7")),
-        2 => site.runners.iter().for_each(|runner| runner.set_rest(None)),
-        _ => {}
-    }
-}
-
-/// Injects a series of faults that begin before those before them have ended.
-async fn inject_series(site: &mut Site, random: &mut StdRng, max_run_faults: usize) {
-    let first = random.random_range(0..site.process_count());
-    let gateways = (0..site.process_count()).map(|index| (first + index) % site.process_count());
-    let gateways = gateways.collect::<Vec<_>>();
-    let pause = Duration::from_millis(random.random_range(20..400));
-    match random.random_range(0..7) {
-        0 => {
-            for gateway in &gateways {
-                site.signal(*gateway, "TERM");
-                tokio::time::sleep(pause).await;
-                site.restart_ended();
-            }
-        }
-        1 => {
-            for name in ["TERM", "HUP", "KILL"] {
-                site.signal(first, name);
-                tokio::time::sleep(pause).await;
-            }
-        }
-        2 => {
-            site.signal(first, "STOP");
-            for gateway in &gateways[1..] {
-                site.signal(*gateway, "TERM");
-            }
-            tokio::time::sleep(4 * pause).await;
-            site.signal(first, "CONT");
-        }
-        3 => {
-            for gateway in gateways.iter().take(5) {
-                site.publish_configuration();
-                site.signal(*gateway, "KILL");
-                tokio::time::sleep(pause).await;
-                site.restart_ended();
-            }
-        }
-        4 => {
-            for gateway in &gateways {
-                site.signal(*gateway, "KILL");
-            }
-        }
-        _ => {
-            for runner in &site.runners {
-                for _ in 0..random.random_range(1..max_run_faults) {
-                    let fault = SERIES_RUN_FAULTS.choose(random).copied();
-                    runner.inject(fault.unwrap_or(Fault::NotRun));
-                }
-            }
-        }
-    }
-}
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -7,7 +7,6 @@
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 use super::budget::{assert_within_budget, FIXED_RETRIES};
 use super::late::LATE_ROUTES;
 use super::limit::LIMITS;
-use super::load::{Row, CRASHING_PART};
+use super::load::Row;
 use super::proxy::{Mode, Proxy};
 
 /// Hosts of the gateways begin with this one.
@@ -38,9 +37,6 @@
 /// faults are over.
 const MAX_LATE_SENDS: usize = 3;
 
-/// Time after which an engine that crashed is back.
-const RESTART_TIME: Duration = Duration::from_millis(1500);
-
 /// Stage of an engine, and the version of its software, empty if it names none.
 pub type Engine = (&'static str, &'static str);
 
@@ -65,17 +61,14 @@
     ("decode", "v1"),
 ];
 
-/// Time for which an engine that is replaced is listed as draining, and then serves on.
-const DRAIN_TIME: Duration = Duration::from_secs(1);
-
 /// Entry of an endpoint in the store.
-struct Entry {
+pub struct Entry {
     /// Id of the endpoint.
-    id: String,
+    pub id: String,
     /// The entry, or null while the endpoint is gone.
-    value: Value,
+    pub value: Value,
     /// Ids of the endpoints that this one has replaced.
-    removed: Vec<String>,
+    pub removed: Vec<String>,
 }
 
 /// A gateway process.
@@ -90,15 +83,6 @@
     interruptions: Vec<RangeInclusive<Instant>>,
 }
 
-/// How the connections of an endpoint that crashes end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Crash {
-    /// All are reset at once.
-    Reset,
-    /// The listener closes, then all are closed in order.
-    InOrder,
-}
-
 /// The gateways, the endpoints behind proxies and the store.
 pub struct Site {
     /// Stand-in for the platform's store.
@@ -110,20 +94,20 @@
     /// Server of the store, which stops when dropped.
     _store_server: Server,
     /// Servers of the endpoints by index, which stop when dropped.
-    servers: Vec<Option<Server>>,
+    pub servers: Vec<Option<Server>>,
     /// Processes of the gateways.
     processes: Vec<Process>,
     /// Third octet of all addresses.
     subnet: u8,
     /// Entries of the endpoints in the store, by index.
-    entries: Arc<Mutex<Vec<Entry>>>,
+    pub entries: Arc<Mutex<Vec<Entry>>>,
     /// The last published configuration and its version.
     configuration: Value,
     version: u64,
     /// Whether the configuration has the routes of late requests.
     has_late_routes: bool,
     /// Time at which the last frozen gateway thawed, or `None` while one is frozen.
-    thawed_at: Arc<Mutex<Option<Instant>>>,
+    pub thawed_at: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Parameters of a site.
@@ -227,115 +211,6 @@
         }
     }
 
-    /// Lets each decode engine crash when it begins to answer a prompt with
-    /// [`CRASHING_PART`], and start again after a while.
-    pub fn crash_engines_on_part(&mut self) {
-        for index in 0..self.runners.len() {
-            if self.runners[index].settings.phase == Some("decode") {
-                self.runners[index].crash_on_part(CRASHING_PART);
-                self.restart_crashed(index, Crash::Reset);
-            }
-        }
-    }
-
-    /// Lets all endpoints start again a while after they have crashed. A crash closes their
-    /// connections in order.
-    pub fn restart_closed_endpoints(&mut self) {
-        for index in 0..self.runners.len() {
-            self.restart_crashed(index, Crash::InOrder);
-        }
-    }
-
-    /// Lets an endpoint start again a while after each crash.
-    fn restart_crashed(&mut self, index: usize, crash: Crash) {
-        let Some(server) = self.servers[index].take() else {
-            return;
-        };
-        let (runner, store) = (self.runners[index].clone(), self.store.clone());
-        let (entries, thawed_at) = (self.entries.clone(), self.thawed_at.clone());
-        let proxy = self.proxies[index].clone();
-        tokio::spawn(async move {
-            let (mut runner, mut server) = (runner, server);
-            loop {
-                runner.crashed().await;
-                let address = server.address;
-                match crash {
-                    // A crash that closed connections in order would look like the end of
-                    // answers without a length.
-                    Crash::Reset => proxy.stop(),
-                    Crash::InOrder => proxy.begin_close().await,
-                }
-                server.kill();
-                drop(server);
-                let is_frozen = |until: Instant| {
-                    let thawed_at = *thawed_at.lock().unwrap();
-                    thawed_at.is_none_or(|at| at + RESTART_TIME > until)
-                };
-                tokio::time::sleep(RESTART_TIME).await;
-                // A gateway that thaws after the restart finds the endpoint up.
-                while crash == Crash::InOrder && is_frozen(Instant::now()) {
-                    tokio::time::sleep(RESTART_TIME / 10).await;
-                }
-                runner = runner.restart_as(&runner.settings.id);
-                server = runner.serve(&Tcp, address).await.unwrap();
-                proxy.start_again();
-                let mut entries = entries.lock().unwrap();
-                let entry = &mut entries[index].value;
-                entry["born"] = runner.born().into();
-                store.put("keyed.servers", &runner.settings.id, Some(entry));
-            }
-        });
-    }
-
-    /// Replaces the last decode engine by one of the next version, again and again until
-    /// `stop` is set. Each drains before it ends, and the next one has its address.
-    pub fn release_versions(&mut self, stop: Arc<AtomicBool>) {
-        let index = self.runners.len() - 1;
-        let Some(mut server) = self.servers[index].take() else {
-            return;
-        };
-        let (mut runner, store) = (self.runners[index].clone(), self.store.clone());
-        let entries = self.entries.clone();
-        tokio::spawn(async move {
-            for number in 2.. {
-                tokio::time::sleep(DRAIN_TIME).await;
-                if stop.load(Ordering::SeqCst) {
-                    return std::future::pending().await;
-                }
-                let id = runner.settings.id.clone();
-                let mut entry = entries.lock().unwrap()[index].value.clone();
-                entry["state"] = "draining".into();
-                store.put("keyed.servers", &id, Some(&entry));
-                tokio::time::sleep(DRAIN_TIME).await;
-                store.put("keyed.servers", &id, None);
-                {
-                    let current = &mut entries.lock().unwrap()[index];
-                    current.removed.push(id);
-                    current.value = Value::Null;
-                }
-                tokio::time::sleep(DRAIN_TIME).await;
-                let address = server.address;
-                server.kill();
-                drop(server);
-                tokio::time::sleep(RESTART_TIME).await;
-                let version = format!("v1.{}", 2 + number % 2);
-                runner = runner.restart_with(runner::Settings {
-                    id: format!("i-{index}.{number}"),
-                    version: version.clone(),
-                    ..(*runner.settings).clone()
-                });
-                server = runner.serve(&Tcp, address).await.unwrap();
-                entry["state"] = "ready".into();
-                entry["version"] = version.into();
-                entry["born"] = runner.born().into();
-                store.put("keyed.servers", &runner.settings.id, Some(&entry));
-                let current = &mut entries.lock().unwrap()[index];
-                current.id = runner.settings.id.clone();
-                current.value = entry;
-            }
-        });
-    }
-
     /// Writes the settings file of a gateway.
     fn write_settings(&self, host: u8) -> PathBuf {
         let ip = format!("127.0.{}.{host}", self.subnet);
