gateway: log how the end of a stream was established

Operators report streams that were complete to their callers with events missing. The line of a request had the framing of the last answer, and not whether its end was stated or only taken from the end of the connection. It has `end` now, and `stream.end_*` count each kind. No decision changes here: an end that only the connection marks is logged as `unproven` and still passed on.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::answer::{Framing, Proof, Sequence};
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -253,6 +253,10 @@
             Ok(Chunk::End) => {
                 let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
                 let end = shared.observe_end(run.framing, key, endpoint).await;
+                call.record.end = Some(match run.framing {
+                    Framing::Connection => Proof::Unproven,
+                    Framing::Length | Framing::Chunks => Proof::Stated,
+                });
                 if !sequence.is_complete(end, splitter.is_inside_event()) {
                     shared.metrics.count("endpoint.answer_cut");
                     return Outcome::Broken;
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -5,6 +5,7 @@
 
 use http::{response, Method, Response, StatusCode};
 
+use cranberryridge_policy::answer::{Framing, Proof};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -251,6 +252,10 @@
             let expects_stream = call.route.kind.is_stream()
                 && answer.status().is_success()
                 && call.input.head.method != Method::HEAD;
+            call.record.end = expects_stream.then_some(match call.record.framing {
+                Some(Framing::Connection) => Proof::Unproven,
+                _ => Proof::Stated,
+            });
             let answer = call.read_answer(
                 key,
                 &endpoint,
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use slog::Logger;
 
-use cranberryridge_policy::answer::Framing;
+use cranberryridge_policy::answer::{Framing, Proof};
 
 use super::dialect::Description;
 use crate::clock::Clock;
@@ -39,6 +39,8 @@
     max_event_gap: Duration,
     /// Framing of the last answer from an endpoint, if one arrived.
     pub framing: Option<Framing>,
+    /// How the end of the caller's stream was established, if a run came to an end.
+    pub end: Option<Proof>,
     /// Bytes that arrived after the last complete event when the last stream
     /// ended.
     pub partial_bytes: usize,
@@ -74,6 +76,7 @@
             event_count: 0,
             max_event_gap: Duration::ZERO,
             framing: None,
+            end: None,
             partial_bytes: 0,
             version: CompactString::default(),
             calls: String::new(),
@@ -145,6 +148,9 @@
         }
         self.metrics
             .count(&format!("request.{}", self.outcome.replace(' ', "_")));
+        if let Some(end) = self.end {
+            self.metrics.count(&format!("stream.end_{}", end.name()));
+        }
         slog::info!(self.logger, "gateway: request over";
             "request" => %self.description.attempt_id,
             "caller" => self.caller.map(|caller| caller.to_string()),
@@ -164,6 +170,7 @@
             "pause_ms" => self.max_event_gap.as_millis() as u64,
             "total_ms" => total.as_millis() as u64,
             "framing" => self.framing.map(Framing::name),
+            "end" => self.end.map(Proof::name),
             "partial_bytes" => self.partial_bytes,
             "calls" => %self.calls,
             "runs" => %self.runs);
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -100,6 +100,38 @@
     }
 }
 
+/// How the end of a caller's stream was established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// The run that added the last event stated the end.
+    Stated,
+    /// Another run repeated the last event and stated the end behind it.
+    Repeated,
+    /// Two runs at different endpoints ended after the same event.
+    Agreed,
+    /// Only the end of a connection speaks for it.
+    Unproven,
+}
+
+impl Proof {
+    /// Returns the name in logs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::Proof;
+    /// assert_eq!(Proof::Agreed.name(), "agreed");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Stated => "stated",
+            Self::Repeated => "repeated",
+            Self::Agreed => "agreed",
+            Self::Unproven => "unproven",
+        }
+    }
+}
+
 /// An event of an endpoint's stream. Blocks with neither data nor an id are none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Event<'a> {
