--- a/crates/daemon/tests/ending.rs
+++ b/crates/daemon/tests/ending.rs
@@ -15,6 +15,7 @@
 use cranberryridge::client::Client;
 use cranberryridge::net::Tcp;
 
+use host::raw::{header, read_request};
 use host::{address, Site};
 
 /// Environment variable with the address of an endpoint that this test's binary serves.
@@ -98,30 +99,6 @@
     cases
 }
 
-/// Returns the value of a header in the head of a request.
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let mut lines = head.lines();
-    lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
-}
-
-/// Reads a request. Returns its head, or `None` if the caller is gone.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut text = String::new();
-    loop {
-        let mut bytes = [0; 4096];
-        let count = stream.read(&mut bytes).await.ok();
-        let count = count.filter(|count| *count > 0)?;
-        text += &String::from_utf8_lossy(&bytes[..count]);
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let length = header(head, "content-length");
-        if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
-            return Some(head.to_owned());
-        }
-    }
-}
-
 /// Serves an endpoint. It cuts the answers to requests with a case, and sends an event without
 /// an end to others.
 async fn serve(at: SocketAddr) {
--- a/crates/daemon/tests/host/mod.rs
+++ b/crates/daemon/tests/host/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod raw;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
