gateway: let a second run show an end that nobody stated

Callers got streams as complete that ended midway: where an answer has neither a length nor chunks, its connection marks the end, and the gateway asked only whether the endpoint then accepts a connection and has the same start. Both hold for an engine that gave up the run and for a link that a middlebox ended.

Such an end is unstated now. On a route that may be resumed, another endpoint is asked from the event before the last one. Its run must begin with the last event, which shows where it stands and is dropped; further events are passed on, and a stated end, or a second unstated one right there, completes the stream. Anything else is not joined, and the next run has to repeat the event as well. Without attempts, budget, or another endpoint, after an event without an id, and on other routes, the stream is cut at once. A stream of a service without engines is a lost run then, and another endpoint is tried where the route resumes streams. An unstated end is no failure and no crash; the endpoint is probed in the background, and a run whose endpoint is gone counts as lost as before.

--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use http::{header, HeaderMap};
 
-use cranberryridge_policy::answer::{Disorder, Event, Sequence};
+use cranberryridge_policy::answer::{Disorder, Event, Place, Sequence};
 
 use crate::body::Chunks;
 
@@ -14,9 +14,9 @@
 /// Complete events that were taken from a buffer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
-    /// The events and what stands between them, unchanged.
+    /// The events that the caller lacks and what stands between them, unchanged.
     pub bytes: Bytes,
-    /// Number of events.
+    /// Number of these events.
     pub event_count: u32,
     /// Whether there is a field, and not only comments and empty lines.
     pub has_field: bool,
@@ -69,16 +69,24 @@
         while let Some(length) = find_first_end(&taken[end..]) {
             let block = &taken[end..end + length];
             match parse_event(block) {
-                Some(event) => {
-                    if let Err(disorder) = sequence.admit(event) {
+                Some(event) => match sequence.admit(event) {
+                    Ok(Place::Next) => {
+                        batch.event_count += 1;
+                        if let (Some(id), None) = (event.id, &self.first_id) {
+                            self.first_id = Some(id.into());
+                        }
+                    }
+                    // It comes before all events that are passed on.
+                    Ok(Place::Repeated) => {
+                        end += length;
+                        start = end;
+                        continue;
+                    }
+                    Err(disorder) => {
                         batch.disorder = Some(disorder);
                         break;
                     }
-                    batch.event_count += 1;
-                    if let (Some(id), None) = (event.id, &self.first_id) {
-                        self.first_id = Some(id.into());
-                    }
-                }
+                },
                 None if sequence.is_unproven() => start = end + length,
                 None => {}
             }
--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -122,7 +122,8 @@
     pub stage: Stage<'a>,
     /// Reservation at the endpoint that the request uses.
     pub reservation_id: Option<&'a str>,
-    /// Last event that the caller received, if the request resumes a stream.
+    /// Event after which the answer is to begin, if the request resumes a stream or checks its
+    /// end.
     pub last_event_id: Option<&'a str>,
 }
 
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use cranberryridge_policy::answer::End;
+use cranberryridge_policy::answer::{Conclusion, End, Framing};
 use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
@@ -333,9 +333,10 @@
     /// Reads an answer completely, so that a truncated one is never forwarded as
     /// complete. Returns `None` if it is truncated or too large, or no stream where
     /// `expects_stream` is set, or if the answers that are being read take too much memory.
-    /// Each counts as a lost run of a request that was sent at `sent_at`.
+    /// Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
+    /// stream that only its connection marks, without a failure of its endpoint.
     pub async fn read_answer(
-        &self,
+        &mut self,
         key: EndpointKey,
         endpoint: &Endpoint,
         sent_at: Instant,
@@ -351,9 +352,29 @@
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
                 let framing = client::framing(&head.headers);
-                let end = shared.observe_end(framing, key, endpoint).await;
-                if self.is_complete(&head, &body, end, expects_stream) {
-                    return Some((head, body));
+                if expects_stream {
+                    let end = self.conclude_stream(&head, &body, framing);
+                    self.record.end = end.proof();
+                    match end {
+                        Conclusion::Complete(_) => return Some((head, body)),
+                        Conclusion::Unstated => {
+                            let run = LostRun {
+                                input: &self.input,
+                                key,
+                                endpoint,
+                                sent_at,
+                                first_event_at: None,
+                            };
+                            shared.record_unstated_end(run).await;
+                            return None;
+                        }
+                        Conclusion::Broken => {}
+                    }
+                } else {
+                    let end = shared.observe_end(framing, key, endpoint).await;
+                    if is_complete(&head, &body, end) {
+                        return Some((head, body));
+                    }
                 }
                 Error::Truncated
             }
@@ -372,29 +393,22 @@
         None
     }
 
-    /// Returns whether an answer is complete, and a stream if one is expected.
-    fn is_complete(
+    /// Returns what the end of a body means that has to be a stream and go on behind the events
+    /// that the caller has.
+    fn conclude_stream(
         &self,
         head: &response::Parts,
         body: &Chunks,
-        end: End,
-        expects_stream: bool,
-    ) -> bool {
-        if expects_stream {
-            return is_stream(head) && self.is_whole_stream(body, end);
-        }
-        let is_event_stream = events::is_event_stream(&head.headers);
-        let is_cut = is_event_stream && events::scan(body).is_inside_event();
-        !is_cut && end.completes_body(body.size() == 0, false)
-    }
-
-    /// Returns whether a body is a stream that goes on behind the events that the caller has.
-    fn is_whole_stream(&self, body: &Chunks, end: End) -> bool {
+        framing: Framing,
+    ) -> Conclusion {
         let (mut splitter, mut sequence) = (Splitter::default(), self.begin_sequence());
         body.iter().for_each(|chunk| splitter.push(chunk));
         let batch = splitter.take_events(&mut sequence);
         let is_ordered = batch.is_none_or(|batch| batch.disorder.is_none());
-        is_ordered && sequence.is_complete(end, splitter.is_inside_event())
+        if !is_stream(head) || !is_ordered {
+            return Conclusion::Broken;
+        }
+        sequence.conclude(framing, splitter.is_inside_event())
     }
 
     /// Returns whether an answer with a head has no body, however it is framed.
@@ -404,6 +418,13 @@
     }
 }
 
+/// Returns whether an answer is complete from which no stream is expected.
+fn is_complete(head: &response::Parts, body: &Chunks, end: End) -> bool {
+    let is_event_stream = events::is_event_stream(&head.headers);
+    let is_cut = is_event_stream && events::scan(body).is_inside_event();
+    !is_cut && end.completes_body(body.size() == 0, false)
+}
+
 /// Returns whether the head of an answer is that of a stream.
 pub fn is_stream(head: &response::Parts) -> bool {
     head.status == StatusCode::OK && events::is_event_stream(&head.headers)
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -417,7 +417,7 @@
         remaining_time: call.remaining_time(),
         stage: cache.as_ref().map_or(Stage::Whole, Cache::stage),
         reservation_id: reservation.id(),
-        last_event_id: progress.sequence.last_id(),
+        last_event_id: progress.sequence.asked_id(),
     };
     call.record_version(&endpoint);
     let may_have_run_before = progress.may_have_run;
--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -81,7 +81,8 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
-/// Waits for the first event of a run, and returns whether it follows the stream's last one.
+/// Waits for the first event of a run, and returns whether it follows the stream's last one, or
+/// repeats it if the run checks an end.
 async fn goes_on<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     run: &mut Run<N, C, D>,
@@ -97,7 +98,7 @@
             opening.extend_from_slice(&bytes);
             splitter.push(&bytes);
             match splitter.take_events(&mut sequence) {
-                Some(batch) if batch.event_count > 0 => {
+                Some(_) if !sequence.is_unproven() => {
                     run.first_chunk = Some(opening.freeze());
                     return true;
                 }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,8 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{Framing, Proof, Sequence};
+use cranberryridge_policy::answer::{Conclusion, Sequence};
+use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -87,7 +88,7 @@
                     .set_outcome("stopped midway", call.record.status);
                 return reply.abort().await;
             }
-            Outcome::Broken => {}
+            Outcome::Broken | Outcome::Unstated => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
         let lost = LostRun {
@@ -97,32 +98,45 @@
             sent_at: run.sent_at,
             first_event_at: Some(run.first_event_at),
         };
-        shared.record_lost_run(lost).await;
+        if outcome == Outcome::Unstated {
+            shared.record_unstated_end(lost).await;
+            progress.sequence.begin_check();
+        } else {
+            shared.record_lost_run(lost).await;
+            progress.sequence.begin_run();
+            if !progress.sequence.is_checking() {
+                call.record.end = None;
+            }
+        }
         let id = shared.endpoint_id(key);
-        call.record
-            .add_call("stream", id.as_deref().unwrap_or("gone"), "broken");
+        let id = id.as_deref().unwrap_or("gone");
+        call.record.add_call("stream", id, outcome.name());
         splitter.begin_run();
         progress.excluded.push(key);
-        progress.sequence.begin_run();
         if call.record.event_count > 0 {
             let version = &run.reservation.endpoint.version;
             call.version.get_or_insert_with(|| version.clone());
         }
-        // Closes the connection, which ends the broken run before another one
-        // starts.
+        // Closes the connection, which ends the run before another one starts.
         drop(run);
         let next_run = resume(&mut call, engine, &mut progress, &mut reply).await;
         let Some(next_run) = next_run else {
             call.record.set_outcome("cut off", call.record.status);
             return reply.abort().await;
         };
-        call.shared.metrics.count("stream.joined");
+        let is_check = progress.sequence.is_checking();
+        let counter = if is_check {
+            "stream.end_checked"
+        } else {
+            "stream.joined"
+        };
+        call.shared.metrics.count(counter);
         run = next_run;
     }
 }
 
-/// Resumes a broken stream at another endpoint. Returns `None` if that is not
-/// allowed or fails, or if the caller disconnects.
+/// Resumes a broken stream at another endpoint, or checks its end there. Returns `None` if
+/// that is not allowed or fails, or if the caller disconnects.
 async fn resume<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
     engine: Engine,
@@ -132,6 +146,9 @@
     if !progress.sequence.is_resumable() || !is_retry_allowed(call, progress) {
         return None;
     }
+    if progress.sequence.is_checking() && !has_other_endpoint(call, progress) {
+        return None;
+    }
     if !call.input.retain_body() {
         call.shared.metrics.count("stream.body_released");
         return None;
@@ -146,13 +163,30 @@
     }
 }
 
+/// Returns whether an endpoint that has not run the request can generate its answer. A caller
+/// that may have all events is not kept waiting for one to come.
+fn has_other_endpoint<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &Progress,
+) -> bool {
+    let pool = call.shared.pool();
+    let now = call.shared.clock.now();
+    let keys = pool.candidates(now, call.scope(&progress.excluded));
+    let mut endpoints = keys.iter().filter_map(|key| pool.get(*key));
+    endpoints
+        .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
+}
+
 /// Outcome of relaying one run's stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    /// The stream ended normally.
+    /// The stream ended, and this is established.
     Complete,
     /// The endpoint's connection failed, was silent for too long, sent an event that does
     /// not belong into the stream, or ended before the stream was complete.
     Broken,
+    /// The run ended between two events, and nobody has said that no event follows.
+    Unstated,
     /// The caller disconnected.
     CallerGone,
     /// This host is about to exit.
@@ -161,10 +195,11 @@
 
 impl Outcome {
     /// Returns the name in logs.
-    fn name(&self) -> &'static str {
+    fn name(self) -> &'static str {
         match self {
             Self::Complete => "whole",
             Self::Broken => "broken",
+            Self::Unstated => "unstated",
             Self::CallerGone => "caller gone",
             Self::Stopped => "stopped",
         }
@@ -251,15 +286,15 @@
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
             Ok(Chunk::End) => {
-                let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
-                let end = shared.observe_end(run.framing, key, endpoint).await;
-                call.record.end = Some(match run.framing {
-                    Framing::Connection => Proof::Unproven,
-                    Framing::Length | Framing::Chunks => Proof::Stated,
-                });
-                if !sequence.is_complete(end, splitter.is_inside_event()) {
-                    shared.metrics.count("endpoint.answer_cut");
-                    return Outcome::Broken;
+                let end = sequence.conclude(run.framing, splitter.is_inside_event());
+                call.record.end = end.proof().or(call.record.end);
+                match end {
+                    Conclusion::Complete(_) => {}
+                    Conclusion::Unstated => return Outcome::Unstated,
+                    Conclusion::Broken => {
+                        shared.metrics.count("endpoint.answer_cut");
+                        return Outcome::Broken;
+                    }
                 }
                 let rest = splitter.take_rest();
                 if !rest.is_empty() && reply.send_piece(rest).await.is_err() {
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -5,7 +5,6 @@
 
 use http::{response, Method, Response, StatusCode};
 
-use cranberryridge_policy::answer::{Framing, Proof};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -122,7 +121,13 @@
         if !matches!(attempt, Attempt::NotSent | Attempt::NotPermitted) {
             sends.record();
         }
-        let may_retry = call.route.kind == Kind::Idempotent
+        // Nothing of a lost run has been passed on.
+        let may_run_again = match call.route.kind {
+            Kind::Idempotent => true,
+            Kind::ResumableStream => matches!(attempt, Attempt::Lost),
+            _ => false,
+        };
+        let may_retry = may_run_again
             && progress.run_count < call.route.max_attempts
             && call.shared.may_resend(&call.input);
         match attempt {
@@ -252,10 +257,6 @@
             let expects_stream = call.route.kind.is_stream()
                 && answer.status().is_success()
                 && call.input.head.method != Method::HEAD;
-            call.record.end = expects_stream.then_some(match call.record.framing {
-                Some(Framing::Connection) => Proof::Unproven,
-                _ => Proof::Stated,
-            });
             let answer = call.read_answer(
                 key,
                 &endpoint,
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -182,14 +182,44 @@
                 shared.keep_lost_prompt(lost);
             }
         });
-        let is_suspected = self.suspects.crash_count(now, run.input) > 0
-            || self.parts.is_suspected(&run.input.parts);
-        if is_suspected {
+        if self.is_suspected(run.input) {
             // The task does not panic, and nothing aborts it.
             let _ = investigation.await;
         }
     }
 
+    /// Records that a stream ended with its connection. If the endpoint is gone afterwards, the
+    /// run counts as lost. If the request may have crashed an endpoint before, waits until that
+    /// is known.
+    pub(super) async fn record_unstated_end(self: &Arc<Self>, run: LostRun<'_>) {
+        self.metrics.count("endpoint.unstated_end");
+        let (shared, input, endpoint) = (self.clone(), run.input.clone(), run.endpoint.clone());
+        let (key, sent_at, first_event_at) = (run.key, run.sent_at, run.first_event_at);
+        let probe = tokio::spawn(async move {
+            if shared.outlives(key, &endpoint).await {
+                return;
+            }
+            let lost = LostRun {
+                input: &input,
+                key,
+                endpoint: &endpoint,
+                sent_at,
+                first_event_at,
+            };
+            shared.record_lost_run(lost).await;
+        });
+        if self.is_suspected(run.input) {
+            // The task does not panic, and nothing aborts it.
+            let _ = probe.await;
+        }
+    }
+
+    /// Returns whether the request or a part of its prompt may have crashed an endpoint before.
+    fn is_suspected(&self, input: &Input) -> bool {
+        self.suspects.crash_count(self.clock.now(), input) > 0
+            || self.parts.is_suspected(&input.parts)
+    }
+
     /// Returns whether an endpoint that lost a request refuses connections, and so has
     /// crashed. One that does not answer, or resets a connection that it accepted, may be
     /// behind a network fault.
@@ -200,7 +230,7 @@
         matches!(connected, Ok(Err(error)) if error.kind() == refused)
     }
 
-    /// Returns how an answer with a framing ended that its transport reported as complete.
+    /// Returns how a plain answer with a framing ended that its transport reported as complete.
     /// Asks the endpoint whether it is up if only its connection marked the end.
     pub(super) async fn observe_end(
         &self,
@@ -209,11 +239,6 @@
         endpoint: &Endpoint,
     ) -> End {
         let is_endpoint_up = !End::needs_probe(framing) || self.outlives(key, endpoint).await;
-        if !is_endpoint_up {
-            self.metrics.count("endpoint.gone_at_end");
-            slog::info!(self.logger, "gateway: endpoint is gone after an answer without a length";
-                "endpoint" => %endpoint.id);
-        }
         End {
             framing,
             is_endpoint_up,
@@ -225,7 +250,14 @@
     /// answer.
     async fn outlives(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
         let is_up = client::outlives_answer(&self.net, endpoint.address, CONNECT_TIMEOUT).await;
-        is_up && (endpoint.phase.is_none() || self.is_still_running(key, endpoint).await)
+        let is_up =
+            is_up && (endpoint.phase.is_none() || self.is_still_running(key, endpoint).await);
+        if !is_up {
+            self.metrics.count("endpoint.gone_at_end");
+            slog::info!(self.logger, "gateway: endpoint is gone after an answer without a length";
+                "endpoint" => %endpoint.id);
+        }
+        is_up
     }
 
     /// Asks an engine when it started. Returns whether it is still the start that is known.
--- a/crates/lib/src/sidecar/engine.rs
+++ b/crates/lib/src/sidecar/engine.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use serde_json::{json, Value};
 
-use cranberryridge_policy::answer::{self, Sequence};
+use cranberryridge_policy::answer::{self, Conclusion, Framing, Sequence};
 use cranberryridge_wire::blob::Blob;
 use cranberryridge_wire::code::Code;
 use cranberryridge_wire::message::Ticket;
@@ -31,12 +31,6 @@
 /// Maximum size of an answer that is no stream, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
 
-/// End of a stream, which its last event says.
-const END: answer::End = answer::End {
-    framing: answer::Framing::Chunks,
-    is_endpoint_up: true,
-};
-
 /// Timeout of a cancellation and of a listing.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -262,10 +256,11 @@
         self.unparsed_bytes.store(0, Ordering::Relaxed);
         match event.map_err(|_| Error::Stalled)? {
             Some(Ok(event)) if event.data == "[DONE]" => {
-                if !self.sequence.is_complete(END, false) {
-                    return Err(Error::NoStream("no event"));
+                // The event states the end, as a chunk would.
+                match self.sequence.conclude(Framing::Chunks, false) {
+                    Conclusion::Complete(_) => Ok(None),
+                    _ => Err(Error::NoStream("no event")),
                 }
-                Ok(None)
             }
             Some(Ok(event)) => {
                 let admitted = self.sequence.admit(answer::Event { id: None });
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -5,9 +5,10 @@
 //! belongs behind the last one: by an id that follows it. The same holds for a stream that
 //! the caller itself takes up.
 //!
-//! An end must be said by the sender of an answer. Where only the connection says it, the
-//! sender must have outlived its answer, as the connections of a process that crashes are
-//! closed in order. An answer without any event or byte is no evidence of either.
+//! An end must be said by the sender of an answer. The connection alone says nothing of a
+//! stream, as a link or a process that ends midway closes it in order as well: a run at another
+//! endpoint has to repeat the last event and show what follows it. Of a plain answer, the sender
+//! must have outlived it. An answer without any event or byte is no evidence of an end.
 
 use compact_str::CompactString;
 
@@ -68,7 +69,7 @@
     }
 }
 
-/// End of an answer whose transport reported no error.
+/// End of an answer that is no stream and whose transport reported no error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
     /// How the end was marked.
@@ -89,7 +90,7 @@
     /// assert!(!End::needs_probe(Framing::Chunks));
     /// ```
     pub fn needs_probe(framing: Framing) -> bool {
-        framing == Framing::Connection
+        !framing.states_end()
     }
 
     /// Returns whether an answer that is no stream is complete, from whether its body is
@@ -104,27 +105,7 @@
     /// assert!(!closed.completes_body(true, false));
     /// ```
     pub fn completes_body(self, is_empty: bool, may_be_empty: bool) -> bool {
-        self.framing != Framing::Connection || may_be_empty || (self.is_endpoint_up && !is_empty)
-    }
-
-    /// Returns whether a stream is complete, from whether it has an event and whether it ends
-    /// inside one.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge_policy::answer::{End, Framing};
-    /// let sized = End { framing: Framing::Length, is_endpoint_up: false };
-    /// assert!(sized.completes_stream(true, false));
-    /// assert!(!sized.completes_stream(false, false));
-    /// ```
-    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
-        has_event && !is_inside && self.is_confirmed()
-    }
-
-    /// Returns whether the sender said that the answer ends here.
-    fn is_confirmed(self) -> bool {
-        self.framing != Framing::Connection || self.is_endpoint_up
+        self.framing.states_end() || may_be_empty || (self.is_endpoint_up && !is_empty)
     }
 }
 
@@ -167,6 +148,45 @@
     pub id: Option<&'a str>,
 }
 
+/// Place of an event in the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// It is the next one for the caller.
+    Next,
+    /// The caller has it, and a run that checks an end has repeated it.
+    Repeated,
+}
+
+/// What the end of a run means for the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Conclusion {
+    /// The stream is complete.
+    Complete(Proof),
+    /// The run ended between two events, and nobody has said that no event follows.
+    Unstated,
+    /// The run is lost.
+    Broken,
+}
+
+impl Conclusion {
+    /// Returns how the end of the stream was established, if the run came to an end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{Conclusion, Proof};
+    /// assert_eq!(Conclusion::Unstated.proof(), Some(Proof::Unproven));
+    /// assert_eq!(Conclusion::Broken.proof(), None);
+    /// ```
+    pub fn proof(self) -> Option<Proof> {
+        match self {
+            Self::Complete(proof) => Some(proof),
+            Self::Unstated => Some(Proof::Unproven),
+            Self::Broken => None,
+        }
+    }
+}
+
 /// Reason why a run's event does not belong into the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Disorder {
@@ -176,6 +196,21 @@
     /// The event's id does not follow the last one.
     #[error("the event id does not follow the last one")]
     Backward,
+    /// The first event of a run that checks an end is not the last one of the stream.
+    #[error("the check of an end does not begin with the last event")]
+    Unrepeated,
+}
+
+/// Check of an end that no run has stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Check {
+    /// There is none.
+    #[default]
+    None,
+    /// The current run must begin with the last event.
+    Awaiting,
+    /// The current run has begun with the last event.
+    Repeated,
 }
 
 /// Events of a caller's stream, over all runs it is joined from.
@@ -183,23 +218,26 @@
 /// # Examples
 ///
 /// ```
-/// use cranberryridge_policy::answer::{Disorder, Event, Sequence};
+/// use cranberryridge_policy::answer::{Disorder, Event, Place, Sequence};
 /// let mut sequence = Sequence::default();
-/// assert_eq!(sequence.admit(Event { id: Some("1") }), Ok(()));
-/// assert_eq!(sequence.admit(Event { id: Some("2") }), Ok(()));
+/// assert_eq!(sequence.admit(Event { id: Some("1") }), Ok(Place::Next));
+/// assert_eq!(sequence.admit(Event { id: Some("2") }), Ok(Place::Next));
 /// sequence.begin_run();
 /// assert_eq!(sequence.admit(Event { id: None }), Err(Disorder::Unnumbered));
 /// assert_eq!(sequence.admit(Event { id: Some("1") }), Err(Disorder::Backward));
-/// assert_eq!(sequence.admit(Event { id: Some("3") }), Ok(()));
+/// assert_eq!(sequence.admit(Event { id: Some("3") }), Ok(Place::Next));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Sequence {
     /// Id of the last event with one that the caller has.
     last_id: Option<CompactString>,
-    /// Whether the caller has an event without an id after that one.
+    /// Id of the event with one before that, or the one that the caller named, if any.
+    previous_id: Option<CompactString>,
+    /// Whether the caller has an event without an id after the last one with an id.
     has_unnumbered: bool,
     /// Whether the current run has added an event.
     has_run_event: bool,
+    check: Check,
 }
 
 impl Sequence {
@@ -211,28 +249,63 @@
         }
     }
 
-    /// Begins another run, which is to go on after [`Sequence::last_id`].
+    /// Begins another run after one that was lost. It is to go on after [`Sequence::last_id`],
+    /// or to check the same end if the lost one should have and added nothing.
     pub fn begin_run(&mut self) {
+        let is_unchecked = self.check != Check::None && !self.has_run_event;
+        self.check = if is_unchecked {
+            Check::Awaiting
+        } else {
+            Check::None
+        };
+        self.has_run_event = false;
+    }
+
+    /// Begins a run that checks an unstated end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{Conclusion, Event, Framing, Place, Proof, Sequence};
+    /// let mut sequence = Sequence::after("1");
+    /// sequence.admit(Event { id: Some("2") }).unwrap();
+    /// let end = sequence.conclude(Framing::Connection, false);
+    /// assert_eq!(end, Conclusion::Unstated);
+    /// sequence.begin_check();
+    /// assert_eq!(sequence.asked_id(), Some("1"));
+    /// assert_eq!(sequence.admit(Event { id: Some("2") }), Ok(Place::Repeated));
+    /// let end = sequence.conclude(Framing::Connection, false);
+    /// assert_eq!(end, Conclusion::Complete(Proof::Agreed));
+    /// ```
+    pub fn begin_check(&mut self) {
+        self.check = Check::Awaiting;
         self.has_run_event = false;
     }
 
-    /// Adds the next event of the current run.
+    /// Adds the next event of the current run, unless the caller has it.
     ///
     /// # Errors
     ///
     /// Returns why the event must not be passed on, after which the run is of no use.
-    pub fn admit(&mut self, event: Event<'_>) -> Result<(), Disorder> {
+    pub fn admit(&mut self, event: Event<'_>) -> Result<Place, Disorder> {
+        if self.check == Check::Awaiting {
+            if event.id.is_none() || event.id != self.last_id() {
+                return Err(Disorder::Unrepeated);
+            }
+            self.check = Check::Repeated;
+            return Ok(Place::Repeated);
+        }
         match (event.id, &self.last_id) {
-            (None, Some(_)) if !self.has_run_event => return Err(Disorder::Unnumbered),
+            (None, _) if self.is_unproven() => return Err(Disorder::Unnumbered),
             (None, _) => self.has_unnumbered = true,
             (Some(id), Some(last)) if !follows(id, last) => return Err(Disorder::Backward),
             (Some(id), _) => {
-                self.last_id = Some(id.into());
+                self.previous_id = self.last_id.replace(id.into());
                 self.has_unnumbered = false;
             }
         }
         self.has_run_event = true;
-        Ok(())
+        Ok(Place::Next)
     }
 
     /// Returns the id of the last event with one that the caller has.
@@ -240,6 +313,20 @@
         self.last_id.as_deref()
     }
 
+    /// Returns the id of the event after which the current run is to begin, or `None` if it
+    /// begins with the first one.
+    pub fn asked_id(&self) -> Option<&str> {
+        match self.check {
+            Check::None => self.last_id(),
+            Check::Awaiting | Check::Repeated => self.previous_id.as_deref(),
+        }
+    }
+
+    /// Returns whether the current run checks an end and has added nothing.
+    pub fn is_checking(&self) -> bool {
+        self.check != Check::None && !self.has_run_event
+    }
+
     /// Returns whether the current run has yet to show that it goes on after the last event.
     /// What it sends beside events until then is not passed on.
     ///
@@ -253,7 +340,11 @@
     /// assert!(!sequence.is_unproven());
     /// ```
     pub fn is_unproven(&self) -> bool {
-        self.last_id.is_some() && !self.has_run_event
+        match self.check {
+            Check::None => self.last_id.is_some() && !self.has_run_event,
+            Check::Awaiting => true,
+            Check::Repeated => false,
+        }
     }
 
     /// Returns whether another run can be asked for exactly what the caller lacks.
@@ -261,10 +352,19 @@
         !self.has_unnumbered
     }
 
-    /// Returns whether the stream is complete after an end of the current run. `is_inside`
-    /// tells whether the end came inside an event.
-    pub fn is_complete(&self, end: End, is_inside: bool) -> bool {
-        end.completes_stream(self.has_run_event, is_inside)
+    /// Returns what the end of the current run means, whose transport reported no error.
+    /// `is_inside` tells whether it came inside an event.
+    pub fn conclude(&self, framing: Framing, is_inside: bool) -> Conclusion {
+        let has_repeated = self.check == Check::Repeated;
+        if is_inside || !(self.has_run_event || has_repeated) {
+            return Conclusion::Broken;
+        }
+        match (framing.states_end(), has_repeated && !self.has_run_event) {
+            (true, false) => Conclusion::Complete(Proof::Stated),
+            (true, true) => Conclusion::Complete(Proof::Repeated),
+            (false, true) => Conclusion::Complete(Proof::Agreed),
+            (false, false) => Conclusion::Unstated,
+        }
     }
 }
 
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -4,11 +4,13 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use cranberryridge_policy::answer::{Disorder, End, Event, Framing, Sequence};
+use cranberryridge_policy::answer::{Conclusion, Disorder, Event, Framing, Place, Proof, Sequence};
 
 /// Most runs of one stream.
 const MAX_RUNS: usize = 6;
 
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
+
 /// What a run sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Form {
@@ -117,17 +119,16 @@
         if disorder.is_some() {
             continue;
         }
-        for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
-            for is_endpoint_up in [true, false] {
-                let end = End {
-                    framing,
-                    is_endpoint_up,
-                };
-                let is_said = is_endpoint_up || framing != Framing::Connection;
-                let is_complete = sequence.is_complete(end, false);
-                assert_eq!(is_complete, is_said && added_count > 0, "{case}, {end:?}");
-                assert!(!sequence.is_complete(end, true), "{case}, {end:?}");
-            }
+        for framing in FRAMINGS {
+            let expected = match framing {
+                _ if added_count == 0 => Conclusion::Broken,
+                Framing::Connection => Conclusion::Unstated,
+                Framing::Length | Framing::Chunks => Conclusion::Complete(Proof::Stated),
+            };
+            let end = sequence.conclude(framing, false);
+            assert_eq!(end, expected, "{case}, {framing:?}");
+            let end = sequence.conclude(framing, true);
+            assert_eq!(end, Conclusion::Broken, "{case}, {framing:?}");
         }
         if !is_cut && added_count > 0 {
             break;
@@ -174,3 +175,228 @@
     });
     assert_eq!(resumable, [true, false, true, false]);
 }
+
+/// How an endpoint treats a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Manner {
+    /// It sends all that it is asked for.
+    Sound,
+    /// Its link ends after some events.
+    Cut,
+    /// It sends the stream from its first event, whatever it is asked for.
+    Anew,
+    /// It leaves out the event that it is to repeat.
+    Skipping,
+    /// It sends no event.
+    Mute,
+    /// It sends events without ids.
+    Unnumbered,
+    /// Its connection is reset after some events.
+    Reset,
+}
+
+const MANNERS: [Manner; 7] = [
+    Manner::Sound,
+    Manner::Cut,
+    Manner::Anew,
+    Manner::Skipping,
+    Manner::Mute,
+    Manner::Unnumbered,
+    Manner::Reset,
+];
+
+/// A run as its transport brings it.
+struct Run {
+    ids: Vec<Option<String>>,
+    framing: Framing,
+    /// Whether the transport reports no error.
+    is_ended: bool,
+    is_inside: bool,
+}
+
+impl Run {
+    /// Plays a run at an endpoint that is asked for what follows the event `asked`.
+    fn new(rng: &mut StdRng, manner: Manner, ids: &[String], asked: Option<&str>) -> Self {
+        let from = asked.map_or(0, |asked| {
+            let at = ids.iter().position(|id| id == asked);
+            at.expect("the caller has the event") + 1
+        });
+        let rest = ids[from..].iter().cloned().map(Some).collect::<Vec<_>>();
+        let framing = *FRAMINGS.choose(rng).unwrap();
+        let mut run = Self {
+            ids: rest,
+            framing,
+            is_ended: true,
+            is_inside: false,
+        };
+        match manner {
+            Manner::Sound => {}
+            Manner::Cut | Manner::Reset => {
+                run.ids.truncate(rng.random_range(0..=run.ids.len()));
+                run.is_inside = rng.random_bool(0.3);
+                // The transport knows that an answer with a length or chunks is cut.
+                run.is_ended = manner == Manner::Cut && !framing.states_end();
+            }
+            Manner::Anew => run.ids = ids.iter().cloned().map(Some).collect(),
+            Manner::Skipping => drop(run.ids.drain(..run.ids.len().min(1))),
+            Manner::Mute => run.ids.clear(),
+            Manner::Unnumbered => run.ids.iter_mut().for_each(|id| *id = None),
+        }
+        run
+    }
+}
+
+/// Outcome of a stream for its caller.
+#[derive(Debug, PartialEq)]
+struct Played {
+    got: Vec<String>,
+    is_complete: bool,
+    run_count: usize,
+}
+
+/// Plays a stream at endpoints of some manners, each of which is asked once, as the gateway
+/// does. Ends that only a connection marks are checked.
+fn relay(rng: &mut StdRng, manners: &[Manner], ids: &[String], has_first: bool) -> Played {
+    let taken_up = has_first.then(|| ids[0].clone());
+    let mut sequence = taken_up
+        .clone()
+        .map_or_else(Sequence::default, Sequence::after);
+    let mut played = Played {
+        got: taken_up.into_iter().collect(),
+        is_complete: false,
+        run_count: 0,
+    };
+    for manner in manners {
+        played.run_count += 1;
+        let run = Run::new(rng, *manner, ids, sequence.asked_id());
+        let mut is_lost = !run.is_ended;
+        for id in &run.ids {
+            match sequence.admit(Event { id: id.as_deref() }) {
+                Ok(Place::Next) => played.got.push(id.clone().unwrap_or_default()),
+                Ok(Place::Repeated) => assert_eq!(id.as_ref(), played.got.last()),
+                Err(_) => {
+                    is_lost = true;
+                    break;
+                }
+            }
+        }
+        let end = if is_lost {
+            Conclusion::Broken
+        } else {
+            sequence.conclude(run.framing, run.is_inside)
+        };
+        match end {
+            Conclusion::Complete(_) => {
+                played.is_complete = true;
+                return played;
+            }
+            Conclusion::Unstated => sequence.begin_check(),
+            Conclusion::Broken => sequence.begin_run(),
+        }
+        if !sequence.is_resumable() {
+            return played;
+        }
+    }
+    played
+}
+
+/// Returns the ids of a stream, numbers or names.
+fn draw_ids(rng: &mut StdRng) -> Vec<String> {
+    let count = rng.random_range(2..8);
+    let is_named = rng.random_bool(0.3);
+    let name = |id| {
+        if is_named {
+            format!("e{id}")
+        } else {
+            format!("{id}")
+        }
+    };
+    (1..=count).map(name).collect()
+}
+
+// Guards against links that end in order between two events: no stream is complete with too few
+// events, and no event comes twice or is missing before the last one.
+#[test]
+fn a_stream_is_complete_only_with_all_events() {
+    let mut complete_count = 0;
+    for seed in 0..40_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ids = draw_ids(&mut rng);
+        let has_first = rng.random_bool(0.3);
+        // Streams without ids, with ids out of order, or that two links cut after the same
+        // event cannot be told from whole ones.
+        let mut manners = (0..6)
+            .map(|_| *MANNERS.choose(&mut rng).unwrap())
+            .collect::<Vec<_>>();
+        let is_named = ids[0].starts_with('e');
+        manners.retain(|manner| {
+            let is_ambiguous = is_named && matches!(manner, Manner::Anew | Manner::Skipping);
+            !is_ambiguous && *manner != Manner::Unnumbered
+        });
+        let mut has_cut = false;
+        manners.retain(|manner| *manner != Manner::Cut || !std::mem::replace(&mut has_cut, true));
+        let played = relay(&mut rng, &manners, &ids, has_first);
+        let case = format!("seed {seed}, {manners:?}: {played:?}");
+        let is_prefix = ids.starts_with(&played.got);
+        assert!(is_prefix || manners.contains(&Manner::Skipping), "{case}");
+        if played.is_complete {
+            complete_count += 1;
+            assert_eq!(played.got.last(), ids.last(), "{case}");
+        }
+    }
+    assert!(complete_count > 0);
+}
+
+// A sound stream whose end only its connection marks is complete with one further run.
+#[test]
+fn a_sound_stream_is_complete_with_a_second_endpoint() {
+    for seed in 0..5_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ids = draw_ids(&mut rng);
+        let has_first = rng.random_bool(0.3);
+        let played = relay(&mut rng, &[Manner::Sound; 2], &ids, has_first);
+        assert!(
+            played.is_complete && played.got == ids,
+            "seed {seed}: {played:?}"
+        );
+        // A link that ends midway, and two sound endpoints.
+        let manners = [Manner::Cut, Manner::Sound, Manner::Sound];
+        let played = relay(&mut rng, &manners, &ids, has_first);
+        assert!(ids.starts_with(&played.got), "seed {seed}: {played:?}");
+        assert!(
+            !played.is_complete || played.got == ids,
+            "seed {seed}: {played:?}"
+        );
+    }
+}
+
+// A check that breaks says nothing, and the next run has to repeat the last event as well.
+#[test]
+fn a_check_that_breaks_is_begun_again() {
+    let mut sequence = Sequence::default();
+    for id in ["1", "2"] {
+        sequence.admit(Event { id: Some(id) }).unwrap();
+    }
+    sequence.begin_check();
+    for id in [None, Some("1"), Some("3"), Some("02"), Some("")] {
+        let refused = sequence.admit(Event { id });
+        assert_eq!(refused, Err(Disorder::Unrepeated), "{id:?}");
+        assert!(sequence.is_unproven() && sequence.is_checking());
+        let end = sequence.conclude(Framing::Chunks, false);
+        assert_eq!(end, Conclusion::Broken, "{id:?}");
+    }
+    let repeated = Event { id: Some("2") };
+    assert_eq!(sequence.admit(repeated), Ok(Place::Repeated));
+    assert_eq!(sequence.admit(repeated), Err(Disorder::Backward));
+    sequence.begin_run();
+    assert_eq!(sequence.asked_id(), Some("1"));
+    assert_eq!(sequence.admit(repeated), Ok(Place::Repeated));
+    let end = sequence.conclude(Framing::Length, false);
+    assert_eq!(end, Conclusion::Complete(Proof::Repeated));
+    let next = sequence.admit(Event { id: Some("3") });
+    assert_eq!(next, Ok(Place::Next));
+    let end = sequence.conclude(Framing::Connection, false);
+    assert_eq!(end, Conclusion::Unstated);
+    sequence.begin_run();
+    assert_eq!(sequence.asked_id(), Some("3"));
+}
