--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -121,7 +121,13 @@
         if !matches!(attempt, Attempt::NotSent | Attempt::NotPermitted) {
             sends.record();
         }
-        let may_retry = call.route.kind == Kind::Idempotent
+        // Nothing of a lost run has been passed on.
+        let may_run_again = match call.route.kind {
+            Kind::Idempotent => true,
+            Kind::ResumableStream => matches!(attempt, Attempt::Lost),
+            _ => false,
+        };
+        let may_retry = may_run_again
             && progress.run_count < call.route.max_attempts
             && call.shared.may_resend(&call.input);
         match attempt {
--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -235,18 +235,16 @@
             return true;
         }
         let framing = client::framing(&head.headers);
-        // A service that lives on may have given up a stream, and a link may have ended it.
-        let is_endpoint_up = events.is_none()
-            && End::needs_probe(framing)
-            && client::outlives_answer(self.net, self.address, PROBE_TIMEOUT).await;
+        if let Some(events) = events {
+            return framing.completes_stream(events.has_event(), events.is_inside_event());
+        }
+        let is_endpoint_up = !End::needs_probe(framing)
+            || client::outlives_answer(self.net, self.address, PROBE_TIMEOUT).await;
         let end = End {
             framing,
             is_endpoint_up,
         };
-        match events {
-            Some(events) => end.completes_stream(events.has_event(), events.is_inside_event()),
-            None => end.completes_body(is_empty, false),
-        }
+        end.completes_body(is_empty, false)
     }
 
     /// Records an answer that is not complete, though its transport reported it as such.
--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -112,6 +112,7 @@
     let empty = "HTTP/1.1 200 OK\r\n\r\n".to_owned();
     let cases = [
         ("stream, crash", format!("{STREAM}\r\n{EVENTS}"), true),
+        ("stream", format!("{STREAM}\r\n{EVENTS}"), false),
         (
             "body, crash",
             "HTTP/1.1 200 OK\r\n\r\nhalf".to_owned(),
