gateway: log the caller's version of HTTP

A caller of HTTP/1.0 knows the end of a stream by its connection alone, so the same cut is a different answer to it. The line of a request had the framing of the endpoint's answer, not what the caller speaks: callers that took a cut stream as whole could not be told from others.

The line has `protocol` now where that is not HTTP/1.1.

--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use http::Version;
 use slog::Logger;
 
 use cranberryridge_policy::answer::Framing;
@@ -21,6 +22,8 @@
     clock: C,
     /// IP address of the caller, if known.
     pub caller: Option<IpAddr>,
+    /// Version of HTTP that the caller speaks. It is logged if it is not 1.1.
+    pub protocol: Version,
     /// Version of the configuration that the route was found in.
     pub configuration_version: u64,
     /// Name of the route, or empty if no route or service was found.
@@ -66,6 +69,7 @@
             metrics,
             clock,
             caller: None,
+            protocol: Version::HTTP_11,
             configuration_version: 0,
             route: CompactString::default(),
             service: CompactString::default(),
@@ -129,6 +133,7 @@
 impl<C: Clock> Drop for Record<C> {
     fn drop(&mut self) {
         let total = self.clock.now().saturating_duration_since(self.arrival);
+        let other_protocol = Some(self.protocol).filter(|version| *version != Version::HTTP_11);
         let first = self
             .answer_started_at
             .map(|at| at.saturating_duration_since(self.arrival));
@@ -148,6 +153,7 @@
         slog::info!(self.logger, "gateway: request over";
             "request" => %self.description.attempt_id,
             "caller" => self.caller.map(|caller| caller.to_string()),
+            "protocol" => other_protocol.map(|version| format!("{version:?}")),
             "route" => %self.route,
             "service" => %self.service,
             "resumes" => self.description.first_attempt_id.as_deref(),
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -415,6 +415,7 @@
         shared.dialect.describe(&head),
     );
     record.caller = caller;
+    record.protocol = head.version;
     let route = match find_route(&shared, &head, &mut record) {
         Ok(route) => route,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
