gateway: reset the connection of a caller of HTTP/1.0 whose stream was cut

Until the last byte of such an answer is written, the connection has SO_LINGER with a time of zero, so each way in which it may end resets it: an answer that is aborted, a host that gives up its requests, a caller that reads nothing until the process exits, a process that is killed. The option is taken back right before the server shuts the connection down, when it has written all it has, so a whole answer ends in order as before. Answers with a length, to HEAD, without a body and to callers of HTTP/1.1 and 2 are left alone.

The in-memory network delivers what was sent before such a reset, as TCP does; TLS passes the option on to its network.

--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -36,6 +36,7 @@
 use crate::body::{Body, Chunks, ReadError};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::net::closing::{self, Caller, Closing};
 use crate::net::{Listen, Net};
 
 use self::activity::{Activity, TrackedStream};
@@ -328,13 +329,17 @@
     let caller = shared.net.peer(&stream);
     let limits = shared.table.load().limits();
     let activity = Activity::new(shared.clock.now());
+    let closing = Closing::default();
     let service = service_fn(|request| {
         let (shared, guard) = (shared.clone(), activity.begin_request());
+        let (closing, version) = (closing.clone(), Caller::of(&request));
         async move {
             let response = answer(shared.clone(), caller, request).await;
-            Ok::<_, Infallible>(response.map(|body| guard.track(body, shared.clock.clone())))
+            let response = response.map(|body| guard.track(body, shared.clock.clone()));
+            Ok::<_, Infallible>(closing.watch(version, response))
         }
     });
+    let stream = closing::Stream::new(stream, shared.net.clone(), closing.clone());
     let stream = TrackedStream::new(stream, activity.clone(), shared.clock.clone());
     let served = http1::Builder::new()
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
--- a/crates/lib/src/net.rs
+++ b/crates/lib/src/net.rs
@@ -3,15 +3,18 @@
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
+use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
+pub mod closing;
 pub mod memory;
 pub mod tls;
 
 /// Network that opens connections and listeners.
-pub trait Net: Clone + Send + Sync + 'static {
+pub trait Net: Clone + Send + Sync + Unpin + 'static {
     /// An open connection.
     type Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static;
     /// A bound listener.
@@ -30,6 +33,10 @@
         None
     }
 
+    /// Sets whether a connection is reset when it is dropped, rather than closed in order. Has no
+    /// effect on networks that cannot reset connections.
+    fn set_reset_on_close(&self, _stream: &mut Self::Stream, _resets: bool) {}
+
     /// Returns a handle that connects and listens as `host`. Only networks that simulate
     /// several hosts in one process tell hosts apart; others return a clone.
     fn for_host(&self, _host: IpAddr) -> Self {
@@ -73,6 +80,12 @@
         let address = stream.peer_addr().ok()?;
         Some(address.ip().to_canonical())
     }
+
+    fn set_reset_on_close(&self, stream: &mut TcpStream, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
+        // Fails only for a connection that has failed already.
+        let _ = sockopt::set_socket_linger(stream, linger);
+    }
 }
 
 /// A TCP listener with its bound address.
--- a/crates/lib/src/net/memory.rs
+++ b/crates/lib/src/net/memory.rs
@@ -250,6 +250,10 @@
         Some(stream.peer())
     }
 
+    fn set_reset_on_close(&self, stream: &mut Stream, resets: bool) {
+        stream.set_reset_on_drop(resets);
+    }
+
     fn for_host(&self, host: IpAddr) -> Self {
         Self {
             host: self.lock().host(host),
--- a/crates/lib/src/net/memory/pipe.rs
+++ b/crates/lib/src/net/memory/pipe.rs
@@ -32,12 +32,16 @@
 /// State of a connection that was reset; both ends get an error.
 const RESET: u8 = 2;
 
+/// State of a connection that one end reset when it was dropped; the other gets an error
+/// behind the bytes that were sent before.
+const CUT: u8 = 3;
+
 /// State shared by both ends of a connection.
 #[derive(Debug)]
 pub(super) struct Pipe {
     /// Host that connected, and host that accepted.
     hosts: [Arc<Host>; 2],
-    /// [`OPEN`], [`SILENT`] or [`RESET`].
+    /// [`OPEN`], [`SILENT`], [`RESET`] or [`CUT`].
     state: AtomicU8,
     /// Tasks that wait to read, by end.
     readers: [AtomicWaker; 2],
@@ -52,6 +56,13 @@
         self.wake();
     }
 
+    /// Resets the connection behind the bytes that were sent, unless it has failed before.
+    fn cut(&self) {
+        let order = Ordering::Relaxed;
+        // It has failed before.
+        let _ = self.state.compare_exchange(OPEN, CUT, order, order);
+    }
+
     /// Makes the connection drop all bytes from now on.
     pub fn silence(&self) {
         self.state.store(SILENT, Ordering::Relaxed);
@@ -94,6 +105,8 @@
     in_flight: VecDeque<Chunk>,
     /// Fires when the first chunk in `in_flight` arrives.
     timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the connection is reset when this is dropped.
+    resets_on_drop: bool,
 }
 
 /// Bytes that arrive together.
@@ -119,6 +132,7 @@
         end,
         in_flight: VecDeque::new(),
         timer: None,
+        resets_on_drop: false,
     };
     (stream(near, 0), stream(far, 1))
 }
@@ -133,6 +147,11 @@
         self.pipe.hosts[1 - self.end].address
     }
 
+    /// Sets whether the connection is reset when this is dropped.
+    pub(super) fn set_reset_on_drop(&mut self, resets: bool) {
+        self.resets_on_drop = resets;
+    }
+
     fn is_frozen(&self) -> bool {
         self.pipe.hosts[self.end].frozen.load(Ordering::Relaxed)
     }
@@ -215,14 +234,20 @@
         if self.is_frozen() {
             return Poll::Pending;
         }
-        match self.state() {
-            RESET => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
-            SILENT => Poll::Pending,
+        let before = buffer.filled().len();
+        let polled = match self.state() {
+            RESET => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            SILENT => return Poll::Pending,
             _ if self.in_flight.is_empty() && self.pipe.delay().is_zero() => {
                 self.inner()?.poll_read(cx, buffer)
             }
             _ => self.poll_delayed(cx, buffer),
+        };
+        let is_end = polled.is_ready() && buffer.filled().len() == before;
+        if is_end && buffer.remaining() > 0 && self.state() == CUT {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
+        polled
     }
 }
 
@@ -258,19 +283,27 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        let resets = self.resets_on_drop;
         if !self.is_frozen() {
+            if resets {
+                self.pipe.cut();
+            }
             return;
         }
         // A paused host closes its connections only once it is thawed.
         let Some(inner) = self.inner.take() else {
             return;
         };
+        let pipe = self.pipe.clone();
         let host = self.pipe.hosts[self.end].clone();
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
         runtime.spawn(async move {
             host.wait_until_thawed().await;
+            if resets {
+                pipe.cut();
+            }
             drop(inner);
         });
     }
--- a/crates/lib/src/net/tls.rs
+++ b/crates/lib/src/net/tls.rs
@@ -174,6 +174,14 @@
             Stream::Tls(stream) => self.inner.peer(stream.get_ref().0),
         }
     }
+
+    fn set_reset_on_close(&self, stream: &mut Self::Stream, resets: bool) {
+        let stream = match stream {
+            Stream::Plain(stream) => stream,
+            Stream::Tls(stream) => stream.get_mut().0,
+        };
+        self.inner.set_reset_on_close(stream, resets);
+    }
 }
 
 /// Performs the handshake with one client. A connection whose handshake fails is dropped.
--- a/crates/lib/tests/memory.rs
+++ b/crates/lib/tests/memory.rs
@@ -1,5 +1,6 @@
 //! Tests of the faults that the in-memory network injects.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -103,3 +104,31 @@
     assert_eq!(all, [1, 2, 3]);
     assert_eq!(start.elapsed().as_millis(), 30);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_is_reset_on_close_delivers_what_was_sent() {
+    for delay in [0, 30].map(Duration::from_millis) {
+        let mut pair = connect().await;
+        pair.net.delay(pair.server.ip(), delay);
+        pair.server_end.write_all(&[1, 2, 3]).await.unwrap();
+        pair.net.set_reset_on_close(&mut pair.server_end, true);
+        drop(pair.server_end);
+        let mut all = Vec::new();
+        let error = pair.caller_end.read_to_end(&mut all).await.unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+        assert_eq!(all, [1, 2, 3]);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_is_no_longer_reset_on_close_ends_in_order() {
+    let mut pair = connect().await;
+    pair.server_end.write_all(&[1, 2, 3]).await.unwrap();
+    for resets in [true, false] {
+        pair.net.set_reset_on_close(&mut pair.server_end, resets);
+    }
+    drop(pair.server_end);
+    let mut all = Vec::new();
+    pair.caller_end.read_to_end(&mut all).await.unwrap();
+    assert_eq!(all, [1, 2, 3]);
+}
--- a/crates/lib/tests/tls.rs
+++ b/crates/lib/tests/tls.rs
@@ -2,6 +2,7 @@
 //! a restart.
 
 use std::fs;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -117,3 +118,22 @@
     assert!(server.reload().is_err());
     assert!(can_echo(&server, &client, 443).await);
 }
+
+#[tokio::test]
+async fn a_connection_with_tls_is_reset_on_close_as_well() {
+    let (net, authority) = (Memory::default(), Authority::new());
+    let server = Tls::new(net.clone(), authority.write(&folder("k"), &authority)).unwrap();
+    let client = Tls::new(net, authority.write(&folder("l"), &authority)).unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 443));
+    let mut listener = server.bind(address).await.unwrap();
+    let (accepted, connected) = tokio::join!(listener.accept(), client.connect(address));
+    let (mut near, mut far) = (accepted.unwrap(), connected.unwrap());
+    near.write_all(b"half").await.unwrap();
+    near.flush().await.unwrap();
+    server.set_reset_on_close(&mut near, true);
+    drop(near);
+    let mut bytes = Vec::new();
+    let error = far.read_to_end(&mut bytes).await.unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert_eq!(bytes, b"half");
+}
