soak: end streams unstated, speak HTTP/1.0 and send without end from seed 8000 on

Callers' runs of real processes showed ORDER, and no seed did: the proxies left answers without a length or chunks alone when they closed a link in order.

From seed 8000 on they close or half-close such streams too, by bytes and behind an event, each second one under an HTTP/1.1 head with connection: close; engines that live on give up runs, are back at once as another start, or leave a proxy behind that goes on to accept. Each fourth caller speaks HTTP/1.0. Four further endpoints send without end in 13 forms while the gateways' resident memory is held against their limit. Plain answers are spared as before: nothing but the connection and the probe tells of their end, which is the rule that stays.

A caller of HTTP/1.0 whose gateway was killed is not held to its stream's end: the kernel closes the connections of a killed process in order. It must still have the first events in order.

Seeds below 8000 draw the same numbers as before.

--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -36,6 +36,18 @@
     pub has_crashing_part: bool,
     /// Whether no two requests have the same body, so that a crash speaks against one alone.
     pub has_own_bodies: bool,
+    /// Whether each fourth caller speaks HTTP/1.0.
+    pub has_old_callers: bool,
+}
+
+/// Returns the version that a caller speaks. Each fourth one speaks HTTP/1.0 if
+/// `has_old_callers`, and knows the end of a stream by its connection alone.
+pub fn version_of(caller: u64, has_old_callers: bool) -> Version {
+    if has_old_callers && caller % 4 == 1 {
+        Version::HTTP_10
+    } else {
+        Version::HTTP_11
+    }
 }
 
 /// A request and its result.
@@ -55,6 +67,27 @@
     pub after_faults: bool,
     /// Whether its prompt has [`CRASHING_PART`].
     pub is_crashing: bool,
+    /// Gateway that the request was sent to, if the connection was not an older one.
+    pub gateway: SocketAddr,
+    /// Time at which the answer ended.
+    pub ended_at: Instant,
+    /// Version that the caller speaks.
+    pub version: Version,
+}
+
+impl Row {
+    /// Returns whether the answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        ["note", "list", "late-note"].contains(&self.route)
+    }
+
+    /// Returns the name of the version that the caller speaks.
+    pub fn speaks(&self) -> &'static str {
+        match self.version {
+            Version::HTTP_10 => "HTTP/1.0",
+            _ => "HTTP/1.1",
+        }
+    }
 }
 
 /// Running callers and their results.
@@ -89,6 +122,7 @@
             load.callers.push(tokio::spawn(async move {
                 let mut random = StdRng::seed_from_u64(seed ^ caller);
                 let mut connection_slot = None;
+                let version = version_of(caller, settings.has_old_callers);
                 while !stop.load(Ordering::SeqCst) {
                     let attempt = format!("a{}", next_attempt.fetch_add(1, Ordering::SeqCst));
                     let route = settings.routes[random.random_range(0..settings.routes.len())];
@@ -99,6 +133,10 @@
                     let gateway = gateways[random.random_range(0..gateways.len())];
                     let sent_at = Instant::now();
                     let mut request = request(route, &attempt);
+                    *request.version_mut() = version;
+                    if version == Version::HTTP_10 {
+                        connection_slot = None;
+                    }
                     if settings.has_own_bodies {
                         *request.body_mut() = Full::new(Bytes::from(attempt.clone()));
                     }
@@ -119,6 +157,9 @@
                         body,
                         after_faults,
                         is_crashing,
+                        gateway,
+                        ended_at: Instant::now(),
+                        version,
                     });
                     tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
                 }
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -1,6 +1,7 @@
 //! What each seed plays.
 
-use super::proxy::Mode;
+use super::proxy::{Mode, Spared};
+use super::restart::Crash;
 
 /// Seeds from this one on also let the store come back from an older copy, and
 /// endpoints refuse with a time of rest. Earlier seeds keep the faults with which
@@ -28,6 +29,12 @@
 /// plain calls.
 const FIRST_SEED_WITH_CONTINUATIONS: u64 = 7000;
 
+/// In seeds from this one on, streams also end without a word while their engine lives: links
+/// close in order anywhere and engines give up runs. Some callers speak HTTP/1.0, some engines
+/// are back at once or leave a proxy behind that still accepts, and further endpoints send
+/// without end.
+const FIRST_SEED_WITH_UNSTATED_ENDS: u64 = 8000;
+
 /// Number of gateways of a seed with series if `SOAK_GATEWAYS` is not set.
 const SERIES_GATEWAYS: u8 = 4;
 
@@ -53,6 +60,12 @@
     pub has_versions: bool,
     /// Whether continuations have faults, and requests become whole late.
     pub has_continuations: bool,
+    /// Whether streams also end unstated while their engine lives, and the like.
+    pub has_unstated_ends: bool,
+    /// Whether endpoints that send without end do so until the end of the seed.
+    pub has_late_noise: bool,
+    /// How the connections of engines that crash end.
+    pub crash: Crash,
     /// Maximum number of faults of runs that a series injects into each endpoint.
     pub max_series_faults: usize,
 }
@@ -61,6 +74,7 @@
     /// Returns the plan of a seed.
     pub fn of(seed: u64) -> Self {
         let has_series = seed >= FIRST_SEED_WITH_SERIES;
+        let has_unstated_ends = seed >= FIRST_SEED_WITH_UNSTATED_ENDS;
         let gateways = std::env::var("SOAK_GATEWAYS").ok();
         let gateways = gateways.map(|number| number.parse().unwrap());
         Self {
@@ -87,6 +101,13 @@
             has_limits: (FIRST_SEED_WITH_LIMITS..FIRST_SEED_WITH_VERSIONS).contains(&seed),
             has_versions: (FIRST_SEED_WITH_VERSIONS..FIRST_SEED_WITH_CONTINUATIONS).contains(&seed),
             has_continuations: seed >= FIRST_SEED_WITH_CONTINUATIONS,
+            has_unstated_ends,
+            has_late_noise: has_unstated_ends && seed.is_multiple_of(4),
+            crash: match seed % 3 {
+                0 if has_unstated_ends => Crash::BackAtOnce,
+                1 if has_unstated_ends => Crash::BehindProxy,
+                _ => Crash::InOrder,
+            },
             // Many would leave no run that breaks off and is continued.
             max_series_faults: if seed >= FIRST_SEED_WITH_CONTINUATIONS {
                 5
@@ -95,4 +116,13 @@
             },
         }
     }
+
+    /// Returns the answers that cuts of links spare.
+    pub fn spared(&self) -> Spared {
+        if self.has_unstated_ends {
+            Spared::Plain
+        } else {
+            Spared::All
+        }
+    }
 }
--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -22,6 +22,8 @@
     /// As [`Fault::Unframed`], but ends a stream after this many events, in the
     /// middle of the next one.
     UnframedBreak(u32),
+    /// As [`Fault::Unframed`], but ends a stream after this many events, as if it were whole.
+    UnframedStop(u32),
     /// As [`Fault::Unframed`], but ends a stream before its first event.
     UnframedEmpty,
     /// Answers with the id of another attempt.
@@ -53,10 +55,14 @@
 
 impl Fault {
     /// Returns whether the answer has neither a length nor chunks.
-    pub(super) fn is_unframed(self) -> bool {
+    pub fn is_unframed(self) -> bool {
         matches!(
             self,
-            Self::Unframed | Self::UnframedBreak(_) | Self::UnframedEmpty | Self::UnframedCrash(_)
+            Self::Unframed
+                | Self::UnframedBreak(_)
+                | Self::UnframedStop(_)
+                | Self::UnframedEmpty
+                | Self::UnframedCrash(_)
         )
     }
 }
--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -61,6 +61,11 @@
         self.events.last().map(|(id, _)| *id)
     }
 
+    /// Returns the ids of the events as they arrived. What is no event of a runner has 0.
+    pub fn ids(&self) -> impl Iterator<Item = u32> + '_ {
+        self.events.iter().map(|(id, _)| *id)
+    }
+
     /// Returns the version that made the first event.
     pub fn version(&self) -> Option<&str> {
         self.events.first().map(|(_, version)| version.as_str())
