soak: count all callers' streams before the first check fails

A failed check of late requests hid the counts of the callers that take streams up. Those stop and are counted first now, and checked where they were; runs without a length or chunks are counted as well.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -201,7 +201,7 @@
         has_own_bodies: plan.has_continuations,
         has_old_callers: plan.has_unstated_ends,
     };
-    let callers = (plan.has_versions || plan.has_continuations)
+    let mut callers = (plan.has_versions || plan.has_continuations)
         .then(|| Callers::start(&site.gateways(), random.random(), settings));
     let late_callers = plan
         .has_continuations
@@ -270,7 +270,11 @@
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
     let mut rows = load.stop().await;
+    order::print_runs(seed, &site.runners);
     order::print(seed, "callers", &rows, &site);
+    if let Some(callers) = &mut callers {
+        callers.stop(seed, &site).await;
+    }
     if let Some(callers) = endless_callers {
         callers.stop(seed).await;
     }
@@ -278,7 +282,7 @@
         rows.extend(late_callers.stop(seed, &site, quiet_from).await);
     }
     if let Some(callers) = callers {
-        rows.extend(callers.stop(seed, &site).await);
+        rows.extend(callers.check(seed));
     }
     tokio::time::sleep(Duration::from_secs(3)).await;
     site.assert_guarantees(seed, &rows);
--- a/crates/daemon/tests/soak/order.rs
+++ b/crates/daemon/tests/soak/order.rs
@@ -88,6 +88,20 @@
     }
 }
 
+/// Prints how many runs had neither a length nor chunks, and how many of them ended early.
+pub fn print_runs(seed: u64, runners: &[Runner]) {
+    let calls = runners.iter().flat_map(Runner::calls);
+    let faults = calls.filter(|call| call.ran).filter_map(|call| call.fault);
+    let faults = faults.filter(|fault| fault.is_unframed());
+    let faults = faults.collect::<Vec<_>>();
+    let early = faults.iter().filter(|fault| **fault != Fault::Unframed);
+    println!(
+        "soak: seed {seed}: {} runs without a length or chunks, {} of them ended early",
+        faults.len(),
+        early.count()
+    );
+}
+
 /// Prints counts of the streams that ended as complete, but are not.
 pub fn print(seed: u64, callers: &str, rows: &[Row], site: &Site) {
     let mut counts = Counts::new(&site.runners);
--- a/crates/daemon/tests/soak/version.rs
+++ b/crates/daemon/tests/soak/version.rs
@@ -188,10 +188,10 @@
         self.faults_over.store(true, Ordering::SeqCst);
     }
 
-    /// Stops the callers, checks their streams, and returns their requests.
-    pub async fn stop(self, seed: u64, site: &Site) -> Vec<Row> {
+    /// Stops the callers and counts what is wrong with their streams.
+    pub async fn stop(&mut self, seed: u64, site: &Site) {
         self.stop.store(true, Ordering::SeqCst);
-        for caller in self.callers {
+        for caller in self.callers.drain(..) {
             caller.await.unwrap();
         }
         let mut streams = self.streams.lock().unwrap();
@@ -212,6 +212,11 @@
             }
         }
         counts.print(seed, "callers that take streams up", streams.len());
+    }
+
+    /// Checks the streams of callers that have stopped, and returns their requests.
+    pub fn check(&self, seed: u64) -> Vec<Row> {
+        let streams = self.streams.lock().unwrap();
         let broken = streams.iter().filter(|stream| stream.form().is_some());
         let broken = broken.collect::<Vec<_>>();
         assert!(
--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -14,6 +14,7 @@
 /// transcript.begin_try();
 /// transcript.push(b"id: 2\ndata: token-2 v2\n\n");
 /// assert_eq!(transcript.last_id(), Some(2));
+/// assert!(transcript.ids().eq([1, 2]));
 /// assert!(transcript.is_in_order());
 /// assert!(transcript.is_mixed());
 /// transcript.push(b"no event\n\n");
