--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -14,6 +14,7 @@
 /// transcript.begin_try();
 /// transcript.push(b"id: 2\ndata: token-2 v2\n\n");
 /// assert_eq!(transcript.last_id(), Some(2));
+/// assert!(transcript.ids().eq([1, 2]));
 /// assert!(transcript.is_in_order());
 /// assert!(transcript.is_mixed());
 /// transcript.push(b"no event\n\n");
@@ -61,6 +62,11 @@
         self.events.last().map(|(id, _)| *id)
     }
 
+    /// Returns the ids of the events as they arrived. What is no event of a runner has 0.
+    pub fn ids(&self) -> impl Iterator<Item = u32> + '_ {
+        self.events.iter().map(|(id, _)| *id)
+    }
+
     /// Returns the version that made the first event.
     pub fn version(&self) -> Option<&str> {
         self.events.first().map(|(_, version)| version.as_str())
