daemon: test a gateway's process under many answers without end

A faulty endpoint that sends bytes without end made its gateway's memory run out, and took requests of other services with it.

The stand-in for floods can name the attempt that it answers, as a gateway drops answers to other attempts.

--- a/crates/daemon/tests/host/mod.rs
+++ b/crates/daemon/tests/host/mod.rs
@@ -107,11 +107,12 @@
         "version": 1,
         "routes": [
             route("read", "idempotent", "orders", 2, false),
+            route("look", "idempotent", "stock", 2, false),
             route("book", "non_idempotent", "orders", 1, false),
             route("note", "streaming", "model", 1, false),
             route("list", "streaming", "model", 2, true),
         ],
-        "services": [{ "name": "orders" }, { "name": "model", "engine": {
+        "services": [{ "name": "orders" }, { "name": "stock" }, { "name": "model", "engine": {
             "slots": 64, "kvCapacity": 30000, "stride": 11, "holdMs": 2000.0,
         }}],
         "limits": { "headerBytes": 16384, "bodyBytes": MAX_BODY_BYTES,
--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -22,13 +22,16 @@
 /// Length of a request head without its empty line at which reading it ends.
 const MAX_REQUEST_BYTES: usize = 1024 * 1024;
 
+/// Text in the beginning of an answer that stands for the id of the attempt that it answers.
+pub const ATTEMPT: &str = "{attempt}";
+
 /// Which calls get an answer without end, and what it consists of.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Text in the requests that get the answer. All others are passed on to the endpoint
     /// behind. If empty, each connection gets it without a request.
     pub trigger: String,
-    /// Beginning of the answer.
+    /// Beginning of the answer, in which [`ATTEMPT`] is replaced.
     pub prefix: String,
     /// Repeated until the caller closes the connection.
     pub filler: String,
@@ -217,7 +220,8 @@
     let number = counts.answers.fetch_add(1, Ordering::SeqCst);
     let began_at = Instant::now();
     lock(&counts.open).insert(number, began_at);
-    send_without_end(stream, settings, counts).await;
+    let prefix = settings.prefix.replace(ATTEMPT, &attempt_id(&request));
+    send_without_end(stream, &prefix, settings, counts).await;
     lock(&counts.open).remove(&number);
     let mut longest_open = lock(&counts.longest_open);
     *longest_open = began_at.elapsed().max(*longest_open);
@@ -230,7 +234,7 @@
 }
 
 /// Sends the answer until the caller closes the connection.
-async fn send_without_end<S>(stream: S, settings: &Settings, counts: &Counts)
+async fn send_without_end<S>(stream: S, prefix: &str, settings: &Settings, counts: &Counts)
 where
     S: tokio::io::AsyncRead + tokio::io::AsyncWrite,
 {
@@ -243,7 +247,7 @@
         } else {
             settings.filler.clone()
         };
-        let mut written = writer.write_all(settings.prefix.as_bytes()).await;
+        let mut written = writer.write_all(prefix.as_bytes()).await;
         while written.is_ok() && sent.load(Ordering::SeqCst) < MAX_SENT_BYTES {
             tokio::time::sleep(settings.pause).await;
             written = writer.write_all(filler.as_bytes()).await;
@@ -269,6 +273,14 @@
     counts.open_bytes.fetch_sub(sent, Ordering::SeqCst);
 }
 
+/// Returns the id of the attempt that a request is, or nothing if it has none.
+fn attempt_id(request: &[u8]) -> String {
+    let request = String::from_utf8_lossy(request);
+    let mut lines = request.lines().map(|line| line.split_once(": "));
+    let id = lines.find_map(|line| line.filter(|(name, _)| *name == "attempt-id"));
+    id.map(|(_, id)| id.to_owned()).unwrap_or_default()
+}
+
 /// Reads a request with its body.
 pub(crate) async fn read_request<S: tokio::io::AsyncRead + Unpin>(
     stream: &mut S,
