client: read little at once, so that buffers stay small

Endless interim heads took 59 MB with 400 callers: the HTTP library doubles its buffer when a read fills it, up to 64 KiB, and keeps it while the connection is open. Reads of 4 KiB do not fill it, so that it grows only for a head that needs it.

--- a/crates/lib/src/client/head.rs
+++ b/crates/lib/src/client/head.rs
@@ -18,6 +18,10 @@
 /// HTTP library may have read ahead up to three buffers of the body by then.
 const MAX_READ_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
+/// Most bytes that are read at once. The HTTP library enlarges its buffer when a read fills it,
+/// and keeps it for as long as the connection is open.
+const MAX_READ_AT_ONCE_BYTES: usize = 4 * 1024;
+
 /// Time in which a head that has begun to arrive must be complete.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -73,9 +77,11 @@
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut this.inner).poll_read(cx, buffer))?;
-        let read = buffer.filled().len() - before;
+        let room = buffer.remaining().min(MAX_READ_AT_ONCE_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        ready!(Pin::new(&mut this.inner).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buffer.advance(read);
         if this.read_bytes == 0 && read > 0 {
             this.timer = Some(Box::pin(tokio::time::sleep(HEAD_TIMEOUT)));
         }
