gateway: bound open requests and parts of events by service

Callers of endpoints whose answers never end took 157 to 194 MB at 1,500 callers of a host of 110 MB, which a platform ends, and requests to a sound service got 503. Only bodies were counted, by arrival. Not counted were the connections and tasks of a request, about 55 KB, and parts of events and starts of streams, whose buffers double to 128 KiB.

Each open request now counts 64 KiB, before its body is read and anything is sent. If there is no room it is refused with 503, and its connection is closed. All of it and bodies together are bound by half of the memory, and by service.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -228,23 +228,23 @@
     (counts, is_any_whole)
 }
 
-/// Asks the sound service. Returns the number of requests that were served in time.
-async fn ask_sound(gateway: SocketAddr) -> usize {
+/// Asks the sound service. Returns how often each status came, and 0 for no whole answer in time.
+async fn ask_sound(gateway: SocketAddr) -> BTreeMap<u16, usize> {
     tokio::time::sleep(SOUND_START).await;
     let mut requests = JoinSet::new();
     for number in 0..SOUND_REQUESTS {
         requests.spawn(async move {
             let attempt = format!("s{number}");
             let answer = tokio::time::timeout(SOUND_TIME, fetch(gateway, "look", &attempt)).await;
-            matches!(answer, Ok((200, true)))
+            answer.map_or(0, |(status, is_whole)| if is_whole { status } else { 0 })
         });
         tokio::time::sleep(SOUND_INTERVAL).await;
     }
-    let mut served = 0;
+    let mut counts = BTreeMap::new();
     while let Some(request) = requests.join_next().await {
-        served += usize::from(request.unwrap());
+        *counts.entry(request.unwrap()).or_default() += 1;
     }
-    served
+    counts
 }
 
 /// Plays forms of answers without end, and asserts for each that the process stays within its
@@ -257,15 +257,16 @@
         let before = peak_memory(site.gateway.id());
         let until = Instant::now() + LOAD_TIME;
         let faulty = call_faulty(site.gateway(), route, until);
-        let (faulty, served) = tokio::join!(faulty, ask_sound(site.gateway()));
+        let (faulty, sound) = tokio::join!(faulty, ask_sound(site.gateway()));
         let (statuses, is_any_whole) = faulty;
         let peak = peak_memory(site.gateway.id());
         let answers = floods.iter().map(Flood::answer_count).sum::<usize>();
         let name = form.0.name;
         println!(
-            "{route}, {name}: {before} MB before, peak of {peak} MB, {served} of \
-             {SOUND_REQUESTS} sound requests served, {answers} answers, {statuses:?}"
+            "{route}, {name}: {before} MB before, peak of {peak} MB, {sound:?} \
+             of the sound service, {answers} answers, {statuses:?}"
         );
+        let served = sound.get(&200).copied().unwrap_or_default();
         let share = served as f64 / SOUND_REQUESTS as f64;
         if peak >= MEMORY_MB || share < MIN_SERVED_SHARE || is_any_whole || answers == 0 {
             failed.push(name);
--- a/crates/lib/src/events.rs
+++ b/crates/lib/src/events.rs
@@ -11,6 +11,23 @@
 /// Maximum size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
+/// Number of buffered bytes above which a buffer is enlarged to its full size at once, as
+/// doubling leaves freed memory of many sizes.
+pub(crate) const MAX_SMALL_BUFFER_BYTES: usize = 4 * 1024;
+
+/// Size of a large buffer, in bytes: an event and what is read beside it.
+pub(crate) const BUFFER_BYTES: usize = MAX_EVENT_BYTES + 8 * 1024;
+
+/// Appends bytes of an event to a buffer.
+pub(crate) fn append(buffer: &mut BytesMut, bytes: &[u8]) {
+    let needed = buffer.len() + bytes.len();
+    if needed > MAX_SMALL_BUFFER_BYTES && needed > buffer.capacity() && needed <= BUFFER_BYTES {
+        let old = std::mem::replace(buffer, BytesMut::with_capacity(BUFFER_BYTES));
+        buffer.extend_from_slice(&old);
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 /// Complete events that were taken from a buffer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -51,7 +68,7 @@
 impl Splitter {
     /// Appends bytes to the buffer.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        append(&mut self.buffer, bytes);
     }
 
     /// Takes all complete events up to one that does not belong into the stream, or returns
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -80,6 +80,9 @@
     /// Maximum total size of the bodies of requests and answers that are held, in
     /// bytes.
     pub max_held_bytes: usize,
+    /// Maximum total size of held bodies and of the state of requests that are being served,
+    /// in bytes.
+    pub max_open_bytes: usize,
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
     pub list_interval: Duration,
@@ -122,6 +125,7 @@
             scheduler: loopback,
             cores: 1.0,
             max_held_bytes: 32 * 1024 * 1024,
+            max_open_bytes: 64 * 1024 * 1024,
             list_interval: Duration::from_millis(800),
             configuration_poll_timeout: Duration::from_millis(1500),
             endpoint_ttl: Duration::from_millis(2400),
@@ -207,6 +211,8 @@
     followers: Tally,
     /// Memory of the bodies of requests and answers.
     held: Arc<held::Account>,
+    /// Memory of the state of requests that are being served.
+    open: Arc<held::Account>,
     /// Open connections of callers.
     connections: Tally,
 }
@@ -235,9 +241,14 @@
             window: parts.settings.budget.window,
             ..parts.settings.roster
         }));
-        let held = held::Account::new(memory::Bound {
-            max_bytes: parts.settings.max_held_bytes,
-        });
+        let bound = |max_bytes| memory::Bound { max_bytes };
+        let total = held::Total::new(bound(parts.settings.max_open_bytes));
+        let account = |max_bytes, names| {
+            held::Account::new(bound(max_bytes), total.clone(), &parts.metrics, names)
+        };
+        let names = [Some("requests"), Some("answers")];
+        let held = account(parts.settings.max_held_bytes, names);
+        let open = account(parts.settings.max_open_bytes, [None, Some("exchanges")]);
         Arc::new(Self {
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
@@ -272,6 +283,7 @@
             seen: watch::Sender::default(),
             followers: Tally::default(),
             held,
+            open,
             connections: Tally::default(),
         })
     }
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -29,7 +29,7 @@
 use super::serve::Call;
 use super::suspects::LostRun;
 use super::{held, lock, Shared};
-use crate::body::Chunks;
+use crate::body::{Chunks, ReadError};
 use crate::client::{self, Client, Error};
 use crate::clock::Clock;
 use crate::events::{self, Splitter};
@@ -345,7 +345,7 @@
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
-        let body = held::read(&shared.held, body, max_bytes, |_| Purpose::Answer).await;
+        let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
         let error = match body {
             // Its head is the whole answer.
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
@@ -357,7 +357,12 @@
                 }
                 Error::Truncated
             }
-            Err(error) => Error::Unreadable(error.into()),
+            Err(error) => {
+                if matches!(error, ReadError::NoMemory) {
+                    self.report_no_memory("answer.no_memory");
+                }
+                Error::Unreadable(error.into())
+            }
         };
         shared.metrics.count("endpoint.answer_cut");
         slog::debug!(shared.logger, "gateway: answer truncated"; "error" => %error);
@@ -419,11 +424,18 @@
     limit: Duration,
 ) -> Option<Response<Bytes>> {
     let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
-    let known_limit = shared.pool().limit(key).version;
+    let (known_limit, service) = {
+        let pool = shared.pool();
+        (
+            pool.limit(key).version,
+            pool.get(key)?.endpoint.service.clone(),
+        )
+    };
+    let memory = shared.held.share(&service);
     let fetch = async {
         let (head, body) = client.send(request).await.ok()?.into_parts();
         let purpose = |_| Purpose::Answer;
-        let body = held::read(&shared.held, body, MAX_DOCUMENT_BYTES, purpose).await;
+        let body = held::read(&memory, body, MAX_DOCUMENT_BYTES, purpose).await;
         Some((head, body.ok()?.to_bytes()))
     };
     let (head, body) = tokio::time::timeout(limit, fetch).await.ok()??;
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -16,6 +16,7 @@
 use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
+use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
 use cranberryridge_policy::gateway::route::{Engine, Kind};
@@ -31,7 +32,7 @@
 use crate::body::{Body, Chunks};
 use crate::client;
 use crate::clock::Clock;
-use crate::events::{Scanner, MAX_EVENT_BYTES};
+use crate::events::{append, Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
 
 use self::cache::Cache;
@@ -472,7 +473,7 @@
     let (head, mut body) = answer.into_parts();
     let framing = client::framing(&head.headers);
     call.record.framing = Some(framing);
-    let Some(first_chunk) = read_start(&head, &mut body).await else {
+    let Some(first_chunk) = read_start(call, &head, &mut body).await else {
         call.record.add_call(stage, &endpoint.id, "broken");
         let run = LostRun {
             input: &call.input,
@@ -532,18 +533,27 @@
 }
 
 /// Reads a stream until its first event has begun. Returns `None` if the answer is no stream,
-/// or ends or grows too long before that.
-async fn read_start(head: &response::Parts, body: &mut Incoming) -> Option<Bytes> {
+/// or ends or grows too long before that, or if there is no memory for it.
+async fn read_start<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    head: &response::Parts,
+    body: &mut Incoming,
+) -> Option<Bytes> {
     if !exchange::is_stream(head) {
         return None;
     }
     let (mut scanner, mut start) = (Scanner::default(), BytesMut::new());
+    let mut memory = call.memory.begin(Purpose::Answer);
     while start.len() <= MAX_EVENT_BYTES {
         let Chunk::Data(bytes) = next_chunk(body).await else {
             return None;
         };
+        if !memory.fit(start.len() + bytes.len()) {
+            call.report_no_memory("stream.no_memory");
+            return None;
+        }
         scanner.push(&bytes);
-        start.extend_from_slice(&bytes);
+        append(&mut start, &bytes);
         if scanner.has_begun_event() {
             return Some(start.freeze());
         }
--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -3,13 +3,14 @@
 use bytes::BytesMut;
 
 use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::route::Engine;
 use cranberryridge_wire::code::Code;
 
 use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run};
 use super::{Answer, Chunk, Progress, Run};
 use crate::clock::Clock;
-use crate::events::Splitter;
+use crate::events::{append, Splitter};
 use crate::gateway::dialect::Dialect;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::serve::Call;
@@ -91,10 +92,16 @@
     let mut sequence = sequence.clone();
     let mut splitter = Splitter::default();
     let mut opening = BytesMut::new();
+    let mut memory = call.memory.begin(Purpose::Answer);
     let mut chunk = run.first_chunk.take();
     loop {
         if let Some(bytes) = chunk {
-            opening.extend_from_slice(&bytes);
+            // The splitter has the same bytes once more.
+            if !memory.fit(2 * (opening.len() + bytes.len())) {
+                call.report_no_memory("stream.no_memory");
+                return false;
+            }
+            append(&mut opening, &bytes);
             splitter.push(&bytes);
             match splitter.take_events(&mut sequence) {
                 Some(batch) if batch.event_count > 0 => {
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::route::Engine;
 
@@ -186,6 +187,7 @@
     let shared = Arc::clone(&call.shared);
     let mut exit = pin!(shared.wait_for_exit());
     let mut chunk = run.first_chunk.take();
+    let mut partial = call.memory.begin(Purpose::Answer);
     let mut last_events_at = call.shared.clock.now();
     // Until the first event, the request's deadline holds.
     let mut event_deadline = if call.record.event_count > 0 {
@@ -212,7 +214,7 @@
                         .record_event_interval(gap / batch.event_count.max(1));
                 }
                 call.record.event_count += batch.event_count;
-                let (events, is_within) = call.shared.held.count(batch.bytes);
+                let (events, is_within) = call.memory.count(batch.bytes);
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
                 }
@@ -238,6 +240,11 @@
                 call.shared.metrics.count("endpoint.endless_event");
                 return Outcome::Broken;
             }
+            if !partial.fit(splitter.partial_bytes()) {
+                call.record.partial_bytes = splitter.partial_bytes();
+                call.report_no_memory("stream.no_memory");
+                return Outcome::Broken;
+            }
         }
         let next = tokio::select! {
             biased;
--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -1,18 +1,23 @@
 //! Memory that bodies of requests and answers take, from their first byte read to the last
-//! one sent.
+//! one sent, and the state of requests, by service.
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use http_body_util::BodyExt;
+use prometheus_client::metrics::gauge::Gauge;
 
-use cranberryridge_policy::gateway::memory::{Bound, Purpose, MAX_SMALL_BYTES};
+use cranberryridge_policy::gateway::memory::{Bound, Purpose, Usage, MAX_SMALL_BYTES};
+use cranberryridge_wire::Map;
 
 use super::exchange::Input;
 use super::lock;
 use crate::body::{Chunks, ReadError};
+use crate::events::{BUFFER_BYTES, MAX_SMALL_BUFFER_BYTES};
+use crate::metrics::Metrics;
 
 /// Maximum size of a chunk of a body, in bytes. Equal sizes keep freed memory usable.
 const MAX_CHUNK_BYTES: usize = MAX_SMALL_BYTES;
@@ -23,15 +28,42 @@
 /// Number of spare requests from which those that have ended are removed.
 const MIN_PRUNED_SPARES: usize = 64;
 
-/// Total size of bodies, with a bound.
+/// Total size of what is held, with a bound.
 #[derive(Debug)]
 pub struct Account {
     bytes: AtomicUsize,
     bound: Bound,
+    total: Arc<Total>,
+    metrics: Metrics,
+    /// Names of the bodies of requests and of everything else in metrics, if they are shown.
+    names: [Option<&'static str>; 2],
+    /// What is held, by service.
+    services: Mutex<Map<CompactString, Weak<Service>>>,
     /// Requests whose bodies are kept only for a retry, oldest first.
     spares: Mutex<Spares>,
 }
 
+/// What all accounts hold together, with a bound.
+#[derive(Debug)]
+pub struct Total {
+    bytes: AtomicUsize,
+    bound: Bound,
+}
+
+/// Bytes that one service holds, as shown in metrics.
+#[derive(Debug)]
+struct Service {
+    requests: Gauge,
+    answers: Gauge,
+}
+
+/// One service's use of an account. Clones count together.
+#[derive(Clone, Debug)]
+pub struct Share {
+    account: Arc<Account>,
+    service: Arc<Service>,
+}
+
 #[derive(Debug, Default)]
 struct Spares {
     requests: VecDeque<Weak<Input>>,
@@ -42,7 +74,8 @@
 /// Bytes that are counted in an account until dropped.
 #[derive(Debug)]
 pub struct Allocation {
-    account: Arc<Account>,
+    share: Share,
+    purpose: Purpose,
     bytes: usize,
 }
 
@@ -58,12 +91,65 @@
     }
 }
 
-impl Account {
-    /// Creates an empty account.
+impl Service {
+    /// Returns the gauge of a purpose.
+    fn gauge(&self, purpose: Purpose) -> &Gauge {
+        if purpose.is_request() {
+            &self.requests
+        } else {
+            &self.answers
+        }
+    }
+
+    /// Returns what is held.
+    fn usage(&self) -> Usage {
+        let bytes = |gauge: &Gauge| usize::try_from(gauge.get()).unwrap_or_default();
+        Usage {
+            requests: bytes(&self.requests),
+            answers: bytes(&self.answers),
+        }
+    }
+}
+
+impl Total {
+    /// Creates the total of accounts that hold nothing.
     pub fn new(bound: Bound) -> Arc<Self> {
+        let bytes = AtomicUsize::new(0);
+        Arc::new(Self { bytes, bound })
+    }
+
+    /// Adds bytes if they are within the bound.
+    fn add(&self, usage: Usage, bytes: usize, purpose: Purpose) -> bool {
+        let add = |held| {
+            // Limits of requests are those of their account.
+            let is_within = if purpose.is_request() {
+                self.bound.allows(held, bytes, Purpose::Answer)
+            } else {
+                self.bound.allows_service(held, usage, bytes, purpose)
+            };
+            is_within.then_some(held + bytes)
+        };
+        let order = Ordering::Relaxed;
+        self.bytes.fetch_update(order, order, add).is_ok()
+    }
+}
+
+impl Account {
+    /// Creates an empty account, which also counts in `total`, with the names of the bodies of requests and of everything
+    /// else in metrics, if they are shown.
+    pub fn new(
+        bound: Bound,
+        total: Arc<Total>,
+        metrics: &Metrics,
+        names: [Option<&'static str>; 2],
+    ) -> Arc<Self> {
         Arc::new(Self {
             bytes: AtomicUsize::new(0),
             bound,
+            total,
+            metrics: metrics.clone(),
+            names,
+            services: Mutex::default(),
             spares: Mutex::default(),
         })
     }
@@ -73,32 +159,24 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
-    /// Reserves bytes. If there is too little room, bodies that are kept only for a retry
-    /// are released, the oldest first, as their streams are the nearest to their end.
-    pub fn reserve(self: &Arc<Self>, bytes: usize, purpose: Purpose) -> Option<Allocation> {
-        while !self.add(bytes, purpose) {
-            self.take_spare()?.release_body();
-        }
-        Some(Allocation {
-            account: self.clone(),
-            bytes,
-        })
-    }
-
-    /// Counts bytes of an answer that cannot be refused any more. Returns them, and whether
-    /// they are within the bound.
-    pub fn count(self: &Arc<Self>, data: Bytes) -> (Bytes, bool) {
-        let held = self.bytes.fetch_add(data.len(), Ordering::Relaxed);
-        let is_within = self.bound.allows(held, data.len(), Purpose::Answer);
-        let allocation = Allocation {
+    /// Returns a service's use of the account.
+    pub fn share(self: &Arc<Self>, name: &CompactString) -> Share {
+        let mut services = lock(&self.services);
+        let service = services.get(name).and_then(Weak::upgrade);
+        let service = service.unwrap_or_else(|| {
+            services.retain(|_, service| service.strong_count() > 0);
+            let [requests, answers] = self.names.map(|purpose| {
+                let gauge = purpose.map(|purpose| self.metrics.held_bytes(name, purpose));
+                gauge.unwrap_or_default()
+            });
+            let service = Arc::new(Service { requests, answers });
+            services.insert(name.clone(), Arc::downgrade(&service));
+            service
+        });
+        Share {
             account: self.clone(),
-            bytes: data.len(),
-        };
-        let counted = Counted {
-            data,
-            _allocation: allocation,
-        };
-        (Bytes::from_owner(counted), is_within)
+            service,
+        }
     }
 
     /// Allows the body of a request to be released, as a run has begun, until
@@ -118,33 +196,127 @@
         let mut spares = lock(&self.spares);
         std::iter::from_fn(|| spares.requests.pop_front()).find_map(|spare| spare.upgrade())
     }
+}
 
-    /// Adds bytes if they are within the bound.
+impl Share {
+    /// Returns the bytes that the service holds.
+    pub fn usage(&self) -> Usage {
+        self.service.usage()
+    }
+
+    /// Reserves bytes. If there is too little room, bodies that are kept only for a retry
+    /// are released, the oldest first, as their streams are the nearest to their end. None is
+    /// released for a service that holds more than its share.
+    pub fn reserve(&self, bytes: usize, purpose: Purpose) -> Option<Allocation> {
+        let mut allocation = self.begin(purpose);
+        allocation.grow(bytes).then_some(allocation)
+    }
+
+    /// Returns an allocation without bytes.
+    pub fn begin(&self, purpose: Purpose) -> Allocation {
+        Allocation {
+            share: self.clone(),
+            purpose,
+            bytes: 0,
+        }
+    }
+
+    /// Counts bytes of an answer that cannot be refused any more. Returns them, and whether
+    /// they are within the bound.
+    pub fn count(&self, data: Bytes) -> (Bytes, bool) {
+        let (bytes, purpose) = (data.len(), Purpose::Answer);
+        let usage = self.usage();
+        let held = self.account.bytes.fetch_add(bytes, Ordering::Relaxed);
+        let total = &self.account.total;
+        let all = total.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.service.gauge(purpose).inc_by(bytes as i64);
+        let bound = self.account.bound;
+        let is_within = bound.allows_service(held, usage, bytes, purpose)
+            && total.bound.allows_service(all, usage, bytes, purpose);
+        let mut allocation = self.begin(purpose);
+        allocation.bytes = bytes;
+        let counted = Counted {
+            data,
+            _allocation: allocation,
+        };
+        (Bytes::from_owner(counted), is_within)
+    }
+
+    /// Adds bytes if they are within the bounds.
     fn add(&self, bytes: usize, purpose: Purpose) -> bool {
+        let (account, usage) = (&*self.account, self.usage());
+        if !account.total.add(usage, bytes, purpose) {
+            return false;
+        }
         let add = |held| {
-            self.bound
-                .allows(held, bytes, purpose)
-                .then_some(held + bytes)
+            let is_within = account.bound.allows_service(held, usage, bytes, purpose);
+            is_within.then_some(held + bytes)
         };
         let order = Ordering::Relaxed;
-        self.bytes.fetch_update(order, order, add).is_ok()
+        let is_added = account.bytes.fetch_update(order, order, add).is_ok();
+        if is_added {
+            self.service.gauge(purpose).inc_by(bytes as i64);
+        } else {
+            account.total.bytes.fetch_sub(bytes, order);
+        }
+        is_added
+    }
+
+    /// Returns whether there is room for bytes, and only the service holds more than its share.
+    fn is_exceeded(&self, bytes: usize, purpose: Purpose) -> bool {
+        let account = &self.account;
+        let total = account.total.bytes.load(Ordering::Relaxed);
+        account.bound.allows(account.held_bytes(), bytes, purpose)
+            && account.total.bound.allows(total, bytes, Purpose::Answer)
     }
 }
 
 impl Allocation {
+    /// Adds bytes as [`Share::reserve`] does. Returns whether there was room for them.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        while !self.share.add(bytes, self.purpose) {
+            if self.share.is_exceeded(bytes, self.purpose) {
+                return false;
+            }
+            let Some(spare) = self.share.account.take_spare() else {
+                return false;
+            };
+            spare.release_body();
+        }
+        self.bytes += bytes;
+        true
+    }
+
+    /// Changes the size to that of buffers of events with a number of bytes. Small ones count as nothing. Returns whether there was room for it.
+    pub fn fit(&mut self, buffered: usize) -> bool {
+        let bytes = if buffered > MAX_SMALL_BUFFER_BYTES {
+            buffered.next_multiple_of(BUFFER_BYTES)
+        } else {
+            0
+        };
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        drop(self.split(self.bytes - bytes));
+        true
+    }
+
     /// Splits off a part. `None` if it is larger than the rest.
     fn split(&mut self, bytes: usize) -> Option<Self> {
         self.bytes = self.bytes.checked_sub(bytes)?;
-        Some(Self {
-            account: self.account.clone(),
-            bytes,
-        })
+        let mut part = self.share.begin(self.purpose);
+        part.bytes = bytes;
+        Some(part)
     }
 }
 
 impl Drop for Allocation {
     fn drop(&mut self) {
-        self.account.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        let Share { account, service } = &self.share;
+        account.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        let total = &account.total.bytes;
+        total.fetch_sub(self.bytes, Ordering::Relaxed);
+        service.gauge(self.purpose).dec_by(self.bytes as i64);
     }
 }
 
@@ -156,7 +328,7 @@
 /// [`ReadError::TooLarge`] if the body has more than `limit` bytes, [`ReadError::NoMemory`]
 /// if there is no room for it, [`ReadError::Broken`] if it is incomplete.
 pub async fn read<B>(
-    account: &Arc<Account>,
+    share: &Share,
     mut body: B,
     limit: usize,
     purpose: fn(usize) -> Purpose,
@@ -169,11 +341,11 @@
         return Err(ReadError::TooLarge);
     }
     let length = size.exact().unwrap_or(0) as usize;
-    let declared = account
+    let declared = share
         .reserve(length, purpose(length))
         .ok_or(ReadError::NoMemory)?;
     let mut buffer = Buffer {
-        account,
+        share,
         purpose,
         declared,
         chunks: Chunks::default(),
@@ -193,7 +365,7 @@
 
 /// A body that is being read.
 struct Buffer<'a> {
-    account: &'a Arc<Account>,
+    share: &'a Share,
     purpose: fn(usize) -> Purpose,
     /// Rest of the reservation for the declared length.
     declared: Allocation,
@@ -235,7 +407,7 @@
         };
         let allocation = self.declared.split(bytes);
         let purpose = (self.purpose)(self.length + bytes);
-        let allocation = allocation.or_else(|| self.account.reserve(bytes, purpose))?;
+        let allocation = allocation.or_else(|| self.share.reserve(bytes, purpose))?;
         Some(Counted {
             data: BytesMut::with_capacity(bytes),
             _allocation: allocation,
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -52,6 +52,10 @@
 /// Smallest buffer size that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// Memory that counts as taken by a request that is being served, in bytes: the connections of
+/// its caller and to an endpoint, with the buffers of both, and its tasks.
+const EXCHANGE_BYTES: usize = 64 * 1024;
+
 /// Timeout of the head of a probe or scrape, also of an idle connection's next one.
 const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -87,9 +91,18 @@
     pub version: Option<CompactString>,
     /// Time after which the caller no longer waits.
     pub deadline: Instant,
+    /// The service's use of the memory for bodies.
+    pub memory: held::Share,
+    /// Memory of the state of this request, until it is over.
+    pub _state: held::Allocation,
 }
 
 impl<N, C: Clock, D> Call<N, C, D> {
+    /// Counts and logs that there is no memory left for the service.
+    pub fn report_no_memory(&self, counter: &str) {
+        report_no_memory(&self.shared, &self.record, &self.memory, counter);
+    }
+
     /// Records that an endpoint had not answered at the deadline. It counts as a
     /// failure of the endpoint only if the deadline was long enough compared to
     /// the route's latency target.
@@ -422,11 +435,21 @@
     let now = record.arrival;
     let timeout = record.description.timeout.unwrap_or(route.timeout);
     let deadline = now + timeout.min(route.timeout);
-    let body = match read_body(&shared, body, deadline).await {
+    let service = record.service.clone();
+    let memory = shared.open.share(&service);
+    let Some(state) = memory.reserve(EXCHANGE_BYTES, Purpose::Exchange) else {
+        report_no_memory(&shared, &record, &memory, "request.no_memory");
+        let mut response = refuse(&shared, &mut record, Refusal::new(Code::Full));
+        // The connection takes memory as well.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        return response;
+    };
+    let memory = shared.held.share(&service);
+    let body = match read_body(&shared, body, deadline, &record, &memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
-    let service = record.service.clone();
     shared.earn_retry(now, &service);
     let input = prepare_input(&shared, head, body, &record, deadline);
     shared.record_arrival(&service, &input);
@@ -445,6 +468,8 @@
         stream,
         version: None,
         deadline,
+        memory,
+        _state: state,
     };
     let restricted = shared.run_until(deadline, call.restrict_version()).await;
     let restricted =
@@ -494,6 +519,21 @@
     Ok(route)
 }
 
+/// Counts and logs that there is no memory left for a service.
+fn report_no_memory<N, C: Clock, D>(
+    shared: &Shared<N, C, D>,
+    record: &Record<C>,
+    memory: &held::Share,
+    counter: &str,
+) {
+    shared.metrics.count(counter);
+    let usage = memory.usage();
+    slog::info!(shared.logger, "gateway: no memory"; "counter" => counter,
+        "request" => %record.description.attempt_id, "service" => %record.service,
+        "requests_bytes" => usage.requests, "answers_bytes" => usage.answers,
+        "held_bytes" => shared.held.held_bytes(), "open_bytes" => shared.open.held_bytes());
+}
+
 /// Answers with a refusal and records it.
 fn refuse<N, C: Clock, D: Dialect>(
     shared: &Shared<N, C, D>,
@@ -533,21 +573,21 @@
 ///
 /// Returns a refusal if the body is too large or broken, if it is not complete
 /// at the deadline or when the host exits, or if the host has no memory left for it.
-async fn read_body<N, C, D>(
+async fn read_body<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     body: Incoming,
     deadline: Instant,
+    record: &Record<C>,
+    memory: &held::Share,
 ) -> Result<Chunks, Refusal> {
     let limit = shared.table.load().limits().max_body_bytes;
-    let read = held::read(&shared.held, body, limit, Purpose::of_request);
+    let read = held::read(memory, body, limit, Purpose::of_request);
     let read = shared.run_until(deadline, read).await;
     let read = read.map_err(|interruption| Refusal::interrupted(interruption, false))?;
     read.map_err(|error| match error {
         ReadError::TooLarge => Refusal::new(Code::BodyTooLarge),
         ReadError::NoMemory => {
-            shared.metrics.count("body.no_memory");
-            slog::info!(shared.logger, "gateway: no memory for request body";
-                "held_bytes" => shared.held.held_bytes());
+            report_no_memory(shared, record, memory, "body.no_memory");
             Refusal::new(Code::Full)
         }
         ReadError::Broken(error) => {
--- a/crates/lib/src/metrics.rs
+++ b/crates/lib/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters, sent to a statsd server, and latencies. Both are also kept for the status
+//! Counters, sent to a statsd server, latencies and held memory. All are also kept for the status
 //! page and for Prometheus scrapers.
 
 use std::net::{SocketAddr, UdpSocket};
@@ -11,6 +11,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
@@ -24,6 +25,8 @@
     /// Totals since the start, by name.
     counts: Arc<Mutex<Map<String, u64>>>,
     latencies: Family<Label, Histogram>,
+    /// Memory that is held, in bytes.
+    held: Family<HeldLabel, Gauge>,
 }
 
 /// Label of a series.
@@ -32,6 +35,13 @@
     name: String,
 }
 
+/// Label of held memory.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldLabel {
+    service: String,
+    purpose: String,
+}
+
 /// Upper bounds of the latency histograms' buckets: narrow around the targets of 300 ms
 /// and one second, wide above.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
@@ -61,6 +71,7 @@
             client: Arc::new(client),
             counts: Arc::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_SECONDS)),
+            held: Family::default(),
         }
     }
 
@@ -97,7 +108,26 @@
         histogram.observe(time.as_secs_f64());
     }
 
-    /// Returns all counters and latencies in the OpenMetrics text format.
+    /// Returns the gauge of the bytes that a service holds for a purpose.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let metrics = cranberryridge::metrics::Metrics::default();
+    /// metrics.held_bytes("orders", "answers").inc_by(100);
+    /// let text = metrics.exposition();
+    /// let series = "cranberryridge_held_bytes{service=\"orders\",purpose=\"answers\"} 100";
+    /// assert!(text.contains(series));
+    /// ```
+    pub fn held_bytes(&self, service: &str, purpose: &str) -> Gauge {
+        let label = HeldLabel {
+            service: service.into(),
+            purpose: purpose.into(),
+        };
+        self.held.get_or_create(&label).clone()
+    }
+
+    /// Returns all counters, latencies and held memory in the OpenMetrics text format.
     ///
     /// # Examples
     ///
@@ -122,6 +152,12 @@
             Unit::Seconds,
             self.latencies.clone(),
         );
+        registry.register_with_unit(
+            "held",
+            "Held memory by service and purpose",
+            Unit::Bytes,
+            self.held.clone(),
+        );
         let mut text = String::new();
         // Writing to a string never fails.
         let _ = text::encode(&mut text, &registry);
