--- a/crates/daemon/tests/bed/mod.rs
+++ b/crates/daemon/tests/bed/mod.rs
@@ -1,5 +1,6 @@
 //! A testbed of daemon processes, with in-process stand-ins for the platform,
 //! engines and plain services.
+#![allow(dead_code)]
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use cranberryridge::platform::hosts::Row;
 use cranberryridge::wire::record::{Change, Record};
 use cranberryridge_standin::engine::{self, Engine};
+use cranberryridge_standin::flood::{Flood, Settings};
 use cranberryridge_standin::hosts::Hosts;
 use cranberryridge_standin::ledger::Ledger;
 use cranberryridge_standin::log::Log;
@@ -79,6 +81,11 @@
         Self { child }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL and reaps it.
     pub fn kill(&mut self) {
         // The process may have ended already.
@@ -154,6 +161,22 @@
     /// Starts the server of a runner.
     async fn start_runner(&mut self, index: usize, kind: &str) {
         let at = self.runner_address(index);
+        let server = self.serve_runner(at, kind).await;
+        self.runners.push(server);
+    }
+
+    /// Puts an endpoint whose answers to some calls never end in front of a new runner.
+    pub async fn flood_runner(&mut self, index: usize, settings: Settings) -> Flood {
+        let at = self.runner_address(index);
+        let behind = test_address(self.subnet, 200 + index as u8, 7100);
+        self.runners[index].kill();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        self.runners[index] = self.serve_runner(behind, RUNNER_KINDS[index]).await;
+        Flood::start(&Tcp, at, behind, settings).await.unwrap()
+    }
+
+    /// Serves a runner of a kind.
+    async fn serve_runner(&mut self, at: SocketAddr, kind: &str) -> Server {
         let server = if kind == "plain" {
             let plain = Plain::new(plain::Settings {
                 ledger: self.ledger.clone(),
@@ -172,7 +195,7 @@
             self.engines.push(engine.clone());
             engine.serve(at).await
         };
-        self.runners.push(server.unwrap());
+        server.unwrap()
     }
 
     /// Starts the sidecar of a runner.
