--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod invoke;
 pub mod issue;
+pub mod kept;
 pub mod limit;
 pub mod member;
 pub mod order;
