sidecar: copy one event at a time to a slow reader

It copies an event, sends it and takes the next. The order and the end are the same: the end is looked at once no event is left.

--- a/crates/lib/src/sidecar/model.rs
+++ b/crates/lib/src/sidecar/model.rs
@@ -328,12 +328,12 @@
 ) -> End {
     let mut position = from;
     loop {
-        let (events, end) = {
+        let (event, end) = {
             let progress = reader.borrow_and_update();
-            let events = progress.events.iter().skip(position as usize).cloned();
-            (events.collect::<Vec<_>>(), progress.end.clone())
+            let event = progress.events.get(position as usize).cloned();
+            (event, progress.end.clone())
         };
-        for data in events {
+        if let Some(data) = event {
             let token = Down::Token(Token {
                 attempt,
                 position,
@@ -343,6 +343,7 @@
                 return streams.sender.end_reason(&error).await;
             }
             position += 1;
+            continue;
         }
         if let Some(end) = end {
             let down = match end {
