sidecar: keep bodies of plain answers for their keys only

The first 256 KB of each plain answer were kept while it was relayed, also without a key, for which nobody can ask again, and in a buffer of up to twice the size. Bytes are counted instead, a buffer that is of no use is freed, and a kept answer takes no more than its size, which is what the bound on all of them counts.

--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -100,8 +100,10 @@
         logger: &shared.logger,
         address,
         is_head,
+        read_to_end: !idempotent,
+        is_kept: key.is_some(),
     };
-    let outcome = relay_answer(service, response, call.attempt, !idempotent, &mut streams).await;
+    let outcome = relay_answer(service, response, call.attempt, &mut streams).await;
     if let Outcome::Lost = outcome {
         // A service that refuses the connection has crashed. One that does not answer may
         // be behind a network fault.
@@ -215,6 +217,10 @@
     address: SocketAddr,
     /// Whether the request asks for a head without a body.
     is_head: bool,
+    /// Whether the answer is read to its end even if the entry is gone.
+    read_to_end: bool,
+    /// Whether the answer is kept if it is small enough.
+    is_kept: bool,
 }
 
 impl<N: Net> Service<'_, N> {
@@ -259,13 +265,11 @@
     }
 }
 
-/// Relays the service's answer to the entry. With `read_to_end`, reads it to its end even
-/// if the entry is gone.
+/// Relays the service's answer to the entry.
 async fn relay_answer<N: Net>(
     service: Service<'_, N>,
     response: Result<Response<Incoming>, Error>,
     attempt: u32,
-    read_to_end: bool,
     streams: &mut Streams,
 ) -> Outcome {
     let response = match response {
@@ -277,7 +281,7 @@
     let head = self::answer_head(&parts);
     let mut connected = streams.sender.send(&Down::Head(head.clone())).await.is_ok();
     let mut kept = BytesMut::new();
-    let mut count = 0;
+    let (mut bytes, mut count) = (0_usize, 0);
     let mut read_until = Instant::now();
     loop {
         let frame = tokio::select! {
@@ -286,7 +290,7 @@
             _ = streams.sender.cancelled(), if connected => {
                 connected = false;
                 read_until = Instant::now() + READ_ON_TIMEOUT;
-                if !read_to_end {
+                if !service.read_to_end {
                     return Outcome::Complete(None);
                 }
                 continue;
@@ -302,7 +306,10 @@
         if let Some(scanner) = &mut scanner {
             scanner.push(&data);
         }
-        if kept.len() <= MAX_KEPT_BYTES {
+        bytes = bytes.saturating_add(data.len());
+        if bytes > MAX_KEPT_BYTES {
+            kept = BytesMut::new();
+        } else if service.is_kept {
             kept.extend_from_slice(&data);
         }
         if connected {
@@ -310,13 +317,13 @@
             connected = streams.sender.send(&piece).await.is_ok();
             read_until = Instant::now() + READ_ON_TIMEOUT;
         }
-        let is_kept = read_to_end && kept.len() <= MAX_KEPT_BYTES;
-        if !connected && !is_kept {
+        let is_read_on = service.read_to_end && bytes <= MAX_KEPT_BYTES;
+        if !connected && !is_read_on {
             return Outcome::Complete(None);
         }
         count += 1;
     }
-    if !service.is_complete(&parts, kept.is_empty(), scanner).await {
+    if !service.is_complete(&parts, bytes == 0, scanner).await {
         service.record_incomplete(&parts);
         return report_lost(&Error::Truncated, streams).await;
     }
@@ -324,8 +331,10 @@
     if connected && streams.sender.send(&done).await.is_ok() {
         streams.sender.finish();
     }
-    let body = kept.freeze();
-    Outcome::Complete((body.len() <= MAX_KEPT_BYTES).then_some(Answer { head, body }))
+    let is_kept = service.is_kept && bytes <= MAX_KEPT_BYTES;
+    // A copy takes no more memory than its size.
+    let body = Bytes::copy_from_slice(&kept);
+    Outcome::Complete(is_kept.then_some(Answer { head, body }))
 }
 
 /// Converts the head of a service's answer to a message.
