entry: bound the bytes that wait for a slow caller

Up to 64 pieces of an answer wait for a slow caller. That is little for tokens, but a piece of a plain answer, or an event, may have 64 KB, so that one caller could hold 4 MB. 400 callers that do not read, of which 40 had an answer, took 47 MB at the entry.

--- a/crates/lib/src/entry.rs
+++ b/crates/lib/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::net::{Listen, Net};
 use crate::platform::{hosts::Hosts, log::Log};
+use crate::stream::DOWN_WINDOW_BYTES;
 use crate::tally::Tally;
 
 pub mod claims;
@@ -37,6 +38,10 @@
 /// Time in which the answers to requests that were given up are written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum size of the parts of an answer that wait for a slow caller, in bytes. As much as
+/// its sidecar may send ahead.
+const MAX_QUEUED_BYTES: u32 = DOWN_WINDOW_BYTES;
+
 /// Dependencies and settings that an entry starts with.
 #[derive(Clone, Debug)]
 pub struct Parts<N, C, L, H> {
--- a/crates/lib/src/entry/model.rs
+++ b/crates/lib/src/entry/model.rs
@@ -18,7 +18,7 @@
 
 use super::link::Link;
 use super::openai;
-use super::{Permit, Shared};
+use super::{Permit, Shared, MAX_QUEUED_BYTES};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::net::Net;
@@ -80,6 +80,7 @@
     };
 
     let (reply, head) = Reply::new();
+    let reply = reply.with_max_queued_bytes(MAX_QUEUED_BYTES);
     let entry = shared.clone();
     let task = Task::new(shared, input, request, service, reply);
     if task.shared.snapshot.load().barred.contains(&task.digest) {
--- a/crates/lib/src/entry/plain.rs
+++ b/crates/lib/src/entry/plain.rs
@@ -17,7 +17,7 @@
 
 use super::keys::{self, Key, Owner};
 use super::link::Link;
-use super::{headers, model, Permit, Shared};
+use super::{headers, model, Permit, Shared, MAX_QUEUED_BYTES};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::net::Net;
@@ -111,6 +111,7 @@
         return Err(Problem::new(Code::Barred));
     }
     let (reply, head) = Reply::new();
+    let reply = reply.with_max_queued_bytes(MAX_QUEUED_BYTES);
     let may_send = Arc::new(OnceLock::new());
     let deadline = input.arrival + Duration::from_millis(u64::from(service.deadline_ms));
     let settings = Settings {
--- a/crates/lib/src/reply.rs
+++ b/crates/lib/src/reply.rs
@@ -1,10 +1,11 @@
 //! Channel from a request's task to its caller.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
 use crate::body::{Body, Piece};
 use crate::problem::Problem;
@@ -29,6 +30,48 @@
     pieces: Option<mpsc::Sender<Piece>>,
     /// Body that `pieces` belongs to; moves into the response with the head.
     body: Option<Body>,
+    /// Room for pieces that wait for the caller; `None` if only their number is bounded.
+    room: Option<Room>,
+}
+
+/// Room for pieces that wait for a slow caller.
+#[derive(Clone, Debug)]
+struct Room {
+    max_bytes: u32,
+    /// Bytes that are free.
+    free: Arc<Semaphore>,
+}
+
+/// Piece that takes room until the server has written it.
+struct Placed {
+    data: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for Placed {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl Room {
+    /// Waits until there is room for a piece. One that is larger than all the room waits until
+    /// it is alone.
+    async fn place(&self, piece: Piece) -> Piece {
+        let Piece::Data(data) = piece else {
+            return piece;
+        };
+        let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX);
+        let permit = self.free.clone();
+        match permit.acquire_many_owned(bytes.min(self.max_bytes)).await {
+            Ok(permit) => Piece::Data(Bytes::from_owner(Placed {
+                data,
+                _permit: permit,
+            })),
+            // The semaphore is never closed.
+            Err(_) => Piece::Data(data),
+        }
+    }
 }
 
 /// Error of a reply whose caller disconnected or stopped reading.
@@ -44,10 +87,32 @@
             head: Some(head),
             pieces: Some(pieces),
             body: Some(body),
+            room: None,
         };
         (reply, receiver)
     }
 
+    /// Bounds the size of the pieces that wait for a slow caller. A larger piece waits alone.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    /// # runtime.block_on(async {
+    /// use cranberryridge::reply::Reply;
+    /// let (reply, _head) = Reply::new();
+    /// let mut reply = reply.with_max_queued_bytes(8);
+    /// assert_eq!(reply.send_piece("12345678".into()).await, Ok(()));
+    /// # });
+    /// ```
+    pub fn with_max_queued_bytes(self, max_bytes: u32) -> Self {
+        let free = Arc::new(Semaphore::new(max_bytes as usize));
+        Self {
+            room: Some(Room { max_bytes, free }),
+            ..self
+        }
+    }
+
     /// Whether the head was sent.
     pub fn has_begun(&self) -> bool {
         self.head.is_none()
@@ -120,7 +185,14 @@
     /// Sends a part of the body. No part follows one that was lost.
     async fn enqueue(&mut self, piece: Piece) -> Result<(), Gone> {
         let pieces = self.pieces.as_ref().ok_or(Gone)?;
-        let sent = tokio::time::timeout(STALL_TIMEOUT, pieces.send(piece)).await;
+        let send = async {
+            let piece = match &self.room {
+                Some(room) => room.place(piece).await,
+                None => piece,
+            };
+            pieces.send(piece).await
+        };
+        let sent = tokio::time::timeout(STALL_TIMEOUT, send).await;
         if matches!(sent, Ok(Ok(()))) {
             return Ok(());
         }
--- a/crates/lib/tests/reply.rs
+++ b/crates/lib/tests/reply.rs
@@ -52,3 +52,32 @@
     stall(&mut reply).await;
     assert!(started_at.elapsed() >= STALL_TIMEOUT);
 }
+
+// Guards against slow callers that each hold as many large pieces as tokens may wait.
+#[tokio::test(start_paused = true)]
+async fn pieces_that_wait_for_a_slow_caller_take_bounded_memory() {
+    const MAX_BYTES: usize = 64 * 1024;
+    let (reply, head) = Reply::new();
+    let mut reply = reply.with_max_queued_bytes(MAX_BYTES as u32);
+    reply.begin(Response::builder());
+    let mut body = head.await.unwrap().into_body();
+    let piece = Bytes::from(vec![0; MAX_BYTES / 4]);
+    for _ in 0..4 {
+        assert_eq!(reply.send_piece(piece.clone()).await, Ok(()));
+    }
+    let waits = tokio::time::timeout(STALL_TIMEOUT / 2, reply.send_piece(piece.clone()));
+    assert!(waits.await.is_err());
+    // A piece that the server still writes takes its room.
+    let written = body.frame().await.unwrap().unwrap();
+    let waits = tokio::time::timeout(STALL_TIMEOUT / 2, reply.send_piece(piece.clone()));
+    assert!(waits.await.is_err());
+    drop(written);
+    assert_eq!(reply.send_piece(piece.clone()).await, Ok(()));
+    for _ in 0..4 {
+        drop(body.frame().await);
+    }
+    // A piece larger than the bound waits alone.
+    let large = Bytes::from(vec![0; 2 * MAX_BYTES]);
+    assert_eq!(reply.send_piece(large).await, Ok(()));
+    assert_eq!(reply.send_piece(piece).await, Err(Gone));
+}
