--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -287,7 +287,8 @@
         true
     }
 
-    /// Changes the size to that of buffers of events with a number of bytes. Small ones count as nothing. Returns whether there was room for it.
+    /// Changes the size to that of buffers of events with a number of bytes. Small ones count
+    /// as nothing. Returns whether there was room for it.
     pub fn fit(&mut self, buffered: usize) -> bool {
         let bytes = if buffered > MAX_SMALL_BUFFER_BYTES {
             buffered.next_multiple_of(BUFFER_BYTES)
