entry: reset the connection of a caller of HTTP/1.0 whose stream was cut

Its connections are watched like the gateway's now (net::closing). A stream to a caller of HTTP/1.1 still ends without its last chunk and with a close.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -3,8 +3,12 @@
 
 mod bed;
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use bed::load::{check_rows, incomplete, Load, Outcome, Row};
 use bed::{get, wait_until, Testbed, FIRST_DECODE_RUNNER};
 use cranberryridge::client::Client;
@@ -164,3 +168,40 @@
     drop(answer);
     bed.wait_until_memory_is_free().await;
 }
+
+/// Opens a long stream as a caller of HTTP/1.0, and waits until it has begun.
+async fn open_old_stream(bed: &Testbed) -> TcpStream {
+    let body = r#"{"model":"summaries","prompt":"old","max_tokens":400,"stream":true}"#;
+    let text = format!(
+        "POST /v1/completions HTTP/1.0\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(bed.entry_address(0)).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream.peek(&mut [0]).await.unwrap();
+    stream
+}
+
+/// Asserts that a stream that has begun ends with a reset.
+async fn assert_reset(mut stream: TcpStream) {
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(60), stream.read_to_end(&mut bytes));
+    let error = read.await.expect("no end in time").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert!(bytes.starts_with(b"HTTP/1.0 200"));
+}
+
+// Guards against a stream that was cut and ends for a caller of HTTP/1.0 like a whole one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_knows_ends_by_the_connection_sees_what_a_kill_cut() {
+    let bed = Testbed::start(48).await;
+    let stream = open_old_stream(&bed).await;
+    for decode_runner in [FIRST_DECODE_RUNNER, FIRST_DECODE_RUNNER + 1] {
+        bed.runners[decode_runner].kill();
+    }
+    assert_reset(stream).await;
+    let mut bed = Testbed::start(49).await;
+    let stream = open_old_stream(&bed).await;
+    bed.entries[0].kill();
+    assert_reset(stream).await;
+}
--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -18,6 +18,7 @@
 use super::{keys, model, plain, Shared};
 use crate::body::{self, Body, ReadError};
 use crate::clock::Clock;
+use crate::net::closing::{self, Caller, Closing};
 use crate::net::{Listen, Net};
 use crate::problem::Problem;
 
@@ -72,10 +73,16 @@
         .http2()
         .timer(TokioTimer::new())
         .keep_alive_interval(HEAD_TIMEOUT);
+    let closing = Closing::default();
     let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, std::convert::Infallible>(respond(shared, request).await) }
+        let (shared, closing) = (shared.clone(), closing.clone());
+        let caller = Caller::of(&request);
+        async move {
+            let response = respond(shared, request).await;
+            Ok::<_, std::convert::Infallible>(closing.watch(caller, response))
+        }
     });
+    let stream = closing::Stream::new(stream, shared.net.clone(), closing.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
