policy: scale the delay of refused hosts with a limit that rises

A host that is refused a permit asks again after a delay that the scheduler keeps for the service and that falls by 3% with each refusal at most. At 0.4 a second that delay is the wait for the next permit, up to 2.6 s. It stayed after the limit had risen, so hosts that were refused kept away for seconds while permits fell due six times a second.

The delay is kept in mean times between two permits, so that 2.6 s at 0.4 are 0.17 s at 6.

--- a/crates/policy/src/gateway/permit.rs
+++ b/crates/policy/src/gateway/permit.rs
@@ -58,8 +58,9 @@
     recent: f64,
     /// Time of the last one.
     last_at: Instant,
-    /// Delay after which hosts ask again, so that they ask about as often as wanted.
-    ask_delay: Duration,
+    /// Delay after which hosts ask again, so that they ask about as often as wanted, in mean
+    /// times between two permits.
+    ask_permits: f64,
     /// Time for which the last refused caller was told to return.
     next_return: Instant,
 }
@@ -164,7 +165,7 @@
         let new = || Refusals {
             recent: 0.0,
             last_at: now,
-            ask_delay: Duration::ZERO,
+            ask_permits: 0.0,
             next_return: now,
         };
         let refusals = self.refusals.entry(request.service.clone());
@@ -177,9 +178,12 @@
             let per_second = refusals.recent / REFUSAL_MEMORY.as_secs_f64();
             let wanted = (REFUSALS_PER_PERMIT * rate).max(MIN_REFUSAL_RATE);
             let factor = (per_second / wanted).clamp(DELAY_STEP.0, DELAY_STEP.1);
-            let delay = refusals.ask_delay.max(wait).mul_f64(factor);
-            refusals.ask_delay = delay.clamp(wait, wait.max(MAX_CONTENTION_DELAY));
-            return refusals.ask_delay;
+            let max_delay = wait.max(MAX_CONTENTION_DELAY);
+            let before = (refusals.ask_permits / rate).min(max_delay.as_secs_f64());
+            let delay = Duration::from_secs_f64(before).max(wait).mul_f64(factor);
+            let delay = delay.clamp(wait, max_delay);
+            refusals.ask_permits = delay.as_secs_f64() * rate;
+            return delay;
         }
         let interval = Duration::from_secs_f64(1.0 / rate);
         let next = refusals.next_return.max(now + wait) + interval;
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -235,6 +235,21 @@
         self.schedulers.push(scheduler(now, 1, self.rate));
     }
 
+    /// The limit rises, and all hosts learn it.
+    fn raise(&mut self, now: Instant, rate: Rate) {
+        self.rate = rate;
+        let limit = Limit {
+            rate: Some(rate),
+            version: 2,
+        };
+        for scheduler in &mut self.schedulers {
+            scheduler.merge_limit(now, "i-0", limit);
+        }
+        for asks_after in &mut self.asks_after {
+            *asks_after = (*asks_after).min(now + rate.interval());
+        }
+    }
+
     /// A host wants to send a request.
     fn want(&mut self, now: Instant, host: usize, delay: Duration) {
         if now < self.asks_after[host] || now < self.paused_until[host] {
@@ -404,3 +419,36 @@
         assert!(used >= 0.8, "{used} of {per_second} a second used");
     }
 }
+
+// Guards against hosts that go on to ask as seldom as at a low limit after it has risen.
+#[test]
+fn a_limit_that_rises_is_used_soon() {
+    const INTERVAL: Duration = Duration::from_millis(25);
+    let mut least = f64::INFINITY;
+    for seed in 0..100 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let begin = Instant::now();
+        let mut day = Day::new(begin, 4, Rate::per_second(0.4));
+        let raised_at = begin + 17 * SECOND;
+        let high = Rate::per_second(6.0);
+        let mut now = begin;
+        for number in 0.. {
+            if now >= raised_at && day.rate != high {
+                day.raise(now, high);
+            }
+            if now >= raised_at + 10 * SECOND {
+                break;
+            }
+            // Each host has three other endpoints.
+            if random.random_bool(0.25) {
+                day.want(now, number % 4, Duration::from_millis(1));
+            }
+            now += INTERVAL;
+        }
+        let since = day.arrivals.iter().filter(|at| **at >= raised_at);
+        let used = since.count() as f64 / 60.0;
+        assert!(used >= 0.75, "seed {seed}: {used} of the limit used");
+        least = least.min(used);
+    }
+    println!("used: least {least}");
+}
