entry: bound what a connection of a caller buffers

A connection buffered up to 400 KB of a head that had no end. 400 callers that sent headers without end took 150 and 159 MB at the entry, and sound requests waited: four in four seconds were sent and served.

A head may have 64 KiB now, as much as that of an endpoint's answer, and a connection buffers no more. A longer head is refused as before.

--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -24,6 +24,9 @@
 /// Maximum time to read a request's head, and interval of the HTTP/2 keep-alive pings.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum size of a request's head, and of what a connection buffers, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts connections until the grace period of the entry's shutdown is over.
@@ -67,10 +70,12 @@
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(HEAD_TIMEOUT);
     builder
         .http2()
         .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
         .keep_alive_interval(HEAD_TIMEOUT);
     let service = service_fn(|request| {
         let shared = shared.clone();
