gateway: release kept bodies for open requests as well

A request could be refused with 503 although bodies that are only kept for a retry took the room: they were listed with the account of bodies, and open requests count in another one. The list belongs to the total of both now. An allocation without bytes needs no room, so an empty answer is not refused where others are beyond the bound.

--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -39,8 +39,6 @@
     names: [Option<&'static str>; 2],
     /// What is held, by service.
     services: Mutex<Map<CompactString, Weak<Service>>>,
-    /// Requests whose bodies are kept only for a retry, oldest first.
-    spares: Mutex<Spares>,
 }
 
 /// What all accounts hold together, with a bound.
@@ -48,6 +46,8 @@
 pub struct Total {
     bytes: AtomicUsize,
     bound: Bound,
+    /// Requests whose bodies are kept only for a retry, oldest first.
+    spares: Mutex<Spares>,
 }
 
 /// Bytes that one service holds, as shown in metrics.
@@ -114,8 +114,11 @@
 impl Total {
     /// Creates the total of accounts that hold nothing.
     pub fn new(bound: Bound) -> Arc<Self> {
-        let bytes = AtomicUsize::new(0);
-        Arc::new(Self { bytes, bound })
+        Arc::new(Self {
+            bytes: AtomicUsize::new(0),
+            bound,
+            spares: Mutex::default(),
+        })
     }
 
     /// Adds bytes if they are within the bound.
@@ -132,11 +135,17 @@
         let order = Ordering::Relaxed;
         self.bytes.fetch_update(order, order, add).is_ok()
     }
+
+    /// Removes and returns the oldest request whose body may be released.
+    fn take_spare(&self) -> Option<Arc<Input>> {
+        let mut spares = lock(&self.spares);
+        std::iter::from_fn(|| spares.requests.pop_front()).find_map(|spare| spare.upgrade())
+    }
 }
 
 impl Account {
-    /// Creates an empty account, which also counts in `total`, with the names of the bodies of requests and of everything
-    /// else in metrics, if they are shown.
+    /// Creates an empty account, which also counts in `total`, with the names of the bodies of
+    /// requests and of everything else in metrics, if they are shown.
     pub fn new(
         bound: Bound,
         total: Arc<Total>,
@@ -150,7 +159,6 @@
             metrics: metrics.clone(),
             names,
             services: Mutex::default(),
-            spares: Mutex::default(),
         })
     }
 
@@ -183,19 +191,13 @@
     /// [`Input::retain_body`] is called.
     pub fn add_spare(&self, request: &Arc<Input>) {
         request.spare_body();
-        let mut spares = lock(&self.spares);
+        let mut spares = lock(&self.total.spares);
         if spares.requests.len() >= spares.pruned_at.max(MIN_PRUNED_SPARES) {
             spares.requests.retain(|spare| spare.strong_count() > 0);
             spares.pruned_at = spares.requests.len() * 2;
         }
         spares.requests.push_back(Arc::downgrade(request));
     }
-
-    /// Removes and returns the oldest request whose body may be released.
-    fn take_spare(&self) -> Option<Arc<Input>> {
-        let mut spares = lock(&self.spares);
-        std::iter::from_fn(|| spares.requests.pop_front()).find_map(|spare| spare.upgrade())
-    }
 }
 
 impl Share {
@@ -274,11 +276,14 @@
 impl Allocation {
     /// Adds bytes as [`Share::reserve`] does. Returns whether there was room for them.
     pub fn grow(&mut self, bytes: usize) -> bool {
+        if bytes == 0 {
+            return true;
+        }
         while !self.share.add(bytes, self.purpose) {
             if self.share.is_exceeded(bytes, self.purpose) {
                 return false;
             }
-            let Some(spare) = self.share.account.take_spare() else {
+            let Some(spare) = self.share.account.total.take_spare() else {
                 return false;
             };
             spare.release_body();
