gateway: call endpoints that have left the list

Memory at an engine whose entry was gone stayed reserved until it expired, and a whole answer without a length of such an engine was lost: calls to endpoints looked up the service that their answers count for, and gave up where the list had none, since the bound of memory by service. The answers to the gateway's own calls count under a name of their own now, so that they also find room while a service holds all that it may.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -46,6 +46,10 @@
 /// Maximum size of an answer that the gateway reads itself, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
 
+/// Name under which the answers to the gateway's own calls are counted, so that they find room
+/// while a service holds all that it may.
+const OWN_CALLS: CompactString = CompactString::const_new("gateway");
+
 /// A caller's request as sent to endpoints.
 #[derive(Debug)]
 pub struct Input {
@@ -445,14 +449,8 @@
     limit: Duration,
 ) -> Option<Response<Bytes>> {
     let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
-    let (known_limit, service) = {
-        let pool = shared.pool();
-        (
-            pool.limit(key).version,
-            pool.get(key)?.endpoint.service.clone(),
-        )
-    };
-    let memory = shared.held.share(&service);
+    let known_limit = shared.pool().limit(key).version;
+    let memory = shared.held.share(&OWN_CALLS);
     let fetch = async {
         let (head, body) = client.send(request).await.ok()?.into_parts();
         let purpose = |_| Purpose::Answer;
