--- a/crates/daemon/tests/protocol.rs
+++ b/crates/daemon/tests/protocol.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use host::raw::{header, read_request};
 use host::{address, Site};
 
 /// Header with the number of the case that an endpoint plays.
@@ -104,30 +105,6 @@
     found.unwrap()
 }
 
-/// Returns the value of a header in the head of a message.
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let mut lines = head.lines();
-    lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
-}
-
-/// Reads a request. Returns its head, or `None` if the caller is gone.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut text = String::new();
-    loop {
-        let mut bytes = [0; 4096];
-        let count = stream.read(&mut bytes).await.ok();
-        let count = count.filter(|count| *count > 0)?;
-        text += &String::from_utf8_lossy(&bytes[..count]);
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let length = header(head, "content-length");
-        if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
-            return Some(head.to_owned());
-        }
-    }
-}
-
 /// Serves an endpoint, which is away for a time after each [`End::Gone`].
 async fn serve(at: SocketAddr) {
     let (sender, mut gone) = mpsc::unbounded_channel::<TcpStream>();
