gateway: give a run up that loses an event

A gateway now learns for each service and software version whether ids count by one, from streams whose end was stated. Where they do, a gap ends the run as any other disorder does: the events before it are passed on, and another endpoint is asked for what follows, or the stream is cut. The majority of streams decides, so that engines that lose events do not hide it, and engines that count tokens are served as before.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -50,6 +50,7 @@
 mod exchange;
 mod generate;
 mod held;
+mod numberings;
 mod origin;
 mod parts;
 mod permit;
@@ -166,6 +167,8 @@
     parts: parts::Registry,
     /// Software versions that began streams.
     origins: Mutex<Registry>,
+    /// How engines number events.
+    numberings: numberings::Registry,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -260,6 +263,7 @@
             metrics: parts.metrics,
             table: ArcSwap::default(),
             budgets: Mutex::default(),
+            numberings: numberings::Registry::default(),
             suspects: Suspects::default(),
             parts: parts::Registry::default(),
             origins: Mutex::default(),
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use cranberryridge_policy::answer::numbering::Numbering;
 use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
@@ -75,6 +76,34 @@
     is_on_probation: bool,
 }
 
+impl<N: Net, C: Clock, D: Dialect> Run<N, C, D> {
+    /// Returns how the endpoint's software numbers events.
+    fn numbering(&self, call: &Call<N, C, D>) -> Numbering {
+        let version = &self.reservation.endpoint.version;
+        call.shared.numberings.get(&call.service, version)
+    }
+
+    /// Records the ids of a stream whose end the run stated.
+    fn record_ids(&self, call: &Call<N, C, D>, sequence: &Sequence) {
+        let version = &self.reservation.endpoint.version;
+        if let Some(ids) = sequence.ids() {
+            let record = |numbering: &mut Numbering| numbering.record(ids);
+            call.shared
+                .numberings
+                .update(&call.service, version, record);
+        }
+    }
+
+    /// Records that the run left a gap.
+    fn record_gap(&self, call: &Call<N, C, D>) {
+        call.shared.metrics.count("endpoint.event_missing");
+        let version = &self.reservation.endpoint.version;
+        call.shared
+            .numberings
+            .update(&call.service, version, Numbering::record_gap);
+    }
+}
+
 /// Answer of an endpoint.
 enum Answer<N: Net, C: Clock, D: Dialect> {
     /// A stream that has started.
--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 
-use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::answer::{Disorder, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::route::Engine;
 use cranberryridge_wire::code::Code;
@@ -43,6 +43,7 @@
             return Ok(Answer::Stream(run));
         }
         progress.current = Some(run.reservation.key);
+        progress.sequence.expect(run.numbering(call));
         let is_joinable = goes_on(call, &mut run, &progress.sequence).await;
         progress.current = None;
         if is_joinable {
@@ -109,7 +110,12 @@
                     run.first_chunk = Some(opening.freeze());
                     return true;
                 }
-                Some(batch) if batch.disorder.is_some() => return false,
+                Some(batch) if batch.disorder.is_some() => {
+                    if batch.disorder == Some(Disorder::Gap) {
+                        run.record_gap(call);
+                    }
+                    return false;
+                }
                 // What is no event is not passed on.
                 Some(_) => opening = opening.split_off(opening.len() - splitter.partial_bytes()),
                 None => {}
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{Conclusion, Sequence};
+use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
 use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -62,6 +62,7 @@
     loop {
         call.shared.held.add_spare(&call.input);
         let sequence = &mut progress.sequence;
+        sequence.expect(run.numbering(&call));
         let outcome = copy_events(&mut call, &mut run, sequence, &mut splitter, &mut reply).await;
         let ids = [
             splitter.first_id(),
@@ -72,6 +73,7 @@
         match outcome {
             Outcome::Complete => {
                 run.reservation.record_completion();
+                run.record_ids(&call, &progress.sequence);
                 let sent_at = run.sent_at;
                 drop(run);
                 call.shared.record_success(&call.input, sent_at);
@@ -263,6 +265,9 @@
             }
             if let Some(disorder) = disorder {
                 call.shared.metrics.count("endpoint.disorder");
+                if disorder == Disorder::Gap {
+                    run.record_gap(call);
+                }
                 slog::info!(call.shared.logger, "stream: run out of order";
                     "request" => %call.input.attempt_id,
                     "endpoint" => %run.reservation.endpoint.id, "error" => %disorder);
--- /dev/null
+++ b/crates/lib/src/gateway/numberings.rs
@@ -0,0 +1,40 @@
+//! Numberings of events by service and software version.
+
+use std::sync::Mutex;
+
+use compact_str::CompactString;
+
+use cranberryridge_policy::answer::numbering::Numbering;
+use cranberryridge_wire::Map;
+
+use super::lock;
+
+/// Maximum number of services and versions. Above it, all are learned anew.
+const MAX_ENTRIES: usize = 256;
+
+/// What is known of the numbering of each service at each software version.
+#[derive(Debug, Default)]
+pub struct Registry(Mutex<Map<(CompactString, CompactString), Numbering>>);
+
+impl Registry {
+    /// Returns the numbering of a service's engines at a version.
+    pub fn get(&self, service: &CompactString, version: &CompactString) -> Numbering {
+        let key = (service.clone(), version.clone());
+        lock(&self.0).get(&key).copied().unwrap_or_default()
+    }
+
+    /// Updates the numbering of a service's engines at a version.
+    pub fn update(
+        &self,
+        service: &CompactString,
+        version: &CompactString,
+        update: impl FnOnce(&mut Numbering),
+    ) {
+        let key = (service.clone(), version.clone());
+        let mut entries = lock(&self.0);
+        if entries.len() >= MAX_ENTRIES && !entries.contains_key(&key) {
+            entries.clear();
+        }
+        update(entries.entry(key).or_default());
+    }
+}
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -3,7 +3,8 @@
 //! A stream may be joined from several runs at different endpoints. What the caller already
 //! has cannot be taken back, so a run that goes on must show with its first event that it
 //! belongs behind the last one: by an id that follows it. The same holds for a stream that
-//! the caller itself takes up.
+//! the caller itself takes up. Where the ids of a service count by one, an event must not be
+//! missing either.
 //!
 //! An end must be said by the sender of an answer. The connection alone says nothing of a
 //! stream, as a link or a process that ends midway closes it in order as well: a run at another
@@ -12,6 +13,10 @@
 
 use compact_str::CompactString;
 
+use self::numbering::{Ids, Numbering};
+
+pub mod numbering;
+
 /// How the end of an answer is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -196,6 +201,9 @@
     /// The first event of a run that checks an end is not the last one of the stream.
     #[error("the check of an end does not begin with the last event")]
     Unrepeated,
+    /// Ids count by one, and the event's id is not the next one.
+    #[error("an event is missing before this one")]
+    Gap,
 }
 
 /// Check of an end that no run has stated.
@@ -235,6 +243,12 @@
     /// Whether the current run has added an event.
     has_run_event: bool,
     check: Check,
+    /// Id of the first event if ids are known to count by one from there.
+    expected_first_id: Option<u64>,
+    /// Ids of all events, if the stream begins with its first one.
+    ids: Option<Ids>,
+    /// Whether the caller takes the stream up.
+    is_taken_up: bool,
 }
 
 impl Sequence {
@@ -242,10 +256,62 @@
     pub fn after(last_id: impl Into<CompactString>) -> Self {
         Self {
             last_id: Some(last_id.into()),
+            is_taken_up: true,
             ..Self::default()
         }
     }
 
+    /// Expects the ids of the current run to continue a known numbering.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::numbering::{Ids, Numbering};
+    /// use cranberryridge_policy::answer::{Disorder, Event, Place, Sequence};
+    /// let mut numbering = Numbering::default();
+    /// (0..8).for_each(|_| numbering.record(Ids { first: 1, is_regular: true }));
+    /// let mut sequence = Sequence::default();
+    /// sequence.expect(numbering);
+    /// assert_eq!(sequence.admit(Event { id: Some("1") }), Ok(Place::Next));
+    /// assert_eq!(sequence.admit(Event { id: Some("3") }), Err(Disorder::Gap));
+    /// ```
+    pub fn expect(&mut self, numbering: Numbering) {
+        self.expected_first_id = numbering.first_id();
+    }
+
+    /// Returns the ids of a stream that begins with its first event, or `None` if it has none.
+    pub fn ids(&self) -> Option<Ids> {
+        self.ids
+    }
+
+    /// Returns whether an event is missing before the one with an id.
+    fn leaves_gap(&self, id: &str) -> bool {
+        let Some(first_id) = self.expected_first_id else {
+            return false;
+        };
+        let expected = match &self.last_id {
+            Some(last_id) => last_id.parse::<u64>().ok().and_then(|id| id.checked_add(1)),
+            None => Some(first_id),
+        };
+        id.parse::<u64>().ok() != expected
+    }
+
+    /// Adds an id to those of the stream.
+    fn record_id(&mut self, id: &str) {
+        let id = id.parse::<u64>().ok();
+        let last_id = self.last_id.as_ref().and_then(|id| id.parse::<u64>().ok());
+        match (&mut self.ids, id) {
+            (Some(ids), id) => {
+                ids.is_regular &= id.is_some() && id == last_id.and_then(|id| id.checked_add(1))
+            }
+            (None, Some(first)) if self.last_id.is_none() && !self.is_taken_up => {
+                let is_regular = true;
+                self.ids = Some(Ids { first, is_regular });
+            }
+            (None, _) => {}
+        }
+    }
+
     /// Begins another run after one that was lost. It is to go on after [`Sequence::last_id`],
     /// or to check the same end if the lost one should have and added nothing.
     pub fn begin_run(&mut self) {
@@ -296,7 +362,9 @@
             (None, _) if self.is_unproven() => return Err(Disorder::Unnumbered),
             (None, _) => self.has_unnumbered = true,
             (Some(id), Some(last)) if !follows(id, last) => return Err(Disorder::Backward),
+            (Some(id), _) if self.leaves_gap(id) => return Err(Disorder::Gap),
             (Some(id), _) => {
+                self.record_id(id);
                 self.previous_id = self.last_id.replace(id.into());
                 self.has_unnumbered = false;
             }
--- /dev/null
+++ b/crates/policy/src/answer/numbering.rs
@@ -0,0 +1,78 @@
+//! Learns whether the ids of a service's events count by one, so that a gap shows a lost event.
+//!
+//! The protocol only says that ids increase. Engines that count events leave no gap in any stream,
+//! and engines that count tokens leave one in almost each, so that a few streams tell which.
+
+/// Least number of regular streams from which the numbering is known.
+const MIN_REGULAR_STREAMS: u32 = 8;
+
+/// Number of streams above which earlier ones count half, so that a change is learned.
+const MAX_STREAMS: u32 = 32;
+
+/// Ids of a stream's events, from its first one on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ids {
+    /// Id of the first event.
+    pub first: u64,
+    /// Whether each further id is one more than the one before.
+    pub is_regular: bool,
+}
+
+/// Numbering of events by the engines of a service.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge_policy::answer::numbering::{Ids, Numbering};
+/// let mut numbering = Numbering::default();
+/// assert_eq!(numbering.first_id(), None);
+/// for _ in 0..8 {
+///     numbering.record(Ids { first: 1, is_regular: true });
+/// }
+/// assert_eq!(numbering.first_id(), Some(1));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Numbering {
+    /// Id with which regular streams begin.
+    first_id: u64,
+    /// Number of streams that began with this id and whose ids counted by one.
+    regular: u32,
+    /// Number of all other streams.
+    other: u32,
+}
+
+impl Numbering {
+    /// Records a stream whose end was stated.
+    pub fn record(&mut self, ids: Ids) {
+        self.age();
+        if ids.is_regular && self.regular == 0 {
+            self.first_id = ids.first;
+        }
+        if ids.is_regular && ids.first == self.first_id {
+            self.regular += 1;
+        } else {
+            self.other += 1;
+        }
+    }
+
+    /// Records a run that was given up, as it left a gap.
+    pub fn record_gap(&mut self) {
+        self.age();
+        self.other += 1;
+    }
+
+    /// Makes room for a further stream.
+    fn age(&mut self) {
+        if self.regular + self.other >= MAX_STREAMS {
+            self.regular /= 2;
+            self.other /= 2;
+        }
+    }
+
+    /// Returns the id of the first event of each stream if ids count by one from there, or
+    /// `None` if they do not or this is not known.
+    pub fn first_id(&self) -> Option<u64> {
+        let is_known = self.regular >= MIN_REGULAR_STREAMS && self.regular > self.other;
+        is_known.then_some(self.first_id)
+    }
+}
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -4,6 +4,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
+use cranberryridge_policy::answer::numbering::{Ids, Numbering};
 use cranberryridge_policy::answer::{Conclusion, Disorder, Event, Framing, Place, Proof, Sequence};
 
 /// Most runs of one stream.
@@ -403,3 +404,98 @@
     sequence.begin_run();
     assert_eq!(sequence.asked_id(), Some("3"));
 }
+
+const REGULAR: Ids = Ids {
+    first: 1,
+    is_regular: true,
+};
+
+const IRREGULAR: Ids = Ids {
+    is_regular: false,
+    ..REGULAR
+};
+
+/// Returns the numbering after some streams that count by one.
+fn known() -> Numbering {
+    let mut numbering = Numbering::default();
+    (0..8).for_each(|_| numbering.record(REGULAR));
+    numbering
+}
+
+#[test]
+fn ids_count_by_one_only_after_enough_streams() {
+    let mut numbering = Numbering::default();
+    for _ in 0..7 {
+        numbering.record(REGULAR);
+        assert_eq!(numbering.first_id(), None);
+    }
+    numbering.record(REGULAR);
+    assert_eq!(numbering.first_id(), Some(1));
+}
+
+// Engines that lose an event in a quarter of their streams must not make gaps pass as usual.
+#[test]
+fn a_minority_of_gaps_leaves_the_numbering_known() {
+    let mut numbering = known();
+    for number in 0..400 {
+        if number % 4 == 0 {
+            numbering.record_gap();
+        } else {
+            numbering.record(REGULAR);
+        }
+        assert_eq!(numbering.first_id(), Some(1), "{number}");
+    }
+}
+
+// Streams of engines that begin to number otherwise must not be given up for long.
+#[test]
+fn another_numbering_is_learned_soon() {
+    let mut numbering = known();
+    (0..1000).for_each(|_| numbering.record(REGULAR));
+    let mut lost = 0;
+    while numbering.first_id().is_some() {
+        numbering.record_gap();
+        lost += 1;
+    }
+    assert!(lost <= 32, "{lost}");
+    (0..100).for_each(|_| numbering.record(IRREGULAR));
+    assert_eq!(numbering.first_id(), None);
+}
+
+#[test]
+fn streams_that_begin_with_another_id_are_learned() {
+    let mut numbering = known();
+    let from_zero = Ids {
+        first: 0,
+        ..REGULAR
+    };
+    for _ in 0..200 {
+        numbering.record(from_zero);
+    }
+    assert_eq!(numbering.first_id(), Some(0));
+}
+
+// Two runs that lose the same event must not prove each other.
+#[test]
+fn a_gap_is_not_admitted_if_a_second_run_leaves_it_as_well() {
+    let mut sequence = Sequence::default();
+    sequence.expect(known());
+    let event = |id| Event { id: Some(id) };
+    assert_eq!(sequence.admit(event("1")), Ok(Place::Next));
+    for _ in 0..2 {
+        assert_eq!(sequence.admit(event("3")), Err(Disorder::Gap));
+        assert_eq!(sequence.last_id(), Some("1"));
+        sequence.begin_run();
+    }
+    assert_eq!(sequence.admit(event("2")), Ok(Place::Next));
+}
+
+// A caller that takes a stream up has to get the event behind its last one.
+#[test]
+fn a_stream_that_is_taken_up_goes_on_without_a_gap() {
+    let mut sequence = Sequence::after("5");
+    sequence.expect(known());
+    assert_eq!(sequence.admit(Event { id: Some("7") }), Err(Disorder::Gap));
+    assert_eq!(sequence.admit(Event { id: Some("6") }), Ok(Place::Next));
+    assert_eq!(sequence.ids(), None);
+}
