gateway: give streams of plain services up that lose an event

The same cause as in streams of engines: a stream of a service without engines that lacks an event was passed on as whole, as ids only had to increase. It is read whole before it is passed on, so a gap is a lost run now.

a_stream_of_a_plain_service_that_misses_an_event_is_not_passed_on failed before: status 200.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use cranberryridge_policy::answer::{Conclusion, End, Framing};
+use cranberryridge_policy::answer::{Conclusion, Disorder, End, Framing};
 use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
@@ -357,7 +357,7 @@
             Ok(body) => {
                 let framing = client::framing(&head.headers);
                 if expects_stream {
-                    let end = self.conclude_stream(&head, &body, framing);
+                    let end = self.conclude_stream(&head, &body, framing, &endpoint.version);
                     self.record.end = end.proof();
                     match end {
                         Conclusion::Complete(_) => return Some((head, body)),
@@ -409,15 +409,24 @@
         head: &response::Parts,
         body: &Chunks,
         framing: Framing,
+        version: &CompactString,
     ) -> Conclusion {
         let (mut splitter, mut sequence) = (Splitter::default(), self.begin_sequence());
+        sequence.expect(self.shared.numberings.get(&self.service, version));
         body.iter().for_each(|chunk| splitter.push(chunk));
         let batch = splitter.take_events(&mut sequence);
-        let is_ordered = batch.is_none_or(|batch| batch.disorder.is_none());
-        if !is_stream(head) || !is_ordered {
+        let disorder = batch.and_then(|batch| batch.disorder);
+        if !is_stream(head) || disorder.is_some() {
+            if disorder == Some(Disorder::Gap) {
+                self.shared.record_gap(&self.service, version);
+            }
             return Conclusion::Broken;
         }
-        sequence.conclude(framing, splitter.is_inside_event())
+        let end = sequence.conclude(framing, splitter.is_inside_event());
+        if let (Conclusion::Complete(_), Some(ids)) = (end, sequence.ids()) {
+            self.shared.record_ids(&self.service, version, ids);
+        }
+        end
     }
 
     /// Returns whether an answer with a head has no body, however it is framed.
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -87,20 +87,14 @@
     fn record_ids(&self, call: &Call<N, C, D>, sequence: &Sequence) {
         let version = &self.reservation.endpoint.version;
         if let Some(ids) = sequence.ids() {
-            let record = |numbering: &mut Numbering| numbering.record(ids);
-            call.shared
-                .numberings
-                .update(&call.service, version, record);
+            call.shared.record_ids(&call.service, version, ids);
         }
     }
 
     /// Records that the run left a gap.
     fn record_gap(&self, call: &Call<N, C, D>) {
-        call.shared.metrics.count("endpoint.event_missing");
         let version = &self.reservation.endpoint.version;
-        call.shared
-            .numberings
-            .update(&call.service, version, Numbering::record_gap);
+        call.shared.record_gap(&call.service, version);
     }
 }
 
--- a/crates/lib/src/gateway/numberings.rs
+++ b/crates/lib/src/gateway/numberings.rs
@@ -4,10 +4,10 @@
 
 use compact_str::CompactString;
 
-use cranberryridge_policy::answer::numbering::Numbering;
+use cranberryridge_policy::answer::numbering::{Ids, Numbering};
 use cranberryridge_wire::Map;
 
-use super::lock;
+use super::{lock, Shared};
 
 /// Maximum number of services and versions. Above it, all are learned anew.
 const MAX_ENTRIES: usize = 256;
@@ -24,7 +24,7 @@
     }
 
     /// Updates the numbering of a service's engines at a version.
-    pub fn update(
+    fn update(
         &self,
         service: &CompactString,
         version: &CompactString,
@@ -38,3 +38,18 @@
         update(entries.entry(key).or_default());
     }
 }
+
+impl<N, C, D> Shared<N, C, D> {
+    /// Records the ids of a stream whose end was stated.
+    pub(super) fn record_ids(&self, service: &CompactString, version: &CompactString, ids: Ids) {
+        let record = |numbering: &mut Numbering| numbering.record(ids);
+        self.numberings.update(service, version, record);
+    }
+
+    /// Records that a run left a gap.
+    pub(super) fn record_gap(&self, service: &CompactString, version: &CompactString) {
+        self.metrics.count("endpoint.event_missing");
+        self.numberings
+            .update(service, version, Numbering::record_gap);
+    }
+}
