--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -5,6 +5,7 @@
 //! is the path of another gateway, such as an older one. Without them, a few kinds are played on
 //! one deployment, and no stream may be wrong.
 
+#[allow(dead_code)]
 mod shapes {
     pub mod caller;
     pub mod deployment;
@@ -157,6 +158,8 @@
         begun_at: Instant::now(),
         events: Vec::new(),
         ends: Vec::new(),
+        first_attempt: None,
+        refusals: Vec::new(),
     }
 }
 
--- a/crates/daemon/tests/shapes/caller.rs
+++ b/crates/daemon/tests/shapes/caller.rs
@@ -53,6 +53,10 @@
     pub events: Vec<String>,
     /// How each try ended.
     pub ends: Vec<End>,
+    /// Attempt that brought the first event.
+    pub first_attempt: Option<String>,
+    /// Time until each refusal, and the time that it names.
+    pub refusals: Vec<(Duration, Duration)>,
 }
 
 /// How a caller behaves.
@@ -62,6 +66,8 @@
     pub is_slow: bool,
     /// Whether it leaves after some pieces.
     pub leaves: bool,
+    /// Whether it sends further requests on the same connection.
+    pub keeps_connection: bool,
 }
 
 impl Stream {
@@ -72,19 +78,33 @@
 
     /// Plays the stream at random hosts.
     pub async fn play(&mut self, hosts: &[SocketAddr], manner: Manner) {
+        self.play_on(&mut None, hosts, manner).await;
+    }
+
+    /// Plays the stream on a kept connection if there is one, and else at random hosts. Sets
+    /// `kept` to the connection that may be used again.
+    pub async fn play_on(
+        &mut self,
+        kept: &mut Option<TcpStream>,
+        hosts: &[SocketAddr],
+        manner: Manner,
+    ) {
         let deadline = Instant::now() + DEADLINE;
-        let mut first_attempt = None;
-        for number in 0..MAX_TRIES {
-            let attempt = format!("{}-{number}", self.name);
+        for _ in 0..MAX_TRIES {
+            let attempt = format!("{}-{}", self.name, self.ends.len());
             let host = *hosts.choose(&mut rand::rng()).unwrap();
             let had_events = !self.events.is_empty();
-            let request = self.request(&attempt, first_attempt.as_deref(), deadline);
+            let request = self.request(&attempt, self.first_attempt.as_deref(), deadline);
             let mut wait = Duration::from_millis(100);
-            let read = self.read(host, &request, manner, &mut wait);
+            let sent_at = Instant::now();
+            let read = self.read(kept, host, &request, manner, &mut wait);
             let end = timeout_at(deadline, read).await.unwrap_or(End::Left);
             self.ends.push(end);
+            if matches!(end, End::Refused(_)) {
+                self.refusals.push((sent_at.elapsed(), wait));
+            }
             if !had_events && !self.events.is_empty() {
-                first_attempt = Some(attempt);
+                self.first_attempt = Some(attempt);
             }
             let may_try_again = match end {
                 End::Complete => false,
@@ -129,14 +149,18 @@
     /// Sends a request and reads the answer. Sets `wait` if the answer names a time.
     async fn read(
         &mut self,
+        kept: &mut Option<TcpStream>,
         host: SocketAddr,
         request: &str,
         manner: Manner,
         wait: &mut Duration,
     ) -> End {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
-        let Ok(Ok(mut stream)) = connected else {
-            return End::NoAnswer;
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => match timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await {
+                Ok(Ok(stream)) => stream,
+                _ => return End::NoAnswer,
+            },
         };
         if stream.write_all(request.as_bytes()).await.is_err() {
             return End::NoAnswer;
@@ -180,7 +204,8 @@
             }
             if answer.is_whole {
                 // Bytes behind the last event are no whole stream.
-                return if rest.is_empty() {
+                return if rest.is_empty() && answer.buffer.is_empty() {
+                    *kept = manner.keeps_connection.then_some(stream);
                     End::Complete
                 } else {
                     End::Refused(0)
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -276,7 +276,8 @@
         } else {
             asked_id
         };
-        let run = state.ledger.begin(name, first_asked);
+        let run = state.ledger.begin(name, attempt, first_asked);
+        let _guard = state.ledger.guard(run);
         let is_unframed = matches!(fault, Some(Fault::Unframed | Fault::UnframedClose));
         let framing = if is_unframed {
             ""
--- a/crates/daemon/tests/shapes/kind.rs
+++ b/crates/daemon/tests/shapes/kind.rs
@@ -116,6 +116,7 @@
         Manner {
             is_slow: self == Self::SlowCallers,
             leaves: self == Self::GiveUp && rand::random_ratio(3, 10),
+            keeps_connection: false,
         }
     }
 
--- a/crates/daemon/tests/shapes/ledger.rs
+++ b/crates/daemon/tests/shapes/ledger.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::time::Instant;
+
 /// Bytes of a piece beside its names.
 const FILLER_BYTES: usize = 60;
 
@@ -11,6 +13,12 @@
 pub struct Run {
     /// Name of the stream.
     pub stream: String,
+    /// Id of the attempt that it was run for.
+    pub attempt: String,
+    /// When it began.
+    pub begun_at: Instant,
+    /// Whether the engine is still at work on it.
+    pub is_open: bool,
     /// Id of the piece behind which the engine was asked to begin; 0 for the first one.
     pub asked_id: u32,
     /// Id of the last piece that the engine made; `asked_id` if it made none.
@@ -23,11 +31,14 @@
 
 impl Ledger {
     /// Records a run that begins, and returns its number.
-    pub fn begin(&self, stream: &str, asked_id: u32) -> u64 {
+    pub fn begin(&self, stream: &str, attempt: &str, asked_id: u32) -> u64 {
         let mut runs = self.lock();
         let number = runs.len() as u64 + 1;
         let run = Run {
             stream: stream.into(),
+            attempt: attempt.into(),
+            begun_at: Instant::now(),
+            is_open: true,
             asked_id,
             last_id: asked_id,
         };
@@ -35,6 +46,16 @@
         number
     }
 
+    /// Returns a guard that records the end of a run when it is dropped.
+    pub fn guard(&self, number: u64) -> Guard {
+        Guard(self.clone(), number)
+    }
+
+    /// Returns all runs.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().values().cloned().collect()
+    }
+
     /// Makes the next piece of a run, and returns it as an event.
     pub fn make(&self, number: u64) -> String {
         let mut runs = self.lock();
@@ -89,6 +110,18 @@
     }
 }
 
+/// Records the end of a run when it is dropped.
+#[derive(Debug)]
+pub struct Guard(Ledger, u64);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(run) = self.0.lock().get_mut(&self.1) {
+            run.is_open = false;
+        }
+    }
+}
+
 /// What the caller of a stream holds over all its tries.
 #[derive(Clone, Copy, Debug)]
 pub struct Held<'a> {
