daemon: play streams taken up on a route that may no longer be resumed

A reload takes `resumable` from a route while its streams run, a host is killed, and its callers take their streams up. Engines begin anew where they are asked to go on.

--- a/crates/daemon/tests/hosts.rs
+++ b/crates/daemon/tests/hosts.rs
@@ -225,6 +225,29 @@
     assert_eq!(wrong, Vec::<String>::new());
 }
 
+// Guards against engines that begin anew for callers who take up a stream of a route that could
+// be resumed when it began: they got its pieces twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_taken_up_after_a_reload_do_not_begin_anew() {
+    let ledger = Ledger::default();
+    let mut site = Site::start(51, deployment(60), &ledger).await;
+    let hosts = site.hosts();
+    sleep(LEAD_TIME).await;
+    let (ended, mut tasks) = (Streams::default(), JoinSet::new());
+    start_streams(&mut tasks, &ended, &hosts, "a", 40, 100);
+    sleep(Duration::from_millis(1000)).await;
+    site.publish(14_000, false, 1);
+    sleep(APPLY_TIME).await;
+    set_fault(&site, Fault::Anew, 1000);
+    site.signal(0, "KILL");
+    tasks.join_all().await;
+    let ended = ended.lock().unwrap();
+    print_ends("anew", &ended, &ledger);
+    let taken_up = ended.iter().filter(|got| got.ends.len() > 1);
+    assert!(taken_up.count() > 0, "no stream was taken up");
+    assert_eq!(wrong(&ended, &ledger), Vec::<String>::new());
+}
+
 // Guards against a host that refuses, for longer than it says, streams that are taken up when it
 // was thawed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
