lib: hold the run of a stream that is taken up against its id on all streaming routes

On a route that is not, or no longer, `resumable`, a caller's `Last-Event-Id` was sent to the engine, but the answer was passed on unread. An engine that began anew gave the caller all its pieces a second time. The first run is now held against the id on every streaming route; it is not repeated, so the caller gets 502 if it does not go on.

--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -23,7 +23,7 @@
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
-use cranberryridge_policy::gateway::route::{Kind, Limits, Route};
+use cranberryridge_policy::gateway::route::{Limits, Route};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
@@ -191,7 +191,8 @@
     /// Returns the events that the caller has before the first run.
     pub fn begin_sequence(&self) -> Sequence {
         let last_id = self.record.description.last_event_id.clone();
-        let last_id = last_id.filter(|_| self.route.kind == Kind::ResumableStream);
+        // The route may have lost its permission to resume since the stream began.
+        let last_id = last_id.filter(|_| self.route.kind.is_stream());
         last_id.map_or_else(Sequence::default, Sequence::after)
     }
 
