--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -191,6 +191,8 @@
     /// Returns the events that the caller has before the first run.
     pub fn begin_sequence(&self) -> Sequence {
         let last_id = self.record.description.last_event_id.clone();
+        // The route may have lost its permission to resume since the stream began.
+        let last_id = last_id.filter(|_| self.route.kind.is_stream());
         last_id.map_or_else(Sequence::default, Sequence::after)
     }
 
