daemon: test that interim heads without end delay nobody

1,500 callers of endpoints that send 100 or 103 heads and nothing else take the processor of a gateway: each attempt reads up to 256 KiB of them, some ten thousand heads. The test asks a sound service beside them, and wants the callers of the faulty one answered by their deadline and half a second. A caller gives up after 20 s, so that the test ends.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -29,6 +29,9 @@
 /// Number of callers of the faulty service, unless `ENDLESS_CALLERS` names another.
 const CALLERS: usize = 400;
 
+/// Number of callers that get interim heads only, unless `ENDLESS_CALLERS` names another.
+const INTERIM_CALLERS: usize = 1500;
+
 /// Callers for each faulty endpoint, of which there are at most [`MAX_ENDPOINTS`].
 const CALLERS_PER_ENDPOINT: usize = 50;
 
@@ -49,6 +52,12 @@
 /// Time in which a request to the sound service must be served.
 const SOUND_TIME: Duration = Duration::from_secs(5);
 
+/// Time in which a caller of the faulty service is answered: its deadline, and half a second.
+const ANSWER_TIME: Duration = Duration::from_millis(5000 + 500);
+
+/// Time after which a caller of the faulty service gives up, so that a test ends.
+const MAX_FETCH_TIME: Duration = Duration::from_secs(20);
+
 /// Least share of requests to the sound service that are served.
 const MIN_SERVED_SHARE: f64 = 0.99;
 
@@ -90,15 +99,17 @@
         .map(|answer| (answer, Duration::ZERO))
         .collect::<Vec<_>>();
     forms.push((answer("drip", head.into(), "x: a\r\n"), DRIP_PAUSE));
+    let hints = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+    forms.push((answer("early hints", String::new(), hints), Duration::ZERO));
     let names = std::env::var("ENDLESS_FORMS").unwrap_or(defaults.into());
     forms.retain(|(answer, _)| names == "all" || names.split(',').any(|name| name == answer.name));
     forms
 }
 
 /// Returns the number of callers of the faulty service.
-fn caller_count() -> usize {
+fn caller_count(default: usize) -> usize {
     let count = std::env::var("ENDLESS_CALLERS").ok();
-    count.map_or(CALLERS, |count| count.parse().unwrap())
+    count.map_or(default, |count| count.parse().unwrap())
 }
 
 /// Returns the peak of the memory of a process in megabytes.
@@ -147,7 +158,12 @@
 }
 
 /// Starts a sound service, and a faulty one whose answers to calls of a route have no end.
-async fn start_site(route: &str, is_stream: bool, form: &Form) -> (Site, Vec<Flood>) {
+async fn start_site(
+    route: &str,
+    is_stream: bool,
+    callers: usize,
+    form: &Form,
+) -> (Site, Vec<Flood>) {
     let mut site = Site::start().await;
     let sound = start_sound(address(site.subnet, 10)).await;
     site.servers.push(sound);
@@ -165,7 +181,7 @@
         start_sound(behind).await
     };
     site.servers.push(server);
-    let count = (caller_count() / CALLERS_PER_ENDPOINT).clamp(1, MAX_ENDPOINTS);
+    let count = (callers / CALLERS_PER_ENDPOINT).clamp(1, MAX_ENDPOINTS);
     let mut floods = Vec::new();
     for host in (20..).take(count) {
         let id = format!("i-{host}");
@@ -194,38 +210,54 @@
     (site, floods)
 }
 
-/// Calls the faulty service again and again until a time. Returns how often each status came,
-/// and whether an answer was passed on as a whole one.
+/// What callers of the faulty service got.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// How often each status came.
+    statuses: BTreeMap<u16, usize>,
+    /// Whether an answer was passed on as a whole one.
+    is_any_whole: bool,
+    /// Number of answers that ended after [`ANSWER_TIME`].
+    late: usize,
+    /// Longest time of an answer.
+    longest: Duration,
+}
+
+/// Calls the faulty service again and again until a time.
 async fn call_faulty(
     gateway: SocketAddr,
     route: &'static str,
+    callers: usize,
     until: Instant,
-) -> (BTreeMap<u16, usize>, bool) {
+) -> Outcome {
     let numbers = Arc::new(AtomicUsize::new(0));
-    let mut callers = JoinSet::new();
-    for _ in 0..caller_count() {
+    let mut tasks = JoinSet::new();
+    for _ in 0..callers {
         let numbers = numbers.clone();
-        callers.spawn(async move {
-            let (mut statuses, mut is_whole) = (Vec::new(), false);
+        tasks.spawn(async move {
+            let mut answers = Vec::new();
             while Instant::now() < until {
                 let attempt = format!("a{}", numbers.fetch_add(1, Ordering::SeqCst));
-                let (status, is_complete) = fetch(gateway, route, &attempt).await;
-                is_whole |= status == 200 && is_complete;
-                statuses.push(status);
+                let began_at = Instant::now();
+                let answer = fetch(gateway, route, &attempt);
+                let answer = tokio::time::timeout(MAX_FETCH_TIME, answer).await;
+                let (status, is_complete) = answer.unwrap_or((0, false));
+                answers.push((status, is_complete, began_at.elapsed()));
                 tokio::time::sleep(CALLER_PAUSE).await;
             }
-            (statuses, is_whole)
+            answers
         });
     }
-    let (mut counts, mut is_any_whole) = (BTreeMap::new(), false);
-    while let Some(caller) = callers.join_next().await {
-        let (statuses, is_whole) = caller.unwrap();
-        is_any_whole |= is_whole;
-        for status in statuses {
-            *counts.entry(status).or_default() += 1;
+    let mut outcome = Outcome::default();
+    while let Some(answers) = tasks.join_next().await {
+        for (status, is_complete, took) in answers.unwrap() {
+            *outcome.statuses.entry(status).or_default() += 1;
+            outcome.is_any_whole |= status == 200 && is_complete;
+            outcome.late += usize::from(took > ANSWER_TIME);
+            outcome.longest = outcome.longest.max(took);
         }
     }
-    (counts, is_any_whole)
+    outcome
 }
 
 /// Asks the sound service. Returns how often each status came, and 0 for no whole answer in time.
@@ -248,38 +280,61 @@
 }
 
 /// Plays forms of answers without end, and asserts for each that the process stays within its
-/// memory and that the sound service is served.
-async fn assert_bounded(route: &'static str, is_stream: bool, forms: Vec<Form>) {
+/// memory and that the sound service is served. Returns what the callers of each form got.
+async fn assert_bounded(
+    route: &'static str,
+    is_stream: bool,
+    callers: usize,
+    forms: Vec<Form>,
+) -> Vec<(&'static str, Outcome)> {
     let _load = LOAD.lock().await;
-    let mut failed = Vec::new();
+    let (mut failed, mut outcomes) = (Vec::new(), Vec::new());
     for form in forms {
-        let (site, floods) = start_site(route, is_stream, &form).await;
+        let (site, floods) = start_site(route, is_stream, callers, &form).await;
         let before = peak_memory(site.gateway.id());
         let until = Instant::now() + LOAD_TIME;
-        let faulty = call_faulty(site.gateway(), route, until);
+        let faulty = call_faulty(site.gateway(), route, callers, until);
         let (faulty, sound) = tokio::join!(faulty, ask_sound(site.gateway()));
-        let (statuses, is_any_whole) = faulty;
         let peak = peak_memory(site.gateway.id());
         let answers = floods.iter().map(Flood::answer_count).sum::<usize>();
         let name = form.0.name;
         println!(
             "{route}, {name}: {before} MB before, peak of {peak} MB, {sound:?} \
-             of the sound service, {answers} answers, {statuses:?}"
+             of the sound service, {answers} answers, {faulty:?}"
         );
         let served = sound.get(&200).copied().unwrap_or_default();
         let share = served as f64 / SOUND_REQUESTS as f64;
-        if peak >= MEMORY_MB || share < MIN_SERVED_SHARE || is_any_whole || answers == 0 {
+        let is_whole = faulty.is_any_whole;
+        if peak >= MEMORY_MB || share < MIN_SERVED_SHARE || is_whole || answers == 0 {
             failed.push(name);
         }
+        outcomes.push((name, faulty));
     }
     assert!(failed.is_empty(), "{route}: {failed:?}");
+    outcomes
 }
 
 // Read buffers and connections were not counted, and a faulty service took the room of others.
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_answers_without_end_fit_in_memory() {
     let head = format!("HTTP/1.1 200 OK\r\nattempt-id: {ATTEMPT}\r\nresponse-stamp: s\r\n");
-    assert_bounded("read", false, forms(&head, PLAIN_FORMS)).await;
+    assert_bounded(
+        "read",
+        false,
+        caller_count(CALLERS),
+        forms(&head, PLAIN_FORMS),
+    )
+    .await;
+}
+
+// Each attempt read thousands of interim heads, which took the processor from all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_heads_without_end_delay_nobody() {
+    let forms = forms("HTTP/1.1 200 OK\r\n", "interim heads,early hints");
+    let callers = caller_count(INTERIM_CALLERS);
+    for (name, outcome) in assert_bounded("read", false, callers, forms).await {
+        assert_eq!(outcome.late, 0, "{name}: {outcome:?}");
+    }
 }
 
 // Parts of events were not counted.
@@ -289,5 +344,11 @@
         "HTTP/1.1 200 OK\r\nattempt-id: {ATTEMPT}\r\nresponse-stamp: s\r\n\
          content-type: text/event-stream\r\n"
     );
-    assert_bounded("note", true, forms(&head, STREAM_FORMS)).await;
+    assert_bounded(
+        "note",
+        true,
+        caller_count(CALLERS),
+        forms(&head, STREAM_FORMS),
+    )
+    .await;
 }
