lib: let thousands of connections wait to be accepted

The library's listeners had a queue of 128 connections, seen with ss at a gateway. 1,500 callers that connect at once exceed it; the kernel drops the rest, and callers repeat after 1, 3 and 7 s.

Listeners ask for 4096, which the system may lower.

--- a/crates/lib/src/net.rs
+++ b/crates/lib/src/net.rs
@@ -7,12 +7,16 @@
 
 use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 pub mod closing;
 pub mod memory;
 pub mod tls;
 
+/// Connections that wait to be accepted, at most. The kernel drops what comes beyond, and
+/// callers repeat it seconds later. A lower limit of the system takes precedence.
+const MAX_WAITING_CONNECTIONS: u32 = 4096;
+
 /// Network that opens connections and listeners.
 pub trait Net: Clone + Send + Sync + Unpin + 'static {
     /// An open connection.
@@ -71,7 +75,14 @@
     }
 
     async fn bind(&self, address: SocketAddr) -> io::Result<Listener> {
-        let listener = TcpListener::bind(address).await?;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // Connections that were closed a moment ago do not keep a restart from listening.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(MAX_WAITING_CONNECTIONS)?;
         let address = listener.local_addr()?;
         Ok(Listener { listener, address })
     }
