entry: bound the memory of all bodies together

Each body might take 8 MB and nothing bounded all of them: 400 callers that send bodies without end took 212 MB of an entry, where the test allows 107.

The entry now reads bodies through the gateway's account, by client account. It has room for eight bodies of the maximum size; one account alone may use half of it with large bodies and two thirds with small ones. A body without room is refused with 503, 1103 and Retry-After, a declared one before it is read.

bodies_of_requests_without_end_take_bounded_memory failed before (212 MB), and declared_bodies_without_room_are_refused_before_they_are_read ("none was refused"). With one limit for all sizes the former failed at 82 MB, as 4 of 46 small calls of the flooding account were refused.

Open: the copy of a body in a message to a sidecar is not counted, and a caller that is still sending may lose the refusal with its connection (seen as a broken pipe).

--- a/crates/daemon/tests/flood.rs
+++ b/crates/daemon/tests/flood.rs
@@ -338,3 +338,105 @@
     let chunk = "20\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
     assert_requests_are_bounded(81, head, chunk).await;
 }
+
+/// Size of a body near the limit of 8 MB, in bytes.
+const LARGE_BODY_BYTES: usize = 8 * 1024 * 1024 - 64 * 1024;
+
+/// Time in which the room of callers that have left is given back. What they sent before may
+/// still be read.
+const MAX_RELEASE_TIME: Duration = Duration::from_secs(5);
+
+/// Number of connections that declare a body near the limit, and send nothing of it.
+const DECLARING_CALLERS: usize = 16;
+
+/// Calls the plain service with a body near the limit. Returns what went wrong.
+async fn call_with_large_body(entry: SocketAddr, client: &'static str) -> Result<(), String> {
+    let body = json!({ "text": "a".repeat(LARGE_BODY_BYTES) });
+    let mut request = post("/services/orders/read", &body, "large");
+    let account = http::HeaderValue::from_static(client);
+    request.headers_mut().insert("x-client", account);
+    let caller = Client::new(Tcp, entry);
+    let answer = tokio::time::timeout(SOUND_TIMEOUT, caller.fetch(request)).await;
+    match answer {
+        Ok(Ok(answer)) if answer.status() == 200 => Ok(()),
+        answer => Err(format!("{client}: {answer:?}")),
+    }
+}
+
+/// Calls the plain service with bodies near the limit, and asserts that all are served.
+async fn assert_large_bodies_are_served(entry: SocketAddr, client: &'static str) {
+    for _ in 0..5 {
+        let result = call_with_large_body(entry, client).await;
+        assert!(result.is_ok(), "{result:?}");
+    }
+}
+
+/// Waits until a body near the limit is served, for up to [`MAX_RELEASE_TIME`].
+async fn wait_for_room(entry: SocketAddr, client: &'static str) {
+    let start = tokio::time::Instant::now();
+    while let Err(error) = call_with_large_body(entry, client).await {
+        assert!(start.elapsed() < MAX_RELEASE_TIME, "{error}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    println!("{client}: room after {:?}", start.elapsed());
+}
+
+/// Starts callers of the client account `endless` that send bodies without end.
+fn start_endless_bodies(
+    entry: SocketAddr,
+    stop: &Arc<AtomicBool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let head = format!("{REQUEST}x-client: endless\r\ntransfer-encoding: chunked\r\n\r\n");
+    let chunk = "20\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+    let callers = (0..CALLERS)
+        .map(|_| tokio::spawn(send_without_end(entry, head.clone(), chunk, stop.clone())));
+    callers.collect()
+}
+
+// Guards against callers of one client account whose bodies leave no room for large bodies of
+// another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_bodies_pass_beside_bodies_without_end() {
+    let bed = Testbed::start(82).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = start_endless_bodies(bed.entry_address(0), &stop);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_large_bodies_are_served(bed.entry_address(0), "sound").await;
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
+// Guards against declared bodies for which there is no room, which are read all the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn declared_bodies_without_room_are_refused_before_they_are_read() {
+    let bed = Testbed::start(83).await;
+    let entry = bed.entry_address(0);
+    let head = format!("{REQUEST}x-client: greedy\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n");
+    let mut open = Vec::new();
+    let mut refusals = Vec::new();
+    for _ in 0..DECLARING_CALLERS {
+        let mut stream = tokio::net::TcpStream::connect(entry).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut bytes = vec![0; 4096];
+        let read = tokio::time::timeout(Duration::from_millis(300), stream.read(&mut bytes));
+        match read.await {
+            Ok(read) => {
+                refusals.push(String::from_utf8_lossy(&bytes[..read.unwrap()]).into_owned())
+            }
+            Err(_) => open.push(stream),
+        }
+    }
+    assert!(!open.is_empty(), "all were refused");
+    assert!(!refusals.is_empty(), "none was refused");
+    for refusal in &refusals {
+        assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+        assert!(refusal.contains("x-cranberryridge-code: 1103"), "{refusal}");
+        assert!(refusal.contains("retry-after: "), "{refusal}");
+    }
+    assert_large_bodies_are_served(entry, "sound").await;
+    drop(open);
+    wait_for_room(entry, "greedy").await;
+    assert_large_bodies_are_served(entry, "greedy").await;
+}
--- a/crates/lib/src/entry.rs
+++ b/crates/lib/src/entry.rs
@@ -13,12 +13,14 @@
 use tokio::sync::watch;
 
 use cranberryridge_policy::gateway::drain::Interruption;
+use cranberryridge_policy::gateway::memory::Bound;
 use cranberryridge_policy::{limit, place, publish::Configuration, retry};
 use cranberryridge_wire::id::{Incarnation, Request};
 use cranberryridge_wire::{setting, Map};
 
 use crate::clock::Clock;
 use crate::config;
+use crate::gateway::held;
 use crate::metrics::Metrics;
 use crate::net::{Listen, Net};
 use crate::platform::{hosts::Hosts, log::Log};
@@ -42,6 +44,10 @@
 /// its sidecar may send ahead.
 const MAX_QUEUED_BYTES: u32 = DOWN_WINDOW_BYTES;
 
+/// Number of bodies of the maximum size that an entry has room for. One client account alone
+/// may use half of it.
+const MAX_HELD_BODIES: usize = 8;
+
 /// Dependencies and settings that an entry starts with.
 #[derive(Clone, Debug)]
 pub struct Parts<N, C, L, H> {
@@ -118,6 +124,8 @@
     pub placer: Mutex<place::Placer>,
     /// Random numbers for choices of endpoints and for backoffs.
     pub rng: Mutex<StdRng>,
+    /// Memory that the bodies of requests take, by client account.
+    bodies: Arc<held::Account>,
     next_sequence: AtomicU64,
     /// Address of the listener.
     pub address: SocketAddr,
@@ -137,6 +145,11 @@
         let listener = parts.traffic.spawn(async move { net.bind(address).await });
         let listener = listener.await??;
         let (claims, appends) = claims::Claims::new();
+        let bound = Bound {
+            max_bytes: MAX_HELD_BODIES * parts.settings.max_body_bytes as usize,
+        };
+        let total = held::Total::new(bound);
+        let bodies = held::Account::new(bound, total, &parts.metrics, [None, None]);
         let shared = Arc::new(Shared {
             address: listener.address(),
             net: parts.net,
@@ -157,6 +170,7 @@
             client_limits: Mutex::default(),
             retry_budgets: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(parts.incarnation.0)),
+            bodies,
             next_sequence: AtomicU64::new(1),
         });
 
--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -16,8 +16,9 @@
 use cranberryridge_wire::code::Code;
 
 use super::{keys, model, plain, Shared};
-use crate::body::{self, Body, ReadError};
+use crate::body::{Body, ReadError};
 use crate::clock::Clock;
+use crate::gateway::held;
 use crate::net::closing::{self, Caller, Closing};
 use crate::net::{Listen, Net};
 use crate::problem::Problem;
@@ -236,12 +237,13 @@
     }
     let (head, body) = request.into_parts();
     let arrival = shared.clock.now();
-    let body = read_body(&shared, body).await?;
+    let client = client_account(&head.headers);
+    let body = read_body(&shared, &client, body).await?;
     model::serve(
         shared,
         model::Input {
             arrival,
-            client: client_account(&head.headers),
+            client,
             path: CompactString::from(head.uri.path()),
             body,
             chat,
@@ -257,12 +259,13 @@
 ) -> Result<Response<Body>, Problem> {
     let (head, body) = request.into_parts();
     let arrival = shared.clock.now();
-    let body = read_body(&shared, body).await?;
+    let client = client_account(&head.headers);
+    let body = read_body(&shared, &client, body).await?;
     plain::serve(
         shared,
         plain::Input {
             arrival,
-            client: client_account(&head.headers),
+            client,
             head,
             body,
         },
@@ -270,10 +273,15 @@
     .await
 }
 
-/// Reads a request's body within the limits of size and time.
-async fn read_body<N, C>(shared: &Shared<N, C>, body: Incoming) -> Result<Bytes, Problem> {
+/// Reads a request's body within the limits of size, time and memory.
+async fn read_body<N, C>(
+    shared: &Shared<N, C>,
+    client: &CompactString,
+    body: Incoming,
+) -> Result<Bytes, Problem> {
     let limit = shared.settings.max_body_bytes as usize;
-    let read = body::read(body, limit);
+    let share = shared.bodies.share(client);
+    let read = held::read_whole(&share, body, limit);
     let read = tokio::time::timeout(BODY_TIMEOUT, read);
     let read = shared.run_until_exit(read).await;
     let read = read.map_err(|interruption| Problem::new(interruption.code(false)))?;
@@ -284,6 +292,10 @@
             Code::BodyTooLarge,
             format!("at most {limit} bytes are taken"),
         ),
+        ReadError::NoMemory => Problem::with_detail(
+            Code::Full,
+            "no memory left for bodies; send fewer or smaller ones at a time",
+        ),
         error => Problem::with_detail(Code::BadRequest, error.to_string()),
     })
 }
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -49,7 +49,7 @@
 
 mod exchange;
 mod generate;
-mod held;
+pub(crate) mod held;
 mod origin;
 mod parts;
 mod permit;
--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -1,5 +1,5 @@
 //! Memory that bodies of requests and answers take, from their first byte read to the last
-//! one sent, and the state of requests, by service.
+//! one sent, and the state of requests, by service or, at an entry, by client account.
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -369,6 +369,58 @@
     Ok(buffer.finish())
 }
 
+/// Reads a request's body of up to `limit` bytes into one buffer, which counts until its last
+/// clone is dropped. The length that a sender declares is reserved before the first byte is
+/// read.
+///
+/// # Errors
+///
+/// The same as of [`read`].
+pub async fn read_whole<B>(
+    share: &Share,
+    mut body: B,
+    limit: usize,
+) -> Result<Bytes, ReadError<B::Error>>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return Err(ReadError::TooLarge);
+    }
+    let length = size.exact().unwrap_or(0) as usize;
+    let mut allocation = share.begin(Purpose::of_client_request(length));
+    if !allocation.grow(length) {
+        return Err(ReadError::NoMemory);
+    }
+    let mut data = Vec::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.map_err(ReadError::Broken)?.into_data() else {
+            continue;
+        };
+        if part.len() > limit - data.len() {
+            return Err(ReadError::TooLarge);
+        }
+        let needed = data.len() + part.len();
+        if needed > allocation.bytes {
+            let doubled = allocation.bytes.saturating_mul(2).min(limit);
+            let grown = needed.max(doubled).max(MIN_CHUNK_BYTES);
+            allocation.purpose = Purpose::of_client_request(grown);
+            if !allocation.grow(grown - allocation.bytes) {
+                return Err(ReadError::NoMemory);
+            }
+            data.reserve_exact(grown - data.len());
+        }
+        data.extend_from_slice(&part);
+    }
+    data.shrink_to_fit();
+    drop(allocation.split(allocation.bytes - data.len()));
+    Ok(Bytes::from_owner(Counted {
+        data,
+        _allocation: allocation,
+    }))
+}
+
 /// A body that is being read.
 struct Buffer<'a> {
     share: &'a Share,
--- a/crates/policy/src/gateway/memory.rs
+++ b/crates/policy/src/gateway/memory.rs
@@ -47,6 +47,11 @@
     Answer,
     /// State of a request that is being served.
     Exchange,
+    /// A request's body of more than [`MAX_SMALL_BYTES`] at an entry, where each client account
+    /// counts as a service.
+    LargeClientRequest,
+    /// Another request's body at an entry.
+    SmallClientRequest,
 }
 
 /// Maximum size of a request's body that counts as small, in bytes.
@@ -61,6 +66,13 @@
 /// Multiple of the free room that the answers of one service may hold.
 const ANSWER_MULTIPLE: usize = 4;
 
+/// Multiple of the free room that a client account may hold with its large bodies.
+const LARGE_CLIENT_MULTIPLE: usize = 1;
+
+/// Multiple of the free room that a client account may hold, so that its large bodies leave room
+/// for its small ones.
+const SMALL_CLIENT_MULTIPLE: usize = 2;
+
 /// Divisor of the free room that gives what a service may hold beyond the limits of requests.
 const SPARE_ROOM_DIVISOR: usize = 2;
 
@@ -77,6 +89,10 @@
     /// let faulty = Usage { requests: 0, answers: 800 };
     /// assert!(!bound.allows_service(800, faulty, 100, Purpose::Answer));
     /// assert!(bound.allows_service(800, Usage::default(), 100, Purpose::Answer));
+    /// let greedy = Usage { requests: 500, answers: 0 };
+    /// assert!(!bound.allows_service(500, greedy, 100, Purpose::LargeClientRequest));
+    /// assert!(bound.allows_service(500, greedy, 100, Purpose::SmallClientRequest));
+    /// assert!(bound.allows_service(500, Usage::default(), 100, Purpose::LargeClientRequest));
     /// ```
     pub fn allows_service(
         &self,
@@ -94,6 +110,15 @@
             Purpose::Answer | Purpose::Exchange => {
                 is_within && answers <= free.saturating_mul(ANSWER_MULTIPLE)
             }
+            Purpose::LargeClientRequest | Purpose::SmallClientRequest => {
+                let multiple = if purpose == Purpose::LargeClientRequest {
+                    LARGE_CLIENT_MULTIPLE
+                } else {
+                    SMALL_CLIENT_MULTIPLE
+                };
+                let requests = usage.requests.saturating_add(bytes);
+                is_within && requests <= free.saturating_mul(multiple)
+            }
             Purpose::LargeRequest | Purpose::SmallRequest => {
                 let all = answers.saturating_add(usage.requests);
                 is_within || all <= free / SPARE_ROOM_DIVISOR
@@ -106,7 +131,10 @@
         let reserve = match purpose {
             Purpose::LargeRequest => self.max_bytes / SMALL_REQUEST_DIVISOR,
             Purpose::SmallRequest => self.max_bytes / ANSWER_DIVISOR,
-            Purpose::Answer | Purpose::Exchange => 0,
+            Purpose::Answer
+            | Purpose::Exchange
+            | Purpose::LargeClientRequest
+            | Purpose::SmallClientRequest => 0,
         };
         held_bytes.saturating_add(bytes) <= self.max_bytes - reserve
     }
@@ -115,7 +143,7 @@
 impl Purpose {
     /// Returns whether this is a body of a request.
     pub fn is_request(self) -> bool {
-        matches!(self, Self::LargeRequest | Self::SmallRequest)
+        !matches!(self, Self::Answer | Self::Exchange)
     }
 
     /// Returns the purpose of a request's body of a size.
@@ -126,4 +154,13 @@
             Self::SmallRequest
         }
     }
+
+    /// Returns the purpose of a request's body of a size at an entry.
+    pub fn of_client_request(bytes: usize) -> Self {
+        if bytes > MAX_SMALL_BYTES {
+            Self::LargeClientRequest
+        } else {
+            Self::SmallClientRequest
+        }
+    }
 }
--- a/crates/policy/tests/memory.rs
+++ b/crates/policy/tests/memory.rs
@@ -151,3 +151,22 @@
         assert!(!BOUND.allows_service(1, Usage::default(), usize::MAX, purpose));
     }
 }
+
+// Guards against callers of one client account whose bodies take all the room of an entry.
+#[test]
+fn bodies_of_one_client_account_leave_room_for_another() {
+    let purpose = Purpose::of_client_request(MEGABYTE);
+    let mut greedy = Usage::default();
+    while BOUND.allows_service(greedy.requests, greedy, MEGABYTE, purpose) {
+        greedy.requests += MEGABYTE;
+    }
+    let mut sound = Usage::default();
+    while BOUND.allows_service(greedy.requests + sound.requests, sound, MEGABYTE, purpose) {
+        sound.requests += MEGABYTE;
+    }
+    assert!(greedy.requests >= 25 * MEGABYTE, "{greedy:?}");
+    assert!(sound.requests >= 12 * MEGABYTE, "{sound:?}");
+    assert!(greedy.requests + sound.requests <= BOUND.max_bytes);
+    let held = greedy.requests;
+    assert!(BOUND.allows_service(held, greedy, 1024, Purpose::of_client_request(1024)));
+}
