daemon: hold the soak's streams against the runs that made them

Of callers that take streams up, the soak looked at ids and versions only; of whole answers of the others, at a fixed text. All runs of a stream had the same bytes, so that a piece of another run or of another stream of the same version passed, and so did an altered one where the stream was taken up. What arrived of an answer that was cut was not looked at.

Events of the soak's engines name their run and its attempt, and engines record what each run was asked for, where it began and what it made (runner::Settings::ledger, off elsewhere). The record of the shapes test is now one type in the stand-ins for both tests; it also tells a run that began elsewhere than it was asked to, and pieces of two versions. The checks of ids and versions stay. A whole body is compared with what its run made instead of a fixed text, and what arrived of a cut answer is checked as well, but for answers at their caller's deadline.

--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -10,7 +10,6 @@
     pub mod deployment;
     pub mod engine;
     pub mod kind;
-    pub mod ledger;
     pub mod site;
 }
 
@@ -22,13 +21,17 @@
 use rand::RngExt;
 use tokio::time::{sleep, Instant};
 
+use cranberryridge_standin::stream::{Form, Held, Ledger};
+
 use shapes::caller::{End, Stream};
 use shapes::deployment::{self, Deployment};
 use shapes::engine::Fault;
 use shapes::kind::{self, Kind};
-use shapes::ledger::{Form, Held, Ledger};
 use shapes::site::Site;
 
+/// Bytes of a piece beside its names.
+const FILLER_BYTES: usize = 60;
+
 /// Kinds that are played if `SHAPES_KINDS` is not set.
 const DEFAULT_KINDS: [Kind; 3] = [Kind::Kill, Kind::Freeze, Kind::Several];
 
@@ -87,7 +90,7 @@
 
 /// Plays kinds on a deployment one after another. Returns the number of wrong streams.
 async fn run(subnet: u8, deployment: Deployment, kinds: &[Kind]) -> usize {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(subnet, deployment, &ledger).await;
     let streams = Arc::<Mutex<Vec<Stream>>>::default();
     let current = Arc::new(Mutex::new(Kind::None));
@@ -178,9 +181,9 @@
             Some(End::Refused(_) | End::NoAnswer) => refused += 1,
             _ => cut += 1,
         }
+        let events = stream.events.iter().map(|event| (&stream.name, event));
         let held = Held {
-            name: &stream.name,
-            events: &stream.events,
+            events: &events.collect::<Vec<_>>(),
             total: stream.total,
             has_ended: stream.has_ended(),
             may_resume: stream.may_resume,
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
-use super::ledger::Ledger;
+use cranberryridge_standin::stream::Ledger;
 
 /// Time to read a prompt.
 const PREFILL_TIME: Duration = Duration::from_millis(90);
@@ -276,7 +276,7 @@
         } else {
             asked_id
         };
-        let run = state.ledger.begin(name, first_asked);
+        let run = state.ledger.begin(name, "", asked_id, first_asked);
         let is_unframed = matches!(fault, Some(Fault::Unframed | Fault::UnframedClose));
         let framing = if is_unframed {
             ""
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -10,10 +10,10 @@
 use cranberryridge::net::Tcp;
 use cranberryridge_standin::server::Server;
 use cranberryridge_standin::store::Store;
+use cranberryridge_standin::stream::Ledger;
 
 use super::deployment::Deployment;
 use super::engine::Engine;
-use super::ledger::Ledger;
 
 /// Hosts of the gateways begin with this one.
 const FIRST_GATEWAY_HOST: u8 = 2;
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -283,7 +283,7 @@
         rows.extend(late_callers.stop(seed, &site, quiet_from).await);
     }
     if let Some(callers) = callers {
-        rows.extend(callers.check(seed));
+        rows.extend(callers.check(seed, &site.ledger));
     }
     tokio::time::sleep(Duration::from_secs(3)).await;
     site.assert_guarantees(seed, &rows);
--- a/crates/daemon/tests/soak/late.rs
+++ b/crates/daemon/tests/soak/late.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use http::{Request, Version};
-use http_body_util::BodyExt;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
@@ -197,15 +196,14 @@
     let call = async {
         let answer = sender.send_request(Request::from_parts(head, body)).await;
         let Ok(answer) = answer else {
-            return (None, None);
+            return (None, None, None);
         };
         let status = answer.status().as_u16();
-        let body = answer.into_body().collect().await.ok();
-        let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
-        (Some(status), body)
+        let (body, cut) = load::read(answer).await;
+        (Some(status), body, cut)
     };
     let result = timeout_at(sent_at + DEADLINE + DEADLINE_TOLERANCE, call).await;
-    let (status, body) = result.unwrap_or_default();
+    let (status, body, cut) = result.unwrap_or_default();
     let whole_at = *whole_at.lock().unwrap();
     Call {
         row: Row {
@@ -214,6 +212,7 @@
             sent_at,
             status,
             body,
+            cut,
             after_faults: false,
             is_crashing: false,
             gateway,
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Version};
+use http::{Request, Response, Version};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
@@ -63,6 +64,8 @@
     pub status: Option<u16>,
     /// Body of the answer, if it is complete.
     pub body: Option<String>,
+    /// What arrived of an answer that was cut.
+    pub cut: Option<String>,
     /// Whether the request was sent after all faults were over.
     pub after_faults: bool,
     /// Whether its prompt has [`CRASHING_PART`].
@@ -145,16 +148,17 @@
                     }
                     let call = send(&mut connection_slot, gateway, request);
                     let result = tokio::time::timeout(CALL_DEADLINE, call).await;
-                    if !matches!(result, Ok((Some(_), Some(_)))) {
+                    if !matches!(result, Ok((Some(_), Some(_), _))) {
                         connection_slot = None;
                     }
-                    let (status, body) = result.unwrap_or_default();
+                    let (status, body, cut) = result.unwrap_or_default();
                     rows.lock().unwrap().push(Row {
                         attempt,
                         route,
                         sent_at,
                         status,
                         body,
+                        cut,
                         after_faults,
                         is_crashing,
                         gateway,
@@ -215,12 +219,13 @@
 }
 
 /// Sends a request on the kept connection, or on a new one if it is closed.
-/// Returns the status and the body, as far as they arrived.
+/// Returns the status and the body, as far as they arrived, and what arrived of a body that was
+/// cut.
 async fn send(
     connection_slot: &mut Option<SendRequest<Full<Bytes>>>,
     gateway: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> (Option<u16>, Option<String>) {
+) -> (Option<u16>, Option<String>, Option<String>) {
     if connection_slot
         .as_ref()
         .is_none_or(|connection| connection.is_closed())
@@ -228,13 +233,30 @@
         *connection_slot = connect(gateway).await;
     }
     let Some(sender) = connection_slot else {
-        return (None, None);
+        return (None, None, None);
     };
     let Ok(answer) = sender.send_request(request).await else {
-        return (None, None);
+        return (None, None, None);
     };
     let status = answer.status().as_u16();
-    let body = answer.into_body().collect().await.ok();
-    let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
-    (Some(status), body)
+    let (body, cut) = read(answer).await;
+    (Some(status), body, cut)
+}
+
+/// Reads an answer. Returns its body, or what arrived of one that was cut.
+pub async fn read(answer: Response<Incoming>) -> (Option<String>, Option<String>) {
+    let (mut body, mut bytes) = (answer.into_body(), Vec::new());
+    let is_whole = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    if is_whole {
+        (Some(text), None)
+    } else {
+        (None, Some(text))
+    }
 }
--- a/crates/daemon/tests/soak/order.rs
+++ b/crates/daemon/tests/soak/order.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use cranberryridge_standin::runner::{Fault, Runner};
+use cranberryridge_standin::stream::{self, Form, Held, Ledger};
 use cranberryridge_standin::transcript::Transcript;
 
 use super::load::Row;
@@ -11,41 +12,42 @@
 /// Number of events of a stream.
 pub const EVENTS: usize = 5;
 
-/// What is wrong with a stream that its caller took as whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Form {
-    /// It ended before its last event.
-    FalseEnd,
-    /// An event arrived twice.
-    Repeated,
-    /// An event is missing between two others.
-    Missing,
-    /// An event came before one that it belongs behind, or is no event.
-    OutOfOrder,
-    /// Events of several versions arrived.
-    Mixed,
+/// Returns what is wrong with the ids and versions of events that arrived, the last of which was
+/// taken as the end of the stream if `has_ended`.
+pub fn form_of_ids(got: &Transcript, has_ended: bool) -> Option<Form> {
+    let ids = got.ids().collect::<Vec<_>>();
+    let mut seen = HashSet::new();
+    if !ids.iter().all(|id| seen.insert(*id)) {
+        Some(Form::Repeated)
+    } else if !ids.is_sorted() || ids.contains(&0) {
+        Some(Form::OutOfOrder)
+    } else if !got.is_in_order() {
+        Some(Form::Missing)
+    } else if got.is_mixed() {
+        Some(Form::Mixed)
+    } else if has_ended && ids.len() < EVENTS {
+        Some(Form::FalseEnd)
+    } else {
+        None
+    }
 }
 
-impl Form {
-    /// Returns what is wrong with events that arrived, the last of which was taken as the end
-    /// of the stream if `has_ended`.
-    pub fn of(got: &Transcript, has_ended: bool) -> Option<Self> {
-        let ids = got.ids().collect::<Vec<_>>();
-        let mut seen = HashSet::new();
-        if !ids.iter().all(|id| seen.insert(*id)) {
-            Some(Self::Repeated)
-        } else if !ids.is_sorted() || ids.contains(&0) {
-            Some(Self::OutOfOrder)
-        } else if !got.is_in_order() {
-            Some(Self::Missing)
-        } else if got.is_mixed() {
-            Some(Self::Mixed)
-        } else if has_ended && ids.len() < EVENTS {
-            Some(Self::FalseEnd)
-        } else {
-            None
-        }
-    }
+/// Returns what is wrong with the stream that a request was answered with, held against what the
+/// engines made. Of a stream that was cut, what is behind its last event is no fault.
+pub fn form_of(row: &Row, ledger: &Ledger) -> Option<Form> {
+    let has_ended = row.body.is_some();
+    let (events, rest) = stream::split(row.body.as_ref().or(row.cut.as_ref())?);
+    let events = events.iter().map(|event| (&row.attempt, event));
+    let held = Held {
+        events: &events.collect::<Vec<_>>(),
+        total: EVENTS as u32,
+        has_ended,
+        may_resume: row.route == "list",
+    };
+    let is_torn = has_ended && !rest.is_empty();
+    ledger
+        .check(&held)
+        .or_else(|| is_torn.then_some(Form::Altered))
 }
 
 /// Counts of what is wrong with streams, by framing and by what their callers did.
@@ -102,7 +104,7 @@
     );
 }
 
-/// Prints counts of the streams that ended as complete, but are not.
+/// Prints counts of the streams that are wrong, or ended as complete and are not.
 pub fn print(seed: u64, callers: &str, rows: &[Row], site: &Site) {
     let mut counts = Counts::new(&site.runners);
     let mut streams = 0;
@@ -111,10 +113,12 @@
         .filter(|row| row.is_stream() && row.status == Some(200))
     {
         streams += 1;
-        let Some(body) = &row.body else { continue };
-        let mut got = Transcript::default();
-        got.push(body.as_bytes());
-        if let Some(form) = Form::of(&got, true) {
+        let form = row.body.as_ref().and_then(|body| {
+            let mut got = Transcript::default();
+            got.push(body.as_bytes());
+            form_of_ids(&got, true)
+        });
+        if let Some(form) = form.or_else(|| form_of(row, &site.ledger)) {
             counts.add(form, &row.attempt, row.speaks());
         }
     }
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -17,12 +17,14 @@
 use cranberryridge_standin::runner::{self, Runner};
 use cranberryridge_standin::server::Server;
 use cranberryridge_standin::store::{self, Store};
+use cranberryridge_standin::stream::Ledger;
 
 use super::budget::{assert_within_budget, FIXED_RETRIES};
 use super::endless;
 use super::late::LATE_ROUTES;
 use super::limit::LIMITS;
 use super::load::Row;
+use super::order;
 use super::proxy::{Mode, Proxy};
 
 /// Memory of a gateway's host, in megabytes.
@@ -34,6 +36,9 @@
 /// Hosts of the endpoints begin with this one.
 const FIRST_RUNNER_HOST: u8 = 240;
 
+/// Bytes of an event of a stream beside its names.
+const FILLER_BYTES: usize = 12;
+
 /// Minimum share of requests served after the faults are over.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
@@ -93,6 +98,8 @@
     pub store: Store,
     /// Stand-ins for the endpoints.
     pub runners: Vec<Runner>,
+    /// What they made of streams.
+    pub ledger: Ledger,
     /// Proxies in front of the endpoints, by index.
     pub proxies: Vec<Proxy>,
     /// Server of the store, which stops when dropped.
@@ -142,6 +149,7 @@
         let mut servers = Vec::new();
         let (mut runners, mut proxies) = (Vec::new(), Vec::new());
         let mut entries = Vec::new();
+        let ledger = Ledger::new(FILLER_BYTES);
         let plain = [(None, ""), (None, "")].into_iter();
         let engines = { settings.engines }
             .iter()
@@ -157,6 +165,7 @@
                 } else {
                     settings.service_time
                 },
+                ledger: Some(ledger.clone()),
                 ..runner::Settings::default()
             });
             servers.push(runner.serve(&Tcp, at(host, 7001)).await.ok());
@@ -195,6 +204,7 @@
         let mut site = Self {
             store,
             runners,
+            ledger,
             proxies,
             _store_server: store_server,
             servers,
@@ -434,8 +444,6 @@
             let id = seen.headers["attempt-id"].to_str().unwrap().to_owned();
             *runs.entry(id).or_default() += u32::from(seen.ran);
         }
-        let expected_note = (1..=5).map(|event| format!("id: {event}\ndata: token-{event}\n\n"));
-        let expected_note = expected_note.collect::<String>();
         for row in rows {
             let ran = runs.get(&row.attempt).copied().unwrap_or_default();
             let is_repeatable = ["read", "list", "late-read"].contains(&row.route);
@@ -444,12 +452,12 @@
             if matches!(row.status, Some(408 | 421 | 429 | 503)) && !is_repeatable {
                 assert_eq!(ran, 0, "seed {seed}: {row:?} ran");
             }
-            if let (Some(200), Some(body)) = (row.status, &row.body) {
+            if row.status == Some(200) && row.is_stream() {
+                let form = order::form_of(row, &self.ledger);
+                let made = self.ledger.runs_of(&[&row.attempt]);
+                assert_eq!(form, None, "seed {seed}: {row:?}, made by {made:?}");
+            } else if let (Some(200), Some(body)) = (row.status, &row.body) {
                 let expected = match row.route {
-                    "note" | "list" | "late-note" if is_of_version(body, &expected_note) => {
-                        continue
-                    }
-                    "note" | "list" | "late-note" => expected_note.clone(),
                     "read" => "GET /read/7?a=b".into(),
                     route => format!("POST /{route}/7?a=b"),
                 };
@@ -457,6 +465,10 @@
             }
         }
         self.print_joined(seed, rows);
+        println!(
+            "soak: seed {seed}: {} runs of streams recorded",
+            self.ledger.run_count()
+        );
         for runner in &self.runners {
             let id = &runner.settings.id;
             assert_eq!(runner.running_count(), 0, "seed {seed}: {id} still runs");
@@ -497,21 +509,6 @@
     }
 }
 
-/// Returns whether a stream is the expected one, with the same version in all events.
-fn is_of_version(body: &str, expected: &str) -> bool {
-    body != without_version(body) && without_version(body) == expected
-}
-
-/// Returns a stream without the version that its first event names.
-fn without_version(body: &str) -> String {
-    let first = body.lines().nth(1).unwrap_or_default();
-    let version = first
-        .split_once(' ')
-        .and_then(|(_, rest)| rest.split_once(' '));
-    let version = version.map(|(_, version)| format!(" {version}\n"));
-    version.map_or_else(|| body.into(), |version| body.replace(&version, "\n"))
-}
-
 /// Returns the ids of attempts with the time from when they were sent until the last request.
 fn seconds_until_end<'a>(rows: &[Row], attempts: &[&'a Row]) -> Vec<(&'a str, f64)> {
     let Some(end) = rows.iter().map(|row| row.sent_at).max() else {
--- a/crates/daemon/tests/soak/version.rs
+++ b/crates/daemon/tests/soak/version.rs
@@ -15,10 +15,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout_at, Instant};
 
+use cranberryridge_standin::stream::{Form, Held, Ledger};
 use cranberryridge_standin::transcript::Transcript;
 
 use super::load::{self, Row, CALL_DEADLINE};
-use super::order::{Counts, Form, EVENTS};
+use super::order::{self, Counts, EVENTS};
 use super::site::Site;
 
 /// Number of callers that take up streams.
@@ -37,6 +38,10 @@
     first_attempt: Option<String>,
     /// Events that arrived.
     got: Transcript,
+    /// Attempt that each of them answered.
+    attempts: Vec<String>,
+    /// Whether an answer that ended as complete went on behind its last event.
+    is_torn: bool,
     /// Whether the caller took it up, and whether it then went on.
     is_taken_up: bool,
     has_gone_on: bool,
@@ -66,9 +71,19 @@
 
     /// Returns what is wrong with the events, or with an answer that ended as complete before
     /// the last one.
-    fn form(&self) -> Option<Form> {
-        Form::of(&self.got, self.false_end.is_some())
-            .or_else(|| self.false_end.as_ref().map(|_| Form::FalseEnd))
+    fn form(&self, ledger: &Ledger) -> Option<Form> {
+        let has_ended = self.false_end.is_some();
+        let events = self.attempts.iter().zip(self.got.texts());
+        let held = Held {
+            events: &events.collect::<Vec<_>>(),
+            total: EVENTS as u32,
+            has_ended,
+            may_resume: true,
+        };
+        order::form_of_ids(&self.got, has_ended)
+            .or_else(|| ledger.check(&held))
+            .or_else(|| has_ended.then_some(Form::FalseEnd))
+            .or_else(|| self.is_torn.then_some(Form::Altered))
     }
 
     /// Returns the version that the caller speaks, whether it took the stream up, and whether
@@ -87,6 +102,12 @@
         }
     }
 
+    /// Returns the attempts of all tries.
+    fn tries(&self) -> Vec<&str> {
+        let tries = self.tries.iter();
+        tries.map(|tried| tried.attempt.as_str()).collect()
+    }
+
     fn request(&self, attempt: &str, body: &str) -> Request<Full<Bytes>> {
         let mut request = load::request("list", attempt);
         *request.version_mut() = self.version;
@@ -108,6 +129,7 @@
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return,
                 None => {
+                    self.is_torn |= !self.got.rest().is_empty();
                     if !self.is_complete() && self.false_end.is_none() {
                         self.false_end = self.tries.last().cloned();
                     }
@@ -116,6 +138,7 @@
             };
             let before = self.got.len();
             self.got.push(frame.data_ref().map_or(&[], |data| data));
+            self.attempts.resize(self.got.len(), attempt.into());
             if self.got.len() > before {
                 self.first_attempt.get_or_insert_with(|| attempt.into());
                 self.has_gone_on |= self.is_taken_up;
@@ -198,7 +221,7 @@
         let mut counts = Counts::new(&site.runners);
         for stream in &*streams {
             let last = stream.false_end.as_ref().or(stream.tries.last());
-            if let (Some(form), Some(last)) = (stream.form(), last) {
+            if let (Some(form), Some(last)) = (stream.form(&site.ledger), last) {
                 counts.add(form, &last.attempt, stream.kind(site));
             }
         }
@@ -206,13 +229,16 @@
     }
 
     /// Checks the streams of callers that have stopped, and returns their requests.
-    pub fn check(&self, seed: u64) -> Vec<Row> {
+    pub fn check(&self, seed: u64, ledger: &Ledger) -> Vec<Row> {
         let streams = self.streams.lock().unwrap();
-        let broken = streams.iter().filter(|stream| stream.form().is_some());
+        let broken = streams.iter().filter_map(|stream| {
+            let form = stream.form(ledger)?;
+            Some((form, stream, ledger.runs_of(&stream.tries())))
+        });
         let broken = broken.collect::<Vec<_>>();
         assert!(
             broken.is_empty(),
-            "seed {seed}: mixed, out of order or ended early: {broken:?}"
+            "seed {seed}: not as the engines made them, or ended early: {broken:?}"
         );
         let count = |after_faults, is: fn(&&Stream) -> bool| {
             let streams = streams.iter().filter(|stream| stream.is_taken_up);
@@ -295,6 +321,7 @@
             sent_at,
             status,
             body: None,
+            cut: None,
             after_faults,
             is_crashing: false,
             gateway,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod script;
 pub mod server;
 pub mod store;
+pub mod stream;
 pub mod transcript;
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -17,6 +17,7 @@
 use cranberryridge::wire::Map;
 
 use crate::server::{json, status, Server};
+use crate::stream::Ledger;
 
 pub use fault::Fault;
 
@@ -87,6 +88,9 @@
     pub event_interval: Duration,
     /// Memory that can be reserved, in tokens.
     pub memory_tokens: usize,
+    /// Record of the runs of all endpoints, whose pieces name their run and its attempt. `None`
+    /// if pieces name neither.
+    pub ledger: Option<Ledger>,
 }
 
 impl Default for Settings {
@@ -100,6 +104,7 @@
             stream_events: 5,
             event_interval: Duration::from_millis(40),
             memory_tokens: 30_000,
+            ledger: None,
         }
     }
 }
@@ -613,8 +618,19 @@
         let crashed = self.crashed.clone();
         let last_event = head.headers.get("last-event-id");
         let last_event = last_event.and_then(|id| id.to_str().ok()?.parse::<u32>().ok());
-        let last_event = last_event.filter(|_| fault != Some(Fault::Anew));
-        let first_event = last_event.unwrap_or_default() + 1;
+        let asked_event = last_event.unwrap_or_default();
+        let begun_event = if fault == Some(Fault::Anew) {
+            0
+        } else {
+            asked_event
+        };
+        let first_event = begun_event + 1;
+        let attempt = head.headers.get("attempt-id");
+        let attempt = attempt.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let record = settings.ledger.clone().map(|ledger| {
+            let number = ledger.begin(attempt, &settings.version, asked_event, begun_event);
+            (ledger, number)
+        });
         tokio::spawn(async move {
             let _run = run;
             for event in first_event..=settings.stream_events {
@@ -639,11 +655,14 @@
                     "" => String::new(),
                     version => format!(" {version}"),
                 };
-                let id = match fault {
-                    Some(Fault::Unnumbered) if event == first_event => String::new(),
-                    _ => format!("id: {event}\n"),
+                let id = format!("id: {event}\n");
+                let mut text = match &record {
+                    Some((ledger, number)) => ledger.make(*number),
+                    None => format!("{id}data: token-{event}{version}\n\n"),
                 };
-                let text = format!("{id}data: token-{event}{version}\n\n");
+                if fault == Some(Fault::Unnumbered) && event == first_event {
+                    text = text.replacen(&id, "", 1);
+                }
                 let breaks = [Fault::Break(event - 1), Fault::UnframedBreak(event - 1)];
                 if let Some(fault) = fault.filter(|fault| breaks.contains(fault)) {
                     let partial = Bytes::from(text.into_bytes()).slice(..8);
--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -15,6 +15,8 @@
 /// transcript.push(b"id: 2\ndata: token-2 v2\n\n");
 /// assert_eq!(transcript.last_id(), Some(2));
 /// assert!(transcript.ids().eq([1, 2]));
+/// assert_eq!(transcript.texts()[1], "id: 2\ndata: token-2 v2\n\n");
+/// assert_eq!(transcript.rest(), "");
 /// assert!(transcript.is_in_order());
 /// assert!(transcript.is_mixed());
 /// transcript.push(b"no event\n\n");
@@ -24,6 +26,8 @@
 pub struct Transcript {
     /// Ids of the events, and the versions that made them.
     events: Vec<(u32, String)>,
+    /// Text of each event with the empty line behind it.
+    texts: Vec<String>,
     /// Bytes of the current try after its last complete event.
     rest: String,
 }
@@ -43,10 +47,21 @@
             let id = id.and_then(|id| id.parse().ok()).unwrap_or(UNORDERED);
             let version = event.rsplit(' ').next().unwrap_or_default();
             self.events.push((id, version.into()));
+            self.texts.push(format!("{event}\n\n"));
             self.rest = rest.into();
         }
     }
 
+    /// Returns the text of each complete event with the empty line behind it.
+    pub fn texts(&self) -> &[String] {
+        &self.texts
+    }
+
+    /// Returns the bytes of the current try after its last complete event.
+    pub fn rest(&self) -> &str {
+        &self.rest
+    }
+
     /// Returns the number of complete events.
     pub fn len(&self) -> usize {
         self.events.len()
