--- a/crates/daemon/tests/hosts.rs
+++ b/crates/daemon/tests/hosts.rs
@@ -6,7 +6,6 @@
     pub mod caller;
     pub mod deployment;
     pub mod engine;
-    pub mod ledger;
     pub mod site;
 }
 
@@ -18,10 +17,11 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
 
+use cranberryridge_standin::stream::{Held, Ledger, Run};
+
 use shapes::caller::{End, Manner, Stream};
 use shapes::deployment::{Deployment, LIPOWA};
 use shapes::engine::{Fault, Share};
-use shapes::ledger::{Held, Ledger, Run};
 use shapes::site::Site;
 
 /// Time after which gateways may use the fixed part of the retry budget.
@@ -33,6 +33,9 @@
 /// Time in which all hosts apply a configuration.
 const APPLY_TIME: Duration = Duration::from_secs(3);
 
+/// Bytes of a piece beside its names.
+const FILLER_BYTES: usize = 60;
+
 /// Streams whose callers are gone.
 type Streams = Arc<Mutex<Vec<Stream>>>;
 
@@ -86,9 +89,9 @@
     let runs = ledger.runs();
     let mut wrong = Vec::new();
     for stream in streams {
+        let events = stream.events.iter().map(|event| (&stream.name, event));
         let held = Held {
-            name: &stream.name,
-            events: &stream.events,
+            events: &events.collect::<Vec<_>>(),
             total: stream.total,
             has_ended: stream.has_ended(),
             may_resume: stream.may_resume,
@@ -134,7 +137,7 @@
 // up elsewhere, or with requests that waited in its sockets.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_thawed_host_runs_nothing_for_callers_who_left() {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(21, deployment(110), &ledger).await;
     let hosts = site.hosts();
     sleep(LEAD_TIME).await;
@@ -185,7 +188,7 @@
 /// Changes the configuration while streams run, breaks their runs `pause` later, and returns
 /// what is wrong.
 async fn reload(subnet: u8, (is_resumable, attempts): (bool, u32), pause: Duration) -> Vec<String> {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(subnet, deployment(60), &ledger).await;
     let hosts = site.hosts();
     site.publish(14_000, !is_resumable, 4 - attempts);
@@ -229,7 +232,7 @@
 // be resumed when it began: they got its pieces twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_taken_up_after_a_reload_do_not_begin_anew() {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(51, deployment(60), &ledger).await;
     let hosts = site.hosts();
     sleep(LEAD_TIME).await;
@@ -252,7 +255,7 @@
 // was thawed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_taken_up_at_a_thawed_host_go_on_soon() {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(61, deployment(60), &ledger).await;
     let hosts = site.hosts();
     sleep(LEAD_TIME).await;
@@ -296,7 +299,7 @@
 // and against cut streams that look whole, when a host is killed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn kept_connections_of_killed_hosts_end_without_false_ends() {
-    let ledger = Ledger::default();
+    let ledger = Ledger::new(FILLER_BYTES);
     let mut site = Site::start(41, deployment(30), &ledger).await;
     let hosts = site.hosts();
     sleep(LEAD_TIME).await;
