policy: learn the numbering of events from streams of four or more

A stream of one event is regular however its engine numbers events. Engines that count tokens and make one event in more than half of their streams would have passed for engines that count events, and all their longer streams been cut for good. Found by review, by reading. Streams of fewer than four events now tell nothing. Where the numbering is known, an event without an id is a disorder as well: it was passed on, ended the stream as whole if it was the last one, and kept it from going on elsewhere if not.

short_streams_tell_nothing_of_the_numbering and an_event_without_an_id_is_not_admitted_where_ids_count_by_one are new; the code before has neither rule, and they were not run on it.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -192,8 +192,8 @@
 /// Reason why a run's event does not belong into the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Disorder {
-    /// The first event of a continuation has no id.
-    #[error("a continuation begins without an event id")]
+    /// The first event of a continuation has no id, or another one where ids count by one.
+    #[error("an event that needs an id has none")]
     Unnumbered,
     /// The event's id does not follow the last one.
     #[error("the event id does not follow the last one")]
@@ -269,7 +269,7 @@
     /// use cranberryridge_policy::answer::numbering::{Ids, Numbering};
     /// use cranberryridge_policy::answer::{Disorder, Event, Place, Sequence};
     /// let mut numbering = Numbering::default();
-    /// (0..8).for_each(|_| numbering.record(Ids { first: 1, is_regular: true }));
+    /// (0..8).for_each(|_| numbering.record(Ids { first: 1, is_regular: true, count: 4 }));
     /// let mut sequence = Sequence::default();
     /// sequence.expect(numbering);
     /// assert_eq!(sequence.admit(Event { id: Some("1") }), Ok(Place::Next));
@@ -302,11 +302,16 @@
         let last_id = self.last_id.as_ref().and_then(|id| id.parse::<u64>().ok());
         match (&mut self.ids, id) {
             (Some(ids), id) => {
-                ids.is_regular &= id.is_some() && id == last_id.and_then(|id| id.checked_add(1))
+                let next_id = last_id.and_then(|id| id.checked_add(1));
+                ids.is_regular &= id.is_some() && id == next_id;
+                ids.count = ids.count.saturating_add(1);
             }
             (None, Some(first)) if self.last_id.is_none() && !self.is_taken_up => {
-                let is_regular = true;
-                self.ids = Some(Ids { first, is_regular });
+                self.ids = Some(Ids {
+                    first,
+                    is_regular: true,
+                    count: 1,
+                });
             }
             (None, _) => {}
         }
@@ -359,7 +364,9 @@
             return Ok(Place::Repeated);
         }
         match (event.id, &self.last_id) {
-            (None, _) if self.is_unproven() => return Err(Disorder::Unnumbered),
+            (None, _) if self.is_unproven() || self.expected_first_id.is_some() => {
+                return Err(Disorder::Unnumbered)
+            }
             (None, _) => self.has_unnumbered = true,
             (Some(id), Some(last)) if !follows(id, last) => return Err(Disorder::Backward),
             (Some(id), _) if self.leaves_gap(id) => return Err(Disorder::Gap),
--- a/crates/policy/src/answer/numbering.rs
+++ b/crates/policy/src/answer/numbering.rs
@@ -6,6 +6,10 @@
 /// Least number of regular streams from which the numbering is known.
 const MIN_REGULAR_STREAMS: u32 = 8;
 
+/// Least number of events of a stream that counts. Shorter ones have no gap however their engine
+/// numbers events.
+const MIN_EVENTS: u32 = 4;
+
 /// Number of streams above which earlier ones count half, so that a change is learned.
 const MAX_STREAMS: u32 = 32;
 
@@ -16,6 +20,8 @@
     pub first: u64,
     /// Whether each further id is one more than the one before.
     pub is_regular: bool,
+    /// Number of events with an id.
+    pub count: u32,
 }
 
 /// Numbering of events by the engines of a service.
@@ -27,7 +33,7 @@
 /// let mut numbering = Numbering::default();
 /// assert_eq!(numbering.first_id(), None);
 /// for _ in 0..8 {
-///     numbering.record(Ids { first: 1, is_regular: true });
+///     numbering.record(Ids { first: 1, is_regular: true, count: 4 });
 /// }
 /// assert_eq!(numbering.first_id(), Some(1));
 /// ```
@@ -44,6 +50,9 @@
 impl Numbering {
     /// Records a stream whose end was stated.
     pub fn record(&mut self, ids: Ids) {
+        if ids.count < MIN_EVENTS {
+            return;
+        }
         self.age();
         if ids.is_regular && self.regular == 0 {
             self.first_id = ids.first;
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -408,6 +408,7 @@
 const REGULAR: Ids = Ids {
     first: 1,
     is_regular: true,
+    count: 4,
 };
 
 const IRREGULAR: Ids = Ids {
@@ -499,3 +500,29 @@
     assert_eq!(sequence.admit(Event { id: Some("6") }), Ok(Place::Next));
     assert_eq!(sequence.ids(), None);
 }
+
+// Engines that count tokens make many streams of one event, which must not pass for regular.
+#[test]
+fn short_streams_tell_nothing_of_the_numbering() {
+    let mut numbering = Numbering::default();
+    for count in [1, 2, 3].into_iter().cycle().take(300) {
+        numbering.record(Ids { count, ..REGULAR });
+        numbering.record(Ids { count, ..IRREGULAR });
+    }
+    assert_eq!(numbering, Numbering::default());
+    let mut sequence = Sequence::default();
+    sequence.admit(Event { id: Some("1") }).unwrap();
+    numbering.record(sequence.ids().unwrap());
+    assert_eq!(numbering, Numbering::default());
+}
+
+// An event that lost its id must not end a stream, or keep it from going on elsewhere.
+#[test]
+fn an_event_without_an_id_is_not_admitted_where_ids_count_by_one() {
+    let mut sequence = Sequence::default();
+    sequence.admit(Event { id: Some("1") }).unwrap();
+    sequence.expect(known());
+    let event = sequence.admit(Event { id: None });
+    assert_eq!(event, Err(Disorder::Unnumbered));
+    assert!(sequence.is_resumable());
+}
