--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -305,6 +305,7 @@
         let served = sound.get(&200).copied().unwrap_or_default();
         let share = served as f64 / SOUND_REQUESTS as f64;
         let is_whole = faulty.is_any_whole;
+        assert!(faulty.longest < MAX_FETCH_TIME, "{name}: never answered");
         if peak >= MEMORY_MB || share < MIN_SERVED_SHARE || is_whole || answers == 0 {
             failed.push(name);
         }
--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -45,6 +45,10 @@
 /// Time for the last streams to end.
 const END_TIME: Duration = Duration::from_secs(15);
 
+/// Least share of streams that reach their callers whole while runs have a fault, as three in
+/// four have none.
+const MIN_WHOLE_SHARE: f64 = 0.75;
+
 /// Pieces of a stream vary by this factor at most.
 const PIECE_SPREAD: f64 = 0.7;
 
@@ -205,5 +209,8 @@
         deployment.name,
         kind.name()
     );
+    let share = whole as f64 / count.max(1) as f64;
+    let is_sound = !matches!(kind, Kind::Runs(_)) || share >= MIN_WHOLE_SHARE;
+    assert!(is_sound, "{}: {share:.2} whole", kind.name());
     wrong
 }
