Revert "gateway: ask only endpoints that state ends to check one"

There, two engines begin most streams without a length or chunks and state the end of a second run. Two such streams in a row at both engines left no endpoint to ask, so streams were cut that were whole before. What an engine's heads say of its first runs is no evidence of what it states when it is asked to check.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,9 +8,9 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
+use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
-use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::Engine;
 
 use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Run};
@@ -146,42 +146,38 @@
     progress: &mut Progress,
     reply: &mut Reply,
 ) -> Option<Run<N, C, D>> {
-    let unable = if progress.sequence.is_checking() {
-        find_unable(call, progress)
-    } else {
-        Vec::new()
-    };
-    progress.excluded.extend(&unable);
     if !progress.sequence.is_resumable() || !is_retry_allowed(call, progress) {
         return None;
     }
+    if progress.sequence.is_checking() && !has_other_endpoint(call, progress) {
+        return None;
+    }
     if !call.input.retain_body() {
         call.shared.metrics.count("stream.body_released");
         return None;
     }
     let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
-    let run = tokio::select! {
+    tokio::select! {
         () = reply.closed() => None,
         run = shared.run_until(deadline, join::start(call, engine, progress)) => match run {
             Ok(Ok(Answer::Stream(run))) => Some(*run),
             _ => None,
         },
-    };
-    // If the check finds events and breaks, they may go on with the stream.
-    progress.excluded.retain(|key| !unable.contains(key));
-    run
+    }
 }
 
-/// Returns the endpoints that are not asked to check an end: they state none themselves, and
-/// have not run the request.
-fn find_unable<N: Net, C: Clock, D: Dialect>(
+/// Returns whether an endpoint that has not run the request can generate its answer. A caller
+/// that may have all events is not kept waiting for one to come.
+fn has_other_endpoint<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     progress: &Progress,
-) -> Vec<EndpointKey> {
+) -> bool {
     let pool = call.shared.pool();
-    let keys = pool.unable_to_check(&call.service);
-    keys.filter(|key| !progress.excluded.contains(key))
-        .collect()
+    let now = call.shared.clock.now();
+    let keys = pool.candidates(now, call.scope(&progress.excluded));
+    let mut endpoints = keys.iter().filter_map(|key| pool.get(*key));
+    endpoints
+        .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
 }
 
 /// Outcome of relaying one run's stream.
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -13,7 +13,6 @@
 
 use super::member::{Endpoint, Phase};
 use super::route::Engine;
-use crate::answer::Framing;
 
 use self::baseline::{Service, DEFAULT_RUN_TIME, SLOW_WEIGHT};
 use self::state::SLOWDOWN_RANGE;
@@ -121,9 +120,6 @@
 /// Longest rest that an endpoint gets.
 const MAX_REST: Duration = Duration::from_secs(60);
 
-/// Streams in a row without a stated end after which an endpoint is not asked to check one.
-const MAX_UNSTATED_STREAMS: u32 = 2;
-
 /// Returns the rest that an endpoint gets when it asks for `seconds`. `None` if
 /// the value is not a time.
 ///
@@ -342,56 +338,6 @@
         service.mean_event_seconds = Some(mean + (clamped - mean) * SLOW_WEIGHT);
     }
 
-    /// Records how an endpoint marks the end of a stream that it has begun.
-    pub fn record_framing(&mut self, key: EndpointKey, framing: Framing) {
-        if let Some(state) = self.states.get_mut(key) {
-            state.consecutive_unstated = if framing.states_end() {
-                0
-            } else {
-                state.consecutive_unstated.saturating_add(1)
-            };
-        }
-    }
-
-    /// Returns the endpoints of a service that can't confirm an end, as the last streams of
-    /// each stated none. Those that state some of their ends are not among them, nor those
-    /// that have sent too few streams since they started.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge_policy::answer::Framing;
-    /// use cranberryridge_policy::gateway::member::Endpoint;
-    /// use cranberryridge_policy::gateway::pool::{Pool, Settings};
-    /// let mut pool = Pool::new(Settings::default());
-    /// pool.update(vec![Endpoint {
-    ///     id: "d0".into(),
-    ///     started_ms: 1,
-    ///     address: ([127, 0, 0, 1], 80).into(),
-    ///     service: "model".into(),
-    ///     domain: "a".into(),
-    ///     version: "v1".into(),
-    ///     phase: None,
-    ///     slots: 8,
-    ///     draining: false,
-    /// }]);
-    /// let key = pool.key("d0").unwrap();
-    /// assert_eq!(pool.unable_to_check("model").count(), 0);
-    /// pool.record_framing(key, Framing::Connection);
-    /// assert_eq!(pool.unable_to_check("model").count(), 0);
-    /// pool.record_framing(key, Framing::Connection);
-    /// assert!(pool.unable_to_check("model").eq([key]));
-    /// pool.record_framing(key, Framing::Chunks);
-    /// assert_eq!(pool.unable_to_check("model").count(), 0);
-    /// ```
-    pub fn unable_to_check(&self, service: &str) -> impl Iterator<Item = EndpointKey> + '_ {
-        let keys = self.endpoints(service).iter().copied();
-        keys.filter(|key| {
-            let state = self.states.get(*key);
-            state.is_some_and(|state| state.consecutive_unstated >= MAX_UNSTATED_STREAMS)
-        })
-    }
-
     /// Records whether an answer succeeded. In either case, ends the endpoint's
     /// pause and resets both backoffs, but a full endpoint still counts as full
     /// until that mark expires.
--- a/crates/policy/src/gateway/pool/state.rs
+++ b/crates/policy/src/gateway/pool/state.rs
@@ -52,8 +52,6 @@
     pub(in crate::gateway) permit_due: Option<Instant>,
     /// Stage that the endpoint is moving to, and when that mark expires.
     pub(super) moving: Option<(Phase, Instant)>,
-    /// Streams since the last one whose head stated where it ends.
-    pub(super) consecutive_unstated: u32,
 }
 
 /// Reason why an endpoint did not serve a request.
@@ -93,7 +91,6 @@
             limit: Limit::default(),
             permit_due: None,
             moving: None,
-            consecutive_unstated: 0,
         }
     }
 
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -7,7 +7,6 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
-use cranberryridge_policy::answer::Framing;
 use cranberryridge_policy::gateway::budget::{self, Budget};
 use cranberryridge_policy::gateway::cache::Cache;
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase, RELIST_GRACE_PERIOD};
@@ -439,52 +438,3 @@
     assert!(unknown.offer(now), "its time is not known");
     assert!(!unknown.offer(now));
 }
-
-// Ends were checked at endpoints that state none.
-#[test]
-fn an_endpoint_that_states_no_end_checks_none_until_it_states_one() {
-    let mut pool = engine_pool(1, 3);
-    let keys = ["d0", "d1", "d2"].map(|id| key(&pool, id));
-    assert_eq!(pool.unable_to_check("model").count(), 0);
-    for _ in 0..2 {
-        pool.record_framing(keys[0], Framing::Connection);
-        pool.record_framing(keys[1], Framing::Connection);
-        pool.record_framing(keys[2], Framing::Length);
-    }
-    assert!(pool.unable_to_check("model").eq([keys[0], keys[1]]));
-    assert_eq!(pool.unable_to_check("orders").count(), 0);
-    pool.record_framing(keys[1], Framing::Chunks);
-    assert!(pool.unable_to_check("model").eq([keys[0]]));
-}
-
-// A new release may state what the one before it did not.
-#[test]
-fn a_new_start_of_an_endpoint_may_check_ends() {
-    let mut pool = engine_pool(0, 1);
-    let mut listed = pool.endpoint("d0").unwrap();
-    let old = key(&pool, "d0");
-    pool.record_framing(old, Framing::Connection);
-    pool.record_framing(old, Framing::Connection);
-    pool.update(vec![listed.clone()]);
-    assert!(pool.unable_to_check("model").eq([old]));
-    listed.started_ms += 1;
-    pool.update(vec![listed]);
-    assert_eq!(pool.unable_to_check("model").count(), 0);
-    // An answer of the old start may arrive late.
-    pool.record_framing(old, Framing::Connection);
-    assert_eq!(pool.unable_to_check("model").count(), 0);
-}
-
-// Engines that mark each second end by the connection were not asked, though they could have
-// confirmed an end.
-#[test]
-fn an_endpoint_that_states_each_second_end_checks_ends() {
-    let mut pool = engine_pool(0, 1);
-    let engine = key(&pool, "d0");
-    for _ in 0..10 {
-        for framing in [Framing::Connection, Framing::Chunks] {
-            pool.record_framing(engine, framing);
-            assert_eq!(pool.unable_to_check("model").count(), 0);
-        }
-    }
-}
