policy: derive that a stream is taken up from its last id

The sequence of a caller that takes a stream up has a last id from the start, so the flag beside it said nothing more. Behaviour is as before; the tests of answers and clippy pass.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -247,8 +247,6 @@
     expected_first_id: Option<u64>,
     /// Ids of all events, if the stream begins with its first one.
     ids: Option<Ids>,
-    /// Whether the caller takes the stream up.
-    is_taken_up: bool,
 }
 
 impl Sequence {
@@ -256,7 +254,6 @@
     pub fn after(last_id: impl Into<CompactString>) -> Self {
         Self {
             last_id: Some(last_id.into()),
-            is_taken_up: true,
             ..Self::default()
         }
     }
@@ -306,7 +303,7 @@
                 ids.is_regular &= id.is_some() && id == next_id;
                 ids.count = ids.count.saturating_add(1);
             }
-            (None, Some(first)) if self.last_id.is_none() && !self.is_taken_up => {
+            (None, Some(first)) if self.last_id.is_none() => {
                 self.ids = Some(Ids {
                     first,
                     is_regular: true,
