--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -109,6 +109,9 @@
     }
 }
 
+/// Time by which an endpoint stops before its deadline, as its timers run ahead.
+const TIMER_LEAD: Duration = Duration::from_millis(1);
+
 /// A request that an endpoint received.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -517,6 +520,8 @@
             _in_flight: InFlight::add(&self.running, 1),
             _memory: text("kv-hold").map(|name| self.claim(name)),
         };
+        let time = text("deadline-ms").and_then(|time| time.parse().ok());
+        let stop_at = time.map(|time| Instant::now() + Duration::from_millis(time) - TIMER_LEAD);
         if fault == Some(Fault::Hang) {
             return std::future::pending().await;
         }
@@ -528,12 +533,18 @@
         let mut response = if is_prefill {
             self.prefill().await
         } else if self.settings.phase.is_some() || self.settings.is_streaming {
-            self.stream(&head, fault, run)
+            if let Some(Fault::SizedAtDeadline(_)) = fault {
+                wait_until(stop_at).await;
+            }
+            self.stream(&head, fault, stop_at, run)
         } else {
             tokio::time::sleep(self.settings.service_time).await;
             let body = format!("{} {}", head.method, head.uri);
-            if matches!(fault, Some(Fault::Unframed | Fault::UnframedCrash(_))) {
-                self.send_halves(body.into(), fault)
+            if matches!(
+                fault,
+                Some(Fault::Unframed | Fault::UnframedCrash(_) | Fault::StopAtDeadline(_))
+            ) {
+                self.send_halves(body.into(), fault, stop_at)
             } else {
                 Response::new(Body::full(body))
             }
@@ -576,8 +587,14 @@
         ids.any(|id| crashing.as_deref() == Some(id))
     }
 
-    /// Answers with a body in two halves, one service time apart.
-    fn send_halves(&self, body: Bytes, fault: Option<Fault>) -> Response<Body> {
+    /// Answers with a body in two halves, one service time apart, or with the first half if it
+    /// stops at a time.
+    fn send_halves(
+        &self,
+        body: Bytes,
+        fault: Option<Fault>,
+        stop_at: Option<Instant>,
+    ) -> Response<Body> {
         let (sender, response_body) = Body::channel(1);
         let service_time = self.settings.service_time;
         let crashed = self.crashed.clone();
@@ -585,6 +602,11 @@
             let (first, second) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
             // A caller that has gone needs neither half.
             let _ = sender.send(Piece::Data(first)).await;
+            if matches!(fault, Some(Fault::StopAtDeadline(_))) {
+                wait_until(stop_at).await;
+                let _ = sender.send(Piece::End).await;
+                return;
+            }
             tokio::time::sleep(service_time).await;
             if matches!(fault, Some(Fault::UnframedCrash(_))) {
                 crashed.notify_one();
@@ -603,11 +625,13 @@
         json(&json!({ "kvHandle": "cache-1", "tokens": 100, "version": 1 }))
     }
 
-    /// Streams events, starting after the one named by `last-event-id`.
+    /// Streams events, starting after the one named by `last-event-id`. `stop_at` is the deadline
+    /// that the request states, if any.
     fn stream(
         &self,
         head: &http::request::Parts,
         fault: Option<Fault>,
+        stop_at: Option<Instant>,
         run: Run,
     ) -> Response<Body> {
         if let Some(response) = fault.and_then(answer_without_events) {
@@ -631,6 +655,13 @@
             let number = ledger.begin(attempt, &settings.version, asked_event, begun_event);
             (ledger, number)
         });
+        if let Some(Fault::SizedAtDeadline(count)) = fault {
+            let events =
+                (first_event..=count).map(|event| format!("id: {event}\ndata: token-{event}\n\n"));
+            let mut response = Response::new(Body::full(events.collect::<String>()));
+            insert_header(response.headers_mut(), "content-type", "text/event-stream");
+            return response;
+        }
         tokio::spawn(async move {
             let _run = run;
             for event in first_event..=settings.stream_events {
@@ -644,6 +675,10 @@
                 if fault == Some(Fault::UnframedStop(event - 1)) {
                     break;
                 }
+                if fault == Some(Fault::StopAtDeadline(event - 1)) {
+                    wait_until(stop_at).await;
+                    break;
+                }
                 if fault == Some(Fault::UnframedCrash(event - 1)) {
                     crashed.notify_one();
                     return sender.closed().await;
@@ -687,6 +722,14 @@
     }
 }
 
+/// Waits until a time, or for good if there is none.
+async fn wait_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the whole answer to a stream's request of a fault that has one.
 fn answer_without_events(fault: Fault) -> Option<Response<Body>> {
     let (media, text) = match fault {
--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -51,6 +51,11 @@
     /// a body. Whoever waits for [`Runner::crashed`](super::Runner::crashed) must then close the endpoint's listener,
     /// and after it the connections.
     UnframedCrash(u32),
+    /// Makes what it answers too slowly, stops at the deadline that the request states, and ends
+    /// the answer in order. The number is how many events of a stream come before.
+    StopAtDeadline(u32),
+    /// As [`Fault::StopAtDeadline`], but sends its answer with a length once it stops.
+    SizedAtDeadline(u32),
 }
 
 impl Fault {
