gateway: believe no end that is stated at the endpoint's deadline

Callers got streams that looked whole and were not: an engine stops work at the deadline that it is sent, and one that ends its chunks in order then was believed. The gateway chose that deadline itself and did not look at it.

An end that is stated within the time of an event of the deadline, counted on the clock that goes on while the host is suspended, is no evidence now: the stream is cut. No time is left to ask another endpoint. A length states the end with the head.

--- a/crates/lib/src/clock.rs
+++ b/crates/lib/src/clock.rs
@@ -4,6 +4,8 @@
 
 use rustix::time::{clock_gettime, ClockId};
 
+use cranberryridge_policy::answer::deadline::Moment;
+
 /// Source of the time.
 pub trait Clock: Clone + Send + Sync + Unpin + 'static {
     /// Returns the current time of a monotonic clock that stops while the host is
@@ -13,6 +15,14 @@
     /// Returns the time since a fixed moment, such as the boot of the host. Unlike
     /// [`Clock::now`], it advances while the host is suspended.
     fn uptime(&self) -> Duration;
+
+    /// Returns the current time on both clocks.
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.now(),
+            uptime: self.uptime(),
+        }
+    }
 }
 
 /// Tokio's clock. [`Clock::now`] stops while the runtime's clock is paused.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use cranberryridge_policy::answer::deadline::{Deadline, Timing};
 use cranberryridge_policy::answer::{Conclusion, Disorder, End, Framing};
 use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -146,11 +147,20 @@
     }
 }
 
+/// Answer of an endpoint, whose body has not been read.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head and unread body.
+    pub response: Response<Incoming>,
+    /// How it states its end, and until when its endpoint works on it.
+    pub timing: Timing,
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
     /// The endpoint ran the request and answered.
-    Answer(Response<Incoming>),
+    Answer(Box<Answer>),
     /// The connection failed before anything was sent.
     NotSent,
     /// Nothing was sent, as the endpoint has named a limit and there is no valid permit.
@@ -229,9 +239,11 @@
     key: EndpointKey,
     known_limit: u64,
     stage: Stage<'_>,
+    deadline: Deadline,
     answer: Response<Incoming>,
 ) -> Outcome {
-    let now = shared.clock.now();
+    let began = shared.clock.moment();
+    let now = began.now;
     let (head, body) = answer.into_parts();
     let verdict = shared.dialect.classify(&head, &input.attempt_id, stage);
     // Another endpoint answered a misdirected request.
@@ -247,7 +259,13 @@
             if let Some(load) = shared.dialect.parse_load(&head) {
                 pool.record_load(now, key, load);
             }
-            Outcome::Answer(Response::from_parts(head, body))
+            let timing = Timing {
+                framing: client::framing(&head.headers),
+                began,
+                deadline,
+            };
+            let response = Response::from_parts(head, body);
+            Outcome::Answer(Box::new(Answer { response, timing }))
         }
         Verdict::NotRun => {
             shared.metrics.count("endpoint.full");
@@ -286,8 +304,13 @@
         let client =
             Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
         let connected = client.connect().await;
-        let sent_at = shared.clock.now();
+        let sent = shared.clock.moment();
+        let sent_at = sent.now;
         let remaining_time = input.deadline.saturating_duration_since(sent_at);
+        let deadline = Deadline {
+            sent,
+            time: remaining_time,
+        };
         let known_limit = shared.pool().limit(key).version;
         let answer = match connected {
             // The process may have been paused until after the deadline.
@@ -331,7 +354,8 @@
                 return Outcome::Lost;
             }
         };
-        classify(shared, input, key, known_limit, parameters.stage, answer)
+        let stage = parameters.stage;
+        classify(shared, input, key, known_limit, stage, deadline, answer)
     }
 
     /// Reads an answer completely, so that a truncated one is never forwarded as
@@ -344,20 +368,23 @@
         key: EndpointKey,
         endpoint: &Endpoint,
         sent_at: Instant,
-        answer: Response<Incoming>,
+        answer: Box<Answer>,
         expects_stream: bool,
         max_bytes: usize,
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
-        let (head, body) = answer.into_parts();
+        let Answer { response, timing } = *answer;
+        let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
+        let is_overdue = timing.is_overdue(shared.clock.moment(), Duration::ZERO);
         let error = match body {
             // Its head is the whole answer.
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
-                let framing = client::framing(&head.headers);
+                let framing = timing.framing;
                 if expects_stream {
                     let end = self.conclude_stream(&head, &body, framing, &endpoint.version);
+                    let end = if is_overdue { end.at_deadline() } else { end };
                     self.record.end = end.proof();
                     match end {
                         Conclusion::Complete(_) => return Some((head, body)),
@@ -372,8 +399,15 @@
                             shared.record_unstated_end(run).await;
                             return None;
                         }
+                        Conclusion::Overdue => {
+                            self.record_overdue(Some(key));
+                            return None;
+                        }
                         Conclusion::Broken => {}
                     }
+                } else if is_overdue && framing == Framing::Chunks {
+                    self.record_overdue(Some(key));
+                    return None;
                 } else {
                     let end = shared.observe_end(framing, key, endpoint).await;
                     if is_complete(&head, &body, end) {
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -13,8 +13,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use cranberryridge_policy::answer::deadline::Timing;
 use cranberryridge_policy::answer::numbering::Numbering;
-use cranberryridge_policy::answer::{Framing, Sequence};
+use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::memory::Purpose;
@@ -31,7 +32,6 @@
 use super::serve::Call;
 use super::suspects::LostRun;
 use crate::body::{Body, Chunks};
-use crate::client;
 use crate::clock::Clock;
 use crate::events::{append, Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
@@ -61,8 +61,8 @@
 #[derive(Debug)]
 struct Run<N: Net, C: Clock, D: Dialect> {
     head: response::Parts,
-    /// How the end of the body is marked.
-    framing: Framing,
+    /// How the end of the body is stated, and until when the endpoint works on it.
+    timing: Timing,
     /// Rest of the body after `first_chunk`.
     body: Incoming,
     first_chunk: Option<Bytes>,
@@ -366,11 +366,12 @@
         return Ok(None);
     }
     if !matches!(outcome, Outcome::NotSent) {
-        let is_read = matches!(&outcome, Outcome::Answer(answer) if answer.status().is_success());
+        let is_read =
+            matches!(&outcome, Outcome::Answer(answer) if answer.response.status().is_success());
         progress.sends.record_prefill(is_read);
     }
     let handle = match outcome {
-        Outcome::Answer(answer) if answer.status().is_success() => {
+        Outcome::Answer(answer) if answer.response.status().is_success() => {
             let (expects_stream, max_bytes) = (false, MAX_DOCUMENT_BYTES);
             let answer = call.read_answer(
                 key,
@@ -476,7 +477,7 @@
         cache.mark_taken();
     }
     let has_no_body = call.input.head.method == Method::HEAD;
-    if !answer.status().is_success() || has_no_body {
+    if !answer.response.status().is_success() || has_no_body {
         let result = if has_no_body { "answered" } else { "failed" };
         call.record.add_call(stage, &endpoint.id, result);
         let (expects_stream, max_bytes) = (false, MAX_ANSWER_BYTES);
@@ -493,9 +494,9 @@
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
-    let (head, mut body) = answer.into_parts();
-    let framing = client::framing(&head.headers);
-    call.record.framing = Some(framing);
+    let exchange::Answer { response, timing } = *answer;
+    let (head, mut body) = response.into_parts();
+    call.record.framing = Some(timing.framing);
     let Some(first_chunk) = read_start(call, &head, &mut body).await else {
         call.record.add_call(stage, &endpoint.id, "broken");
         let run = LostRun {
@@ -516,7 +517,7 @@
     progress.run_count += 1;
     Ok(Attempt::Answered(Answer::Stream(Box::new(Run {
         head,
-        framing,
+        timing,
         body,
         first_chunk: Some(first_chunk),
         reservation,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -91,6 +91,13 @@
                     .set_outcome("stopped midway", call.record.status);
                 return reply.abort().await;
             }
+            Outcome::Overdue => {
+                // No run that could tell what follows would end in time.
+                call.record_overdue(Some(run.reservation.key));
+                drop(run);
+                call.record.set_outcome("cut off", call.record.status);
+                return reply.abort().await;
+            }
             Outcome::Broken | Outcome::Unstated => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
@@ -190,6 +197,8 @@
     Broken,
     /// The run ended between two events, and nobody has said that no event follows.
     Unstated,
+    /// The run stated its end when its endpoint may have stopped at its deadline.
+    Overdue,
     /// The caller disconnected.
     CallerGone,
     /// This host is about to exit.
@@ -203,6 +212,7 @@
             Self::Complete => "whole",
             Self::Broken => "broken",
             Self::Unstated => "unstated",
+            Self::Overdue => "overdue",
             Self::CallerGone => "caller gone",
             Self::Stopped => "stopped",
         }
@@ -226,6 +236,7 @@
     let mut chunk = run.first_chunk.take();
     let mut partial = call.memory.begin(Purpose::Answer);
     let mut last_events_at = call.shared.clock.now();
+    let mut run_event_count = 0;
     // Until the first event, the request's deadline holds.
     let mut event_deadline = if call.record.event_count > 0 {
         last_events_at + idle_timeout
@@ -251,6 +262,7 @@
                         .record_event_interval(gap / batch.event_count.max(1));
                 }
                 call.record.event_count += batch.event_count;
+                run_event_count += batch.event_count;
                 let (events, is_within) = call.memory.count(batch.bytes);
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
@@ -298,11 +310,19 @@
         match next {
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
             Ok(Chunk::End) => {
-                let end = sequence.conclude(run.framing, splitter.is_inside_event());
+                let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
+                let took = last_events_at.saturating_duration_since(run.sent_at);
+                let interval = took / run_event_count.max(1);
+                let end = if run.timing.is_overdue(shared.clock.moment(), interval) {
+                    end.at_deadline()
+                } else {
+                    end
+                };
                 call.record.end = end.proof().or(call.record.end);
                 match end {
                     Conclusion::Complete(_) => {}
                     Conclusion::Unstated => return Outcome::Unstated,
+                    Conclusion::Overdue => return Outcome::Overdue,
                     Conclusion::Broken => {
                         shared.metrics.count("endpoint.answer_cut");
                         return Outcome::Broken;
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -18,7 +18,6 @@
 use super::schedule::request_permit;
 use super::serve::Call;
 use crate::body::{Body, Chunks};
-use crate::client;
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -250,12 +249,12 @@
     let sent = call.send(key, &endpoint, permit, parameters, length);
     let outcome = sent.await;
     if let Outcome::Answer(answer) = &outcome {
-        call.record.framing = Some(client::framing(answer.headers()));
+        call.record.framing = Some(answer.timing.framing);
     }
     let attempt = match outcome {
         Outcome::Answer(answer) => {
             let expects_stream = call.route.kind.is_stream()
-                && answer.status().is_success()
+                && answer.response.status().is_success()
                 && call.input.head.method != Method::HEAD;
             let answer = call.read_answer(
                 key,
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -9,12 +9,14 @@
 //! An end must be said by the sender of an answer. The connection alone says nothing of a
 //! stream, as a link or a process that ends midway closes it in order as well: a run at another
 //! endpoint has to repeat the last event and state what follows it. Of a plain answer, the sender
-//! must have outlived it. An answer without any event or byte is no evidence of an end.
+//! must have outlived it. An answer without any event or byte is no evidence of an end. Neither
+//! is an end that an endpoint states at the deadline that it was sent, as it stops work then.
 
 use compact_str::CompactString;
 
 use self::numbering::{Ids, Numbering};
 
+pub mod deadline;
 pub mod numbering;
 
 /// How the end of an answer is marked.
@@ -123,6 +125,8 @@
     Repeated,
     /// Only the end of a connection speaks for it.
     Unproven,
+    /// It was stated when the endpoint may have stopped at its deadline.
+    Overdue,
 }
 
 impl Proof {
@@ -139,6 +143,7 @@
             Self::Stated => "stated",
             Self::Repeated => "repeated",
             Self::Unproven => "unproven",
+            Self::Overdue => "overdue",
         }
     }
 }
@@ -166,6 +171,8 @@
     Complete(Proof),
     /// The run ended between two events, and nobody has said that no event follows.
     Unstated,
+    /// The run stated its end when its endpoint may have stopped at its deadline.
+    Overdue,
     /// The run is lost.
     Broken,
 }
@@ -184,9 +191,27 @@
         match self {
             Self::Complete(proof) => Some(proof),
             Self::Unstated => Some(Proof::Unproven),
+            Self::Overdue => Some(Proof::Overdue),
             Self::Broken => None,
         }
     }
+
+    /// Returns what the end means if the endpoint may have stopped at its deadline.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{Conclusion, Proof};
+    /// let stated = Conclusion::Complete(Proof::Stated);
+    /// assert_eq!(stated.at_deadline(), Conclusion::Overdue);
+    /// assert_eq!(Conclusion::Broken.at_deadline(), Conclusion::Broken);
+    /// ```
+    pub fn at_deadline(self) -> Self {
+        match self {
+            Self::Complete(_) => Self::Overdue,
+            other => other,
+        }
+    }
 }
 
 /// Reason why a run's event does not belong into the stream.
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -1,9 +1,12 @@
 //! Tests of what makes up a caller's stream, and of what ends an answer.
 
+use std::time::{Duration, Instant};
+
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
+use cranberryridge_policy::answer::deadline::{Deadline, Moment, Timing};
 use cranberryridge_policy::answer::numbering::{Ids, Numbering};
 use cranberryridge_policy::answer::{Conclusion, Disorder, Event, Framing, Place, Proof, Sequence};
 
@@ -296,6 +299,7 @@
                 return played;
             }
             Conclusion::Unstated => sequence.begin_check(),
+            Conclusion::Overdue => return played,
             Conclusion::Broken => sequence.begin_run(),
         }
         if !sequence.is_resumable() {
@@ -526,3 +530,58 @@
     assert_eq!(event, Err(Disorder::Unnumbered));
     assert!(sequence.is_resumable());
 }
+
+// Guards against ends that endpoints state because their time is over.
+#[test]
+fn an_end_within_an_event_of_the_deadline_is_overdue() {
+    let sent = Moment {
+        now: Instant::now(),
+        uptime: Duration::from_secs(100),
+    };
+    let after = |time| Moment {
+        now: sent.now + time,
+        uptime: sent.uptime + time,
+    };
+    let time = Duration::from_secs(14);
+    let interval = Duration::from_millis(300);
+    let deadline = Deadline { sent, time };
+    for (framing, began, read, is_overdue) in [
+        (Framing::Chunks, 100, 13_000, false),
+        (Framing::Chunks, 100, 13_600, false),
+        (Framing::Chunks, 100, 13_700, true),
+        (Framing::Chunks, 100, 13_999, true),
+        (Framing::Chunks, 100, 20_000, true),
+        (Framing::Length, 100, 20_000, false),
+        (Framing::Length, 13_999, 13_999, true),
+    ] {
+        let timing = Timing {
+            framing,
+            began: after(Duration::from_millis(began)),
+            deadline,
+        };
+        let read_at = after(Duration::from_millis(read));
+        assert_eq!(
+            timing.is_overdue(read_at, interval),
+            is_overdue,
+            "{framing:?}, {read}"
+        );
+    }
+}
+
+// Guards against a clock that stands still while the host is suspended.
+#[test]
+fn time_in_which_the_host_was_suspended_counts_towards_a_deadline() {
+    let sent = Moment {
+        now: Instant::now(),
+        uptime: Duration::ZERO,
+    };
+    let deadline = Deadline {
+        sent,
+        time: Duration::from_secs(3),
+    };
+    let resumed = Moment {
+        now: sent.now + Duration::from_millis(50),
+        uptime: Duration::from_secs(6),
+    };
+    assert!(deadline.may_end(resumed, Duration::ZERO));
+}
