--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -34,7 +34,7 @@
 const FILLER_BYTES: usize = 60;
 
 /// Kinds that are played if `SHAPES_KINDS` is not set.
-const DEFAULT_KINDS: [Kind; 3] = [Kind::Kill, Kind::Freeze, Kind::Several];
+const DEFAULT_KINDS: [Kind; 4] = [Kind::Kill, Kind::Freeze, Kind::ShortTimeout, Kind::Several];
 
 /// Time after which gateways may use the fixed part of the retry budget.
 const LEAD_TIME: Duration = Duration::from_secs(14);
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
 
 use cranberryridge_standin::stream::Ledger;
 
@@ -21,9 +22,15 @@
 /// Time between two pieces of an engine that is slow, as a multiple of the usual one.
 const SLOW_FACTOR: u32 = 8;
 
+/// The same of an engine that stops at the deadline of its requests.
+const DEADLINE_FACTOR: u32 = 6;
+
 /// Time for which a run stands still, longer than the pauses that callers expect.
 const PAUSE: Duration = Duration::from_millis(2500);
 
+/// Time for a request that states no deadline, in milliseconds.
+const MAX_TIME_MS: u64 = 60_000;
+
 /// What an engine does with the runs that are open or begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -49,6 +56,10 @@
     Pause,
     /// Makes pieces slowly.
     Slow,
+    /// Makes pieces slowly, stops at the deadline of the request, and ends the chunks then.
+    Deadline,
+    /// As `Deadline`, but stops before the first piece that it cannot complete in time.
+    LastPiece,
     /// Leaves out a piece that is not the last one.
     Skip,
     /// Sends an event of other bytes in place of a piece.
@@ -173,7 +184,8 @@
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
-                let connection = Connection { stream, state: state.clone() };
+                let stop_at = Instant::now() + Duration::from_millis(MAX_TIME_MS);
+                let connection = Connection { stream, stop_at, state: state.clone() };
                 connections.spawn(async move {
                     // The gateway may have closed the connection.
                     let _ = connection.answer().await;
@@ -187,6 +199,8 @@
 /// A connection of a gateway.
 struct Connection {
     stream: TcpStream,
+    /// Deadline of the request.
+    stop_at: Instant,
     state: Arc<State>,
 }
 
@@ -235,6 +249,8 @@
         let (name, total) = body.split_once(' ').unwrap_or((&body, "1"));
         let total = total.trim().parse::<u32>().unwrap();
         let asked_id = header(&head, "last-event-id").map_or(0, |id| id.parse().unwrap());
+        let time = header(&head, "deadline-ms").map_or(MAX_TIME_MS, |time| time.parse().unwrap());
+        self.stop_at = Instant::now() + Duration::from_millis(time);
         self.stream_pieces(&attempt, name, asked_id, total).await
     }
 
@@ -293,12 +309,21 @@
         if fault != Some(Fault::Lost) {
             self.send(head.as_bytes()).await?;
         }
-        let piece_time = if fault == Some(Fault::Slow) {
-            state.piece_time * SLOW_FACTOR
-        } else {
-            state.piece_time
+        let piece_time = match fault {
+            Some(Fault::Slow) => state.piece_time * SLOW_FACTOR,
+            Some(Fault::Deadline | Fault::LastPiece) => state.piece_time * DEADLINE_FACTOR,
+            _ => state.piece_time,
         };
         for id in first_asked + 1..=total {
+            let is_last = Instant::now() + piece_time >= self.stop_at;
+            match fault {
+                Some(Fault::Deadline) if is_last => {
+                    tokio::time::sleep_until(self.stop_at).await;
+                    return self.send(b"0\r\n\r\n").await;
+                }
+                Some(Fault::LastPiece) if is_last => return self.send(b"0\r\n\r\n").await,
+                _ => {}
+            }
             self.wait(piece_time).await?;
             let is_hit = id == at;
             let text = state.ledger.make(run);
--- a/crates/daemon/tests/shapes/kind.rs
+++ b/crates/daemon/tests/shapes/kind.rs
@@ -18,6 +18,9 @@
 /// Time for which a frozen host stands still, longer than callers wait.
 const FREEZE_TIME: Duration = Duration::from_millis(6100);
 
+/// Timeout of routes that is shorter than that of callers, in milliseconds.
+const SHORT_TIMEOUT_MS: u64 = 6_000;
+
 /// Time after which a killed process is back.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -51,6 +54,10 @@
     ResetLinks,
     /// Runs at a share of engines have a fault.
     Runs(Fault),
+    /// Routes have a shorter timeout than callers, and engines stop at it.
+    ShortTimeout,
+    /// All entry hosts are killed while runs lose a piece.
+    HerdKillSkip,
     /// Timeouts change in quick succession.
     Timeouts,
     /// Routes that may be resumed are not for some time, and the reverse.
@@ -66,7 +73,7 @@
 }
 
 /// All kinds.
-pub const ALL: [Kind; 30] = [
+pub const ALL: [Kind; 34] = [
     Kind::None,
     Kind::Kill,
     Kind::HerdKill,
@@ -88,6 +95,10 @@
     Kind::Runs(Fault::UnframedClose),
     Kind::Runs(Fault::Pause),
     Kind::Runs(Fault::Slow),
+    Kind::Runs(Fault::Deadline),
+    Kind::Runs(Fault::LastPiece),
+    Kind::ShortTimeout,
+    Kind::HerdKillSkip,
     Kind::Runs(Fault::Stop),
     Kind::Runs(Fault::Skip),
     Kind::Runs(Fault::Spoil),
@@ -204,12 +215,18 @@
                 }
             }
             Self::Runs(fault) => {
-                for engine in &site.engines {
-                    engine.set_fault(Some(Share {
-                        fault,
-                        per_mille: 250,
-                    }));
+                set_faults(site, fault, 250);
+            }
+            Self::ShortTimeout => {
+                site.publish(SHORT_TIMEOUT_MS, true, 2);
+                set_faults(site, Fault::Deadline, 250);
+            }
+            Self::HerdKillSkip => {
+                set_faults(site, Fault::Skip, 250);
+                for host in 0..site.hosts().len() {
+                    site.signal(host, "KILL");
                 }
+                sleep(RESTART_TIME).await;
             }
             Self::Timeouts => {
                 for step in 0..8 {
@@ -236,12 +253,7 @@
                 let hosts = some_hosts(site);
                 let fault = [Fault::Break, Fault::Close, Fault::Lost, Fault::Anew];
                 let fault = *fault.choose(&mut rand::rng()).unwrap();
-                for engine in &site.engines {
-                    engine.set_fault(Some(Share {
-                        fault,
-                        per_mille: 150,
-                    }));
-                }
+                set_faults(site, fault, 150);
                 hosts.iter().for_each(|host| site.signal(*host, "STOP"));
                 site.publish(13_000, false, 1);
                 crash(site, false).await;
@@ -256,6 +268,13 @@
     }
 }
 
+/// Sets the fault of some runs in a thousand at all engines.
+fn set_faults(site: &Site, fault: Fault, per_mille: u32) {
+    for engine in &site.engines {
+        engine.set_fault(Some(Share { fault, per_mille }));
+    }
+}
+
 /// Kills some engines, and starts them again.
 async fn crash(site: &mut Site, resets: bool) {
     let engines = some_engines(site);
