gateway: count the time of an event from the first one

The time to the first event counted as that of each event, so that a stream of one event was cut if its engine took more than half of the deadline to begin it. a_short_stream_whose_engine_was_slow_to_begin_is_whole failed before. A stream that its caller begins to read 10 s after the deadline is whole, before and now, and has a test.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -311,8 +311,8 @@
             Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
             Ok(Chunk::End) => {
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
-                let took = last_events_at.saturating_duration_since(run.sent_at);
-                let interval = took / run_event_count.max(1);
+                let took = last_events_at.saturating_duration_since(run.first_event_at);
+                let interval = took / run_event_count.saturating_sub(1).max(1);
                 let end = if run.timing.is_overdue(shared.clock.moment(), interval) {
                     end.at_deadline()
                 } else {
