gateway: hold nothing against endpoints that stop at their deadline

It is counted only now. The time of an event was taken from the run alone, and so was zero for a run of one event, for a check and for a body read at once; it is at least the longest gap that the route allows now. A pause counted as slowness; eight times that gap is the limit. Failures that an endpoint answers itself are passed on whenever they end, plain answers without a length or chunks are held to the deadline as well, and ids of a stream that is not believed teach no numbering.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -242,8 +242,8 @@
     deadline: Deadline,
     answer: Response<Incoming>,
 ) -> Outcome {
-    let began = shared.clock.moment();
-    let now = began.now;
+    let head_at = shared.clock.moment();
+    let now = head_at.now;
     let (head, body) = answer.into_parts();
     let verdict = shared.dialect.classify(&head, &input.attempt_id, stage);
     // Another endpoint answered a misdirected request.
@@ -261,7 +261,7 @@
             }
             let timing = Timing {
                 framing: client::framing(&head.headers),
-                began,
+                head_at,
                 deadline,
             };
             let response = Response::from_parts(head, body);
@@ -304,12 +304,12 @@
         let client =
             Client::new(shared.net.clone(), endpoint.address).with_connect_timeout(CONNECT_TIMEOUT);
         let connected = client.connect().await;
-        let sent = shared.clock.moment();
-        let sent_at = sent.now;
+        let moment = shared.clock.moment();
+        let sent_at = moment.now;
         let remaining_time = input.deadline.saturating_duration_since(sent_at);
         let deadline = Deadline {
-            sent,
-            time: remaining_time,
+            sent_at: moment,
+            duration: remaining_time,
         };
         let known_limit = shared.pool().limit(key).version;
         let answer = match connected {
@@ -362,7 +362,8 @@
     /// complete. Returns `None` if it is truncated or too large, or no stream where
     /// `expects_stream` is set, or if the answers that are being read take too much memory.
     /// Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
-    /// stream that only its connection marks, without a failure of its endpoint.
+    /// stream that only its connection marks, without a failure of its endpoint. An end that is
+    /// stated at the endpoint's deadline is none, and no lost run either.
     pub async fn read_answer(
         &mut self,
         key: EndpointKey,
@@ -376,15 +377,24 @@
         let Answer { response, timing } = *answer;
         let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
-        let is_overdue = timing.is_overdue(shared.clock.moment(), Duration::ZERO);
+        let event_time = if expects_stream {
+            self.route.max_event_gap
+        } else {
+            Duration::ZERO
+        };
+        let is_overdue = timing.is_overdue(shared.clock.moment(), event_time);
         let error = match body {
             // Its head is the whole answer.
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
-                let framing = timing.framing;
                 if expects_stream {
-                    let end = self.conclude_stream(&head, &body, framing, &endpoint.version);
-                    let end = if is_overdue { end.at_deadline() } else { end };
+                    let end = self.conclude_stream(
+                        &head,
+                        &body,
+                        timing.framing,
+                        is_overdue,
+                        &endpoint.version,
+                    );
                     self.record.end = end.proof();
                     match end {
                         Conclusion::Complete(_) => return Some((head, body)),
@@ -400,16 +410,19 @@
                             return None;
                         }
                         Conclusion::Overdue => {
-                            self.record_overdue(Some(key));
+                            shared.metrics.count("endpoint.stopped_at_deadline");
                             return None;
                         }
                         Conclusion::Broken => {}
                     }
-                } else if is_overdue && framing == Framing::Chunks {
-                    self.record_overdue(Some(key));
+                } else if is_overdue
+                    && head.status.is_success()
+                    && timing.framing != Framing::Length
+                {
+                    shared.metrics.count("endpoint.stopped_at_deadline");
                     return None;
                 } else {
-                    let end = shared.observe_end(framing, key, endpoint).await;
+                    let end = shared.observe_end(timing.framing, key, endpoint).await;
                     if is_complete(&head, &body, end) {
                         return Some((head, body));
                     }
@@ -437,12 +450,14 @@
     }
 
     /// Returns what the end of a body means that has to be a stream and go on behind the events
-    /// that the caller has.
+    /// that the caller has. `is_overdue` tells whether its endpoint may have stopped at its
+    /// deadline.
     fn conclude_stream(
         &self,
         head: &response::Parts,
         body: &Chunks,
         framing: Framing,
+        is_overdue: bool,
         version: &CompactString,
     ) -> Conclusion {
         let (mut splitter, mut sequence) = (Splitter::default(), self.begin_sequence());
@@ -457,6 +472,7 @@
             return Conclusion::Broken;
         }
         let end = sequence.conclude(framing, splitter.is_inside_event());
+        let end = if is_overdue { end.at_deadline() } else { end };
         if let (Conclusion::Complete(_), Some(ids)) = (end, sequence.ids()) {
             self.shared.record_ids(&self.service, version, ids);
         }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
+use cranberryridge_policy::answer::{deadline, Conclusion, Disorder, Sequence};
 use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -92,8 +92,9 @@
                 return reply.abort().await;
             }
             Outcome::Overdue => {
-                // No run that could tell what follows would end in time.
-                call.record_overdue(Some(run.reservation.key));
+                // No other run would end in time to tell what follows.
+                call.shared.metrics.count("endpoint.stopped_at_deadline");
+                call.record.add_call("stream", endpoint_id, outcome.name());
                 drop(run);
                 call.record.set_outcome("cut off", call.record.status);
                 return reply.abort().await;
@@ -312,8 +313,9 @@
             Ok(Chunk::End) => {
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
                 let took = last_events_at.saturating_duration_since(run.first_event_at);
-                let interval = took / run_event_count.saturating_sub(1).max(1);
-                let end = if run.timing.is_overdue(shared.clock.moment(), interval) {
+                let mean_gap = took / run_event_count.saturating_sub(1).max(1);
+                let event_time = deadline::event_time(call.route.max_event_gap, mean_gap);
+                let end = if run.timing.is_overdue(shared.clock.moment(), event_time) {
                     end.at_deadline()
                 } else {
                     end
--- a/crates/policy/src/answer/deadline.rs
+++ b/crates/policy/src/answer/deadline.rs
@@ -11,6 +11,28 @@
 /// deadline to whole milliseconds as well.
 const MAX_CLOCK_LEAD: Duration = Duration::from_millis(10);
 
+/// Most that an engine's events take, as a multiple of the longest gap between events that its
+/// route allows. Longer gaps are pauses, such as of a run that is short of memory.
+const MAX_SLOWDOWN: u32 = 8;
+
+/// Returns the time before its deadline from which on an endpoint may not begin an event that it
+/// could not complete. `max_gap` is the longest gap between events that the route allows, and
+/// `mean_gap` that of the run.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use cranberryridge_policy::answer::deadline::event_time;
+/// let max_gap = Duration::from_millis(300);
+/// assert_eq!(event_time(max_gap, Duration::from_millis(40)), max_gap);
+/// assert_eq!(event_time(max_gap, Duration::from_millis(500)), Duration::from_millis(500));
+/// assert_eq!(event_time(max_gap, Duration::from_secs(7)), max_gap * 8);
+/// ```
+pub fn event_time(max_gap: Duration, mean_gap: Duration) -> Duration {
+    mean_gap.min(max_gap * MAX_SLOWDOWN).max(max_gap)
+}
+
 /// A time on the clocks of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Moment {
@@ -35,27 +57,26 @@
 /// ```
 /// use std::time::{Duration, Instant};
 /// use cranberryridge_policy::answer::deadline::{Deadline, Moment};
-/// let sent = Moment { now: Instant::now(), uptime: Duration::ZERO };
-/// let deadline = Deadline { sent, time: Duration::from_secs(14) };
-/// let end = Moment { now: sent.now + Duration::from_secs(13), ..sent };
-/// assert!(!deadline.may_end(end, Duration::from_millis(50)));
+/// let sent_at = Moment { now: Instant::now(), uptime: Duration::ZERO };
+/// let deadline = Deadline { sent_at, duration: Duration::from_secs(14) };
+/// let end = Moment { now: sent_at.now + Duration::from_secs(13), ..sent_at };
+/// assert!(!deadline.may_have_stopped(end, Duration::from_millis(50)));
 /// let suspended = Moment { uptime: Duration::from_secs(14), ..end };
-/// assert!(deadline.may_end(suspended, Duration::ZERO));
+/// assert!(deadline.may_have_stopped(suspended, Duration::ZERO));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Deadline {
     /// Time at which the request was sent.
-    pub sent: Moment,
+    pub sent_at: Moment,
     /// Time that the endpoint was given.
-    pub time: Duration,
+    pub duration: Duration,
 }
 
 impl Deadline {
-    /// Returns whether an answer that ended at a moment may have ended because of the deadline.
-    /// `interval` is the time that its endpoint takes for an event: it may not begin one that it
-    /// cannot complete.
-    pub fn may_end(&self, end: Moment, interval: Duration) -> bool {
-        end.since(&self.sent) + interval + MAX_CLOCK_LEAD >= self.time
+    /// Returns whether the endpoint may have ended its answer because of the deadline, at a moment
+    /// that is up to `event_time` before it.
+    pub fn may_have_stopped(&self, end: Moment, event_time: Duration) -> bool {
+        end.since(&self.sent_at) + event_time + MAX_CLOCK_LEAD >= self.duration
     }
 }
 
@@ -65,15 +86,15 @@
     /// How the end is marked.
     pub framing: Framing,
     /// Time at which the head arrived.
-    pub began: Moment,
+    pub head_at: Moment,
     /// Deadline that the endpoint was sent.
     pub deadline: Deadline,
 }
 
 impl Timing {
     /// Returns whether the endpoint may have stopped at its deadline when it stated the end of the
-    /// answer, which was read at a moment. A length states the end with the head. `interval` is
-    /// the time that the endpoint takes for an event.
+    /// answer, which was read at a moment. A length states the end with the head. `event_time` is
+    /// that of [`event_time`], zero if the answer is no stream.
     ///
     /// # Examples
     ///
@@ -81,19 +102,19 @@
     /// use std::time::{Duration, Instant};
     /// use cranberryridge_policy::answer::deadline::{Deadline, Moment, Timing};
     /// use cranberryridge_policy::answer::Framing;
-    /// let began = Moment { now: Instant::now(), uptime: Duration::ZERO };
-    /// let deadline = Deadline { sent: began, time: Duration::from_secs(1) };
-    /// let timing = Timing { framing: Framing::Chunks, began, deadline };
-    /// let read = Moment { now: began.now + Duration::from_secs(1), ..began };
-    /// assert!(timing.is_overdue(read, Duration::ZERO));
+    /// let head_at = Moment { now: Instant::now(), uptime: Duration::ZERO };
+    /// let deadline = Deadline { sent_at: head_at, duration: Duration::from_secs(1) };
+    /// let timing = Timing { framing: Framing::Chunks, head_at, deadline };
+    /// let read_at = Moment { now: head_at.now + Duration::from_secs(1), ..head_at };
+    /// assert!(timing.is_overdue(read_at, Duration::ZERO));
     /// let timing = Timing { framing: Framing::Length, ..timing };
-    /// assert!(!timing.is_overdue(read, Duration::ZERO));
+    /// assert!(!timing.is_overdue(read_at, Duration::ZERO));
     /// ```
-    pub fn is_overdue(&self, read: Moment, interval: Duration) -> bool {
-        let stated = match self.framing {
-            Framing::Length => self.began,
-            Framing::Chunks | Framing::Connection => read,
+    pub fn is_overdue(&self, read_at: Moment, event_time: Duration) -> bool {
+        let stated_at = match self.framing {
+            Framing::Length => self.head_at,
+            Framing::Chunks | Framing::Connection => read_at,
         };
-        self.deadline.may_end(stated, interval)
+        self.deadline.may_have_stopped(stated_at, event_time)
     }
 }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -665,6 +665,10 @@
         tokio::spawn(async move {
             let _run = run;
             for event in first_event..=settings.stream_events {
+                let event_at = Instant::now() + settings.event_interval;
+                if fault == Some(Fault::StopEarly) && stop_at.is_some_and(|at| event_at > at) {
+                    break;
+                }
                 tokio::select! {
                     () = tokio::time::sleep(settings.event_interval) => {}
                     () = sender.closed() => return,
--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -54,6 +54,8 @@
     /// Makes what it answers too slowly, stops at the deadline that the request states, and ends
     /// the answer in order. The number is how many events of a stream come before.
     StopAtDeadline(u32),
+    /// Ends a stream in order before the first event that it cannot complete by the deadline.
+    StopEarly,
     /// As [`Fault::StopAtDeadline`], but sends its answer with a length once it stops.
     SizedAtDeadline(u32),
 }
