gateway: believe the end of an engine that goes on after its deadline

An engine that does not stop at its deadline had each stream cut at its end that lasts longer than the route's timeout; a_stopping_gateway_cuts_no_stream_that_it_accepted failed for it. Events that the gateway waited for after the deadline, for 500 ms together, show that the engine goes on. What a host reads late after it stood still shows nothing, as nothing is waited for.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,7 +7,8 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::{deadline, Conclusion, Disorder, Sequence};
+use cranberryridge_policy::answer::deadline::{self, Overrun};
+use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
 use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -238,6 +239,7 @@
     let mut partial = call.memory.begin(Purpose::Answer);
     let mut last_events_at = call.shared.clock.now();
     let mut run_event_count = 0;
+    let mut overrun = Overrun::default();
     // Until the first event, the request's deadline holds.
     let mut event_deadline = if call.record.event_count > 0 {
         last_events_at + idle_timeout
@@ -299,6 +301,7 @@
                 return Outcome::Broken;
             }
         }
+        let waiting_since = shared.clock.moment();
         let next = tokio::select! {
             biased;
             next = timeout_at(event_deadline.into(), next_chunk(&mut run.body)) => next,
@@ -309,13 +312,18 @@
             call.record.partial_bytes = splitter.partial_bytes();
         }
         match next {
-            Ok(Chunk::Data(bytes)) => chunk = Some(bytes),
+            Ok(Chunk::Data(bytes)) => {
+                let waited = [waiting_since, shared.clock.moment()];
+                overrun.record(run.timing.deadline, waited);
+                chunk = Some(bytes);
+            }
             Ok(Chunk::End) => {
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
                 let took = last_events_at.saturating_duration_since(run.first_event_at);
                 let mean_gap = took / run_event_count.saturating_sub(1).max(1);
                 let event_time = deadline::event_time(call.route.max_event_gap, mean_gap);
-                let end = if run.timing.is_overdue(shared.clock.moment(), event_time) {
+                let is_overdue = run.timing.is_overdue(shared.clock.moment(), event_time);
+                let end = if is_overdue && !overrun.is_evident() {
                     end.at_deadline()
                 } else {
                     end
--- a/crates/policy/src/answer/deadline.rs
+++ b/crates/policy/src/answer/deadline.rs
@@ -80,6 +80,47 @@
     }
 }
 
+/// Time for which events have to arrive after the deadline to show that an endpoint works on. It
+/// covers events that a link delays.
+const MIN_OVERRUN: Duration = Duration::from_millis(500);
+
+/// Waits for the events of a run after its deadline. They show that its endpoint does not stop
+/// there, unlike events that this host only reads late.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use cranberryridge_policy::answer::deadline::{Deadline, Moment, Overrun};
+/// let sent_at = Moment { now: Instant::now(), uptime: Duration::ZERO };
+/// let deadline = Deadline { sent_at, duration: Duration::from_secs(3) };
+/// let after = |time| Moment { now: sent_at.now + Duration::from_millis(time), ..sent_at };
+/// let mut overrun = Overrun::default();
+/// overrun.record(deadline, [after(2_000), after(9_000)]);
+/// assert!(!overrun.is_evident());
+/// overrun.record(deadline, [after(9_000), after(9_500)]);
+/// assert!(overrun.is_evident());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Overrun {
+    waited: Duration,
+}
+
+impl Overrun {
+    /// Records the beginning and the end of a wait for an event. One that began before the
+    /// deadline may have ended before this host noticed.
+    pub fn record(&mut self, deadline: Deadline, [begun, ended]: [Moment; 2]) {
+        if begun.since(&deadline.sent_at) >= deadline.duration {
+            self.waited += ended.now.saturating_duration_since(begun.now);
+        }
+    }
+
+    /// Returns whether the endpoint evidently does not stop at its deadline.
+    pub fn is_evident(&self) -> bool {
+        self.waited >= MIN_OVERRUN
+    }
+}
+
 /// How an answer states its end, and until when its endpoint worked on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
