policy: hold a stream to the numbering of its own events

Callers got streams without an event as whole ones from gateways that had just started, as a gap passed until a gateway had seen eight whole streams of the version. The stream's own events were not looked at.

While a numbering is not known, a stream that began with its first event and whose ids have counted by one for four events is held to that. Once 8 streams with gaps, and more than twice as many as regular ones, show that ids do not count by one, it is not: of 200 streams of engines that count tokens, at most 8 are given up in engines_that_count_tokens_lose_few_streams.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -14,11 +14,14 @@
 
 use compact_str::CompactString;
 
-use self::numbering::{Ids, Numbering};
+use self::numbering::{Finding, Ids, Numbering};
 
 pub mod deadline;
 pub mod numbering;
 
+/// Least number of events whose ids count by one from which a stream is held to that itself.
+const MIN_OWN_EVENTS: u32 = 4;
+
 /// How the end of an answer is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -270,6 +273,8 @@
     check: Check,
     /// Id of the first event if ids are known to count by one from there.
     expected_first_id: Option<u64>,
+    /// Whether the stream's own events may tell the numbering, which is not known otherwise.
+    may_tell_numbering: bool,
     /// Ids of all events, if the stream begins with its first one.
     ids: Option<Ids>,
 }
@@ -283,7 +288,8 @@
         }
     }
 
-    /// Expects the ids of the current run to continue a known numbering.
+    /// Expects the ids of the current run to continue a known numbering. If it is not known,
+    /// the stream's first events tell.
     ///
     /// # Examples
     ///
@@ -299,6 +305,7 @@
     /// ```
     pub fn expect(&mut self, numbering: Numbering) {
         self.expected_first_id = numbering.first_id();
+        self.may_tell_numbering = numbering.finding() != Some(Finding::Irregular);
     }
 
     /// Returns the ids of a stream that begins with its first event, or `None` if it has none.
@@ -306,14 +313,20 @@
         self.ids
     }
 
+    /// Returns whether the stream's own events tell that ids count by one.
+    fn is_regular(&self) -> bool {
+        let is_regular = |ids: Ids| ids.is_regular && ids.count >= MIN_OWN_EVENTS;
+        self.may_tell_numbering && self.ids.is_some_and(is_regular)
+    }
+
     /// Returns whether an event is missing before the one with an id.
     fn leaves_gap(&self, id: &str) -> bool {
-        let Some(first_id) = self.expected_first_id else {
+        if self.expected_first_id.is_none() && !self.is_regular() {
             return false;
-        };
+        }
         let expected = match &self.last_id {
             Some(last_id) => last_id.parse::<u64>().ok().and_then(|id| id.checked_add(1)),
-            None => Some(first_id),
+            None => self.expected_first_id,
         };
         id.parse::<u64>().ok() != expected
     }
--- a/crates/policy/src/answer/numbering.rs
+++ b/crates/policy/src/answer/numbering.rs
@@ -3,8 +3,8 @@
 //! The protocol only says that ids increase. Engines that count events leave no gap in any stream,
 //! and engines that count tokens leave one in almost each, so that a few streams tell which.
 
-/// Least number of regular streams from which the numbering is known.
-const MIN_REGULAR_STREAMS: u32 = 8;
+/// Least number of streams of one kind from which the numbering is known.
+const MIN_STREAMS: u32 = 8;
 
 /// Least number of events of a stream that counts. Shorter ones have no gap however their engine
 /// numbers events.
@@ -24,6 +24,18 @@
     pub count: u32,
 }
 
+/// What streams have shown of a numbering.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// Ids count by one.
+    Regular {
+        /// Id of the first event.
+        first: u64,
+    },
+    /// Ids have gaps in whole streams.
+    Irregular,
+}
+
 /// Numbering of events by the engines of a service.
 ///
 /// # Examples
@@ -47,6 +59,24 @@
     other: u32,
 }
 
+impl From<Finding> for Numbering {
+    /// Creates the numbering of a finding by another host, or at another software version. As
+    /// many streams as a finding needs overturn it.
+    fn from(finding: Finding) -> Self {
+        match finding {
+            Finding::Regular { first } => Self {
+                first_id: first,
+                regular: MIN_STREAMS,
+                other: 0,
+            },
+            Finding::Irregular => Self {
+                other: MIN_STREAMS,
+                ..Self::default()
+            },
+        }
+    }
+}
+
 impl Numbering {
     /// Records a stream whose end was stated.
     pub fn record(&mut self, ids: Ids) {
@@ -78,10 +108,38 @@
         }
     }
 
+    /// Returns what the recorded streams show, or `None` if they show nothing yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::numbering::{Finding, Numbering};
+    /// let mut numbering = Numbering::default();
+    /// assert_eq!(numbering.finding(), None);
+    /// (0..8).for_each(|_| numbering.record_gap());
+    /// assert_eq!(numbering.finding(), Some(Finding::Irregular));
+    /// ```
+    pub fn finding(&self) -> Option<Finding> {
+        if self.regular >= MIN_STREAMS && self.regular > self.other {
+            return Some(Finding::Regular {
+                first: self.first_id,
+            });
+        }
+        let is_irregular = self.other >= MIN_STREAMS && self.other > 2 * self.regular;
+        is_irregular.then_some(Finding::Irregular)
+    }
+
+    /// Returns whether no stream is recorded.
+    pub fn is_blank(&self) -> bool {
+        self.regular == 0 && self.other == 0
+    }
+
     /// Returns the id of the first event of each stream if ids count by one from there, or
     /// `None` if they do not or this is not known.
     pub fn first_id(&self) -> Option<u64> {
-        let is_known = self.regular >= MIN_REGULAR_STREAMS && self.regular > self.other;
-        is_known.then_some(self.first_id)
+        match self.finding() {
+            Some(Finding::Regular { first }) => Some(first),
+            _ => None,
+        }
     }
 }
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use cranberryridge_policy::answer::deadline::{Deadline, Moment, Timing};
-use cranberryridge_policy::answer::numbering::{Ids, Numbering};
+use cranberryridge_policy::answer::numbering::{Finding, Ids, Numbering};
 use cranberryridge_policy::answer::{Conclusion, Disorder, Event, Framing, Place, Proof, Sequence};
 
 /// Most runs of one stream.
@@ -520,6 +520,58 @@
     assert_eq!(numbering, Numbering::default());
 }
 
+/// Returns the outcome of the last of some events.
+fn admit_all(sequence: &mut Sequence, ids: &[&str]) -> Result<Place, Disorder> {
+    let admit = |_, id: &&str| sequence.admit(Event { id: Some(id) });
+    ids.iter().fold(Ok(Place::Next), admit)
+}
+
+// The first streams of a service passed with gaps.
+#[test]
+fn ids_that_have_counted_by_one_are_held_to_it() {
+    for (ids, expected) in [
+        (&["1", "2", "3", "4", "6"][..], Err(Disorder::Gap)),
+        (&["0", "1", "2", "3", "5"], Err(Disorder::Gap)),
+        (&["1", "2", "3", "4", "5"], Ok(Place::Next)),
+        (&["1", "2", "3", "5"], Ok(Place::Next)),
+        (&["1", "12", "13", "14", "15", "17"], Ok(Place::Next)),
+    ] {
+        let mut sequence = Sequence::default();
+        sequence.expect(Numbering::default());
+        assert_eq!(admit_all(&mut sequence, ids), expected, "{ids:?}");
+    }
+    // What a caller has received before does not tell how its first run counted.
+    let mut sequence = Sequence::after("1");
+    sequence.expect(Numbering::default());
+    let place = admit_all(&mut sequence, &["2", "3", "4", "5", "7"]);
+    assert_eq!(place, Ok(Place::Next));
+}
+
+// Streams of engines that count tokens must not be given up because of a few equal steps.
+#[test]
+fn engines_that_count_tokens_lose_few_streams() {
+    let mut numbering = Numbering::default();
+    let mut lost = 0;
+    for number in 0..200 {
+        let mut sequence = Sequence::default();
+        sequence.expect(numbering);
+        let ids = match number % 4 {
+            0 => &["1", "2", "3", "4"][..],
+            1 => &["1", "2", "3", "4", "7"],
+            2 => &["1", "2", "3", "4", "5", "7", "8"],
+            _ => &["1", "3", "4", "6"],
+        };
+        if admit_all(&mut sequence, ids) == Err(Disorder::Gap) {
+            numbering.record_gap();
+            lost += 1;
+        } else {
+            numbering.record(sequence.ids().unwrap());
+        }
+    }
+    assert_eq!(numbering.finding(), Some(Finding::Irregular));
+    assert!(lost <= 8, "{lost}");
+}
+
 // An event that lost its id must not end a stream, or keep it from going on elsewhere.
 #[test]
 fn an_event_without_an_id_is_not_admitted_where_ids_count_by_one() {
