gateway: refuse streams whose route was moved to another service

Callers that took up a stream after its route was moved to another service got events of both: the new service went on with what the old one began, even at a host with a record of the old one. A route with one target took its service without looking at the record, and a record of another service counted as none. With one software version the streams are not told at all, so other hosts could not know.

A record of another service now refuses the stream at once as version_gone. A run that goes on within one answer stays at the service that it was routed to.

--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -250,7 +250,10 @@
         return;
     }
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
-    shared.table.store(Arc::new(Table::new(configuration)));
+    let table = Arc::new(Table::new(configuration));
+    // Before a request can take its new route.
+    shared.record_moves(&table);
+    shared.table.store(table);
     shared.metrics.count("configuration.applied");
     slog::info!(shared.logger, "configuration: in force";
         "version" => version, "before" => before, "routes" => routes, "services" => services);
--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -18,7 +18,7 @@
     group, Decision, Origin, GROUPS, MAX_LIST_AGE_INTERVALS,
 };
 use cranberryridge_policy::gateway::pool::EndpointKey;
-use cranberryridge_policy::gateway::route::{Kind, Route};
+use cranberryridge_policy::gateway::route::{Kind, Route, Table};
 use cranberryridge_wire::code::Code;
 use cranberryridge_wire::id::Digest;
 use cranberryridge_wire::schedule as wire;
@@ -61,6 +61,27 @@
         }
     }
 
+    /// Records the services to which a new configuration moves routes, and tells the origins
+    /// of their open streams.
+    pub(super) fn record_moves(&self, table: &Table) {
+        let (before, now) = (self.table.load(), self.clock.now());
+        for service in table.moved_services(&before) {
+            let was_mixed = {
+                let mut origins = lock(&self.origins);
+                let was_mixed = origins.versions().are_mixed(now, service);
+                origins.record_move(now, service);
+                was_mixed
+            };
+            if was_mixed {
+                continue;
+            }
+            slog::info!(self.logger, "versions: route moved"; "service" => %service);
+            for origin in self.open_origins(service) {
+                self.tell_origin(&origin);
+            }
+        }
+    }
+
     /// Records the origin of another host's stream.
     pub(super) fn merge_origin(&self, message: wire::Origin) {
         let origin = Origin {
@@ -290,6 +311,10 @@
         let waits_for_links = match decision {
             Decision::GoOn(version) => return Ok(version),
             Decision::Ask { waits_for_links } => waits_for_links,
+            Decision::Gone => {
+                let retry_after = LOST_ORIGIN_RETRY_AFTER;
+                return Err(Refusal::with_retry_after(Code::VersionGone, retry_after));
+            }
         };
         // No host has a record of a stream that is not named, but the versions are asked for.
         let number = stream.unwrap_or(UNNAMED_STREAM);
--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -102,6 +102,8 @@
         /// Whether those to which no link is open are asked as well.
         waits_for_links: bool,
     },
+    /// Its route no longer leads to the service that began it.
+    Gone,
 }
 
 impl Registry {
@@ -142,6 +144,11 @@
         Some(&origin.version)
     }
 
+    /// Records that a route was moved to a service ([`Versions::record_move`]).
+    pub fn record_move(&mut self, now: Instant, service: &str) {
+        self.versions.record_move(now, service);
+    }
+
     /// Returns the origins of this host's streams of a service of which other hosts have to be
     /// told, none while one version is in use.
     pub fn open(&self, now: Instant, service: &str) -> Vec<(u64, Origin)> {
@@ -163,7 +170,11 @@
         service: &str,
         is_list_fresh: bool,
     ) -> Decision {
-        let recorded = stream.and_then(|stream| self.version(now, stream, service));
+        let recorded = stream.and_then(|stream| self.find(now, stream));
+        if recorded.is_some_and(|origin| origin.service != service) {
+            return Decision::Gone;
+        }
+        let recorded = recorded.map(|origin| &origin.version);
         let sole = self.versions.sole(now, service);
         if let Some(version) = recorded.or(sole.filter(|_| is_list_fresh)) {
             return Decision::GoOn(version.clone());
@@ -311,6 +322,8 @@
     /// Time of the first list, or `None` before it.
     known_since: Option<Instant>,
     services: Map<CompactString, Vec<Seen>>,
+    /// Services to which routes were moved in the lifetime of a stream, with the last time.
+    moved: Map<CompactString, Instant>,
 }
 
 impl Versions {
@@ -337,15 +350,45 @@
         changes
     }
 
-    /// Returns the only version that this host knows, or `None` if there are several.
+    /// Records that a route was moved to a service. A stream that is taken up there may have
+    /// begun at another one, so that for the lifetime of a stream its records count alone, as
+    /// if several versions were in use.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use cranberryridge_policy::gateway::origin::{Versions, STREAM_LIFETIME};
+    /// let (mut versions, now) = (Versions::default(), Instant::now());
+    /// versions.record_move(now, "model");
+    /// assert!(versions.are_mixed(now, "model"));
+    /// assert!(!versions.are_mixed(now + STREAM_LIFETIME, "model"));
+    /// ```
+    pub fn record_move(&mut self, now: Instant, service: &str) {
+        self.moved
+            .retain(|_, at| now.saturating_duration_since(*at) < STREAM_LIFETIME);
+        self.moved.insert(service.into(), now);
+    }
+
+    /// Returns whether a route was moved to a service in the lifetime of a stream.
+    fn is_moved_to(&self, now: Instant, service: &str) -> bool {
+        let moved_at = self.moved.get(service);
+        moved_at.is_some_and(|at| now.saturating_duration_since(*at) < STREAM_LIFETIME)
+    }
+
+    /// Returns the only version of which streams can be that are taken up at a service, as far
+    /// as this host knows. `None` if there may be several, or streams of another service.
     pub fn only(&self, now: Instant, service: &str) -> Option<&CompactString> {
+        if self.is_moved_to(now, service) {
+            return None;
+        }
         only(self.recent(now, service).map(|seen| &seen.version))
     }
 
     /// Returns whether streams of a service may be of different versions, as endpoints of
-    /// several have been listed in the lifetime of a stream.
+    /// several have been listed in the lifetime of a stream or a route was moved to it.
     pub fn are_mixed(&self, now: Instant, service: &str) -> bool {
-        self.recent(now, service).count() > 1
+        self.is_moved_to(now, service) || self.recent(now, service).count() > 1
     }
 
     /// Returns the only version of which a stream can be, or `None` if there may be
@@ -367,6 +410,9 @@
         service: &str,
         answers: &Answers,
     ) -> Option<CompactString> {
+        if self.is_moved_to(now, service) {
+            return None;
+        }
         if let Some(before) = &answers.before {
             return Some(before.clone());
         }
@@ -384,6 +430,9 @@
     /// that time may still be taken up. A host that knows it has been told each stream that
     /// began since, so one that it does not know began before.
     pub fn before(&self, now: Instant, service: &str) -> Option<&CompactString> {
+        if self.is_moved_to(now, service) {
+            return None;
+        }
         let known_since = self.known_since?;
         let newest = self.recent(now, service).map(|seen| seen.since).max()?;
         let is_recent = now.saturating_duration_since(newest) < TAKE_UP_TIME;
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -73,7 +73,7 @@
 }
 
 /// A service that receives a share of a route's requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
     /// Name of the service.
     pub service: CompactString,
@@ -184,6 +184,33 @@
         found.next().map(|index| &self.configuration.routes[*index])
     }
 
+    /// Returns the services to which routes of streams were moved since an earlier
+    /// configuration, with repetitions. A caller may take up a stream there that another
+    /// service began. A change of weights counts as well.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::gateway::route::{Configuration, Table};
+    /// let (before, after) = (Table::default(), Table::new(Configuration::default()));
+    /// assert_eq!(after.moved_services(&before).count(), 0);
+    /// ```
+    pub fn moved_services<'a>(
+        &'a self,
+        before: &'a Self,
+    ) -> impl Iterator<Item = &'a CompactString> {
+        let routes = [&before.configuration.routes, &self.configuration.routes];
+        let moved = routes.into_iter().flatten().filter_map(|route| {
+            let earlier = before.find(&route.host, &route.path_prefix)?;
+            let current = self.find(&route.host, &route.path_prefix)?;
+            let is_moved = earlier.kind.is_stream()
+                && current.kind == Kind::ResumableStream
+                && earlier.targets != current.targets;
+            is_moved.then_some(&current.targets)
+        });
+        moved.flatten().map(|target| &target.service)
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let index = self.services.get(name)?;
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -90,6 +90,40 @@
     assert!(!conclude(are_mixed), "another host knows of two");
 }
 
+#[test]
+fn a_service_to_which_a_route_was_moved_goes_on_with_streams_on_record_only() {
+    let begin = Instant::now();
+    let mut registry = Registry::default();
+    registry.update(begin, &endpoints(&["v1"]));
+    let now = begin + STREAM_LIFETIME;
+    let old = Origin {
+        service: "other".into(),
+        ..origin("v1")
+    };
+    registry.merge(now, 1, old);
+    assert!(!registry.record(now, 2, origin("v1")));
+    registry.record_move(now, "model");
+    assert_eq!(registry.open(now, "model"), [(2, origin("v1"))]);
+    assert!(registry.record(now, 3, origin("v1")));
+    let go_on = Decision::GoOn("v1".into());
+    let ask = Decision::Ask {
+        waits_for_links: true,
+    };
+    for (stream, decision) in [(1, &Decision::Gone), (2, &go_on), (3, &go_on), (4, &ask)] {
+        let decided = registry.decide(now, Some(stream), "model", true);
+        assert_eq!(decided, *decision, "stream {stream}");
+    }
+    let versions = registry.versions();
+    assert_eq!(versions.mixed(now), ["model"]);
+    let before = Answers {
+        before: Some("v1".into()),
+        ..ANSWERS
+    };
+    assert_eq!(versions.conclude(now, "model", &before), None);
+    let later = now + STREAM_LIFETIME;
+    assert_eq!(registry.decide(later, Some(4), "model", true), go_on);
+}
+
 #[test]
 fn a_host_that_is_cut_off_concludes_nothing() {
     let begin = Instant::now();
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -107,7 +107,7 @@
     KeyMismatch = 1115, 422, "key_mismatch";
     /// It is not known which software version began the stream; it may only be begun anew.
     OriginUnknown = 1116, 503, "origin_unknown";
-    /// No endpoint serves the software version that began the stream.
+    /// No endpoint of the route's service has the software version that began the stream.
     VersionGone = 1117, 503, "version_gone";
     /// The endpoint failed while it ran the request.
     EndpointFailed = 2001, 502, "endpoint_failed";
