--- /dev/null
+++ b/crates/daemon/tests/days.rs
@@ -0,0 +1,288 @@
+//! Days of a site file, played with gateway processes and engines, held against the pieces that
+//! the engines made.
+//!
+//! `DAYS_SITE` is the path of a site file, `DAYS_NAMES` a comma-separated list of its days, or
+//! `all`. `DAYS_GATEWAY` is the path of another gateway, `DAYS_SEED` the seed of what is drawn,
+//! and `DAYS_VERBOSE` prints each wrong stream with the events that overlap it. Without
+//! `DAYS_SITE`, a short day of this repository is played. Kinds that are not played are printed.
+
+#[allow(dead_code)]
+mod shapes {
+    pub mod caller;
+    pub mod deployment;
+    pub mod engine;
+    pub mod link;
+    pub mod site;
+}
+
+mod day {
+    pub mod plan;
+    pub mod player;
+}
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, sleep_until, Instant};
+
+use cranberryridge_standin::stream::{Form, Held, Ledger};
+
+use day::plan::{Day, Plan};
+use day::player::{Mood, Player};
+use shapes::caller::{End, Manner, Stream};
+use shapes::deployment::Deployment;
+use shapes::engine::Limits;
+use shapes::site::Site;
+
+/// Bytes of a piece beside its names.
+const FILLER_BYTES: usize = 60;
+
+/// Time between the closing and the end of traffic.
+const AFTER_TIME: Duration = Duration::from_secs(8);
+
+/// Time for the last streams to end.
+const END_TIME: Duration = Duration::from_secs(15);
+
+/// Pieces of a stream vary by this factor at most.
+const PIECE_SPREAD: f64 = 0.7;
+
+/// Share of the callers that keep their connections.
+const KEEPING_SHARE: f64 = 0.5;
+
+/// A stream that has ended.
+struct Outcome {
+    stream: Stream,
+    ended_at: Instant,
+}
+
+#[test]
+fn streams_of_a_day_hold_the_pieces_that_engines_made() {
+    let text = match std::env::var("DAYS_SITE") {
+        Ok(path) => std::fs::read_to_string(path).expect("DAYS_SITE is the path of a file"),
+        Err(_) => include_str!("day/short.toml").to_owned(),
+    };
+    let names = std::env::var("DAYS_NAMES").unwrap_or_else(|_| "all".into());
+    let seed = std::env::var("DAYS_SEED").map_or(1, |seed| seed.parse().unwrap());
+    let plan = Plan::parse(&text);
+    let is_named = |day: &&Day| names == "all" || names.split(',').any(|name| name == day.name);
+    let mut wrong = 0;
+    let mut played = 0;
+    for (subnet, day) in (21..).zip(plan.days.iter().filter(is_named)) {
+        let runtime = tokio::runtime::Builder::new_multi_thread();
+        let runtime = { runtime }.worker_threads(2).enable_all().build().unwrap();
+        wrong += runtime.block_on(run(subnet, &plan, day, seed));
+        played += 1;
+    }
+    assert!(played > 0, "no day has one of the names {names}");
+    assert_eq!(wrong, 0, "streams are wrong, see the lines of the days");
+}
+
+/// Plays a day. Returns the number of wrong streams.
+async fn run(subnet: u8, plan: &Plan, day: &Day, seed: u64) -> usize {
+    let ledger = Ledger::new(FILLER_BYTES);
+    let deployment = Deployment {
+        name: plan.name.clone().leak(),
+        hosts: plan.hosts,
+        memory_mb: plan.memory_mb,
+        engines: plan.engines,
+        streams_per_second: day.streams_per_second,
+        mean_pieces: plan.mean_pieces,
+        piece_ms: plan.piece_ms,
+        has_links: true,
+    };
+    let site = Site::start(subnet, deployment, &ledger).await;
+    for engine in &site.engines {
+        engine.set_limits(Limits {
+            slots: plan.slots,
+            kv_tokens: plan.kv_tokens,
+            connections: plan.connections,
+            stride: plan.stride,
+        });
+    }
+    let mut player = Player::new(site, StdRng::seed_from_u64(seed));
+    let begun_at = Instant::now() + plan.lead;
+    let until = begun_at + plan.length + AFTER_TIME;
+    let outcomes = Arc::<Mutex<Vec<Outcome>>>::default();
+    let open = Arc::new(AtomicUsize::new(0));
+    let stop = Arc::new(AtomicBool::new(false));
+    let load = Load {
+        random: StdRng::seed_from_u64(seed ^ 1),
+        mood: player.mood.clone(),
+        kept: Arc::default(),
+        outcomes: outcomes.clone(),
+        open: open.clone(),
+        stop: stop.clone(),
+        resumable_share: plan.resumable_share,
+        tries: plan.tries,
+        clump: day.clump,
+        deployment,
+    };
+    let load = tokio::spawn(load.run(begun_at));
+    player.play(plan, &day.events, begun_at, until).await;
+    stop.store(true, Ordering::SeqCst);
+    load.await.unwrap();
+    let end = Instant::now() + END_TIME;
+    while open.load(Ordering::SeqCst) > 0 && Instant::now() < end {
+        player
+            .play(
+                plan,
+                &[],
+                begun_at,
+                Instant::now() + Duration::from_millis(100),
+            )
+            .await;
+    }
+    let outcomes = outcomes.lock().unwrap();
+    println!(
+        "days: {} {} seed {seed}: {} runs, left out: {:?}",
+        plan.name,
+        day.name,
+        ledger.run_count(),
+        player.left_out
+    );
+    report(plan, day, begun_at, &outcomes, &ledger)
+}
+
+/// Callers of a day.
+struct Load {
+    random: StdRng,
+    mood: Arc<Mutex<Mood>>,
+    /// Connections that callers keep for further streams.
+    kept: Arc<Mutex<Vec<TcpStream>>>,
+    outcomes: Arc<Mutex<Vec<Outcome>>>,
+    /// Number of open streams.
+    open: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+    resumable_share: f64,
+    tries: usize,
+    clump: usize,
+    deployment: Deployment,
+}
+
+impl Load {
+    /// Begins streams until it is stopped.
+    async fn run(mut self, begun_at: Instant) {
+        sleep_until(begun_at).await;
+        let mut number = 0;
+        while !self.stop.load(Ordering::SeqCst) {
+            let load = self.mood.lock().unwrap().load.max(0.1);
+            let rate = self.deployment.streams_per_second * load / self.clump as f64;
+            let pause = -(1.0 - self.random.random::<f64>()).ln() / rate;
+            sleep(Duration::from_secs_f64(pause)).await;
+            for _ in 0..self.clump {
+                number += 1;
+                self.begin(number);
+            }
+        }
+    }
+
+    /// Begins a stream.
+    fn begin(&mut self, number: usize) {
+        let spread = self.random.random_range(-PIECE_SPREAD..PIECE_SPREAD);
+        let total = f64::from(self.deployment.mean_pieces) * (1.0 + spread);
+        let mut stream = Stream {
+            name: format!("s{number}"),
+            total: total as u32,
+            may_resume: self.random.random_bool(self.resumable_share),
+            begun_at: Instant::now(),
+            events: Vec::new(),
+            ends: Vec::new(),
+            first_attempt: None,
+            refusals: Vec::new(),
+        };
+        let mood = self.mood.lock().unwrap().clone();
+        let is_abusive = self.random.random_bool(mood.abusive_share);
+        let manner = Manner {
+            leaves: self.random.random_bool(mood.leaving_share),
+            keeps_connection: self.random.random_bool(KEEPING_SHARE),
+            tries: if is_abusive {
+                mood.abusive_tries
+            } else {
+                self.tries
+            },
+            returns_at_once: is_abusive,
+            ..Manner::default()
+        };
+        let (mood, kept) = (self.mood.clone(), self.kept.clone());
+        let (outcomes, open) = (self.outcomes.clone(), self.open.clone());
+        open.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(async move {
+            let mut connection = None;
+            if manner.keeps_connection {
+                connection = kept.lock().unwrap().pop();
+            }
+            let hosts = || mood.lock().unwrap().hosts.clone();
+            stream.play_via(&mut connection, hosts, manner).await;
+            kept.lock().unwrap().extend(connection);
+            let ended_at = Instant::now();
+            outcomes.lock().unwrap().push(Outcome { stream, ended_at });
+            open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+/// Prints what became of streams. Returns the number of wrong ones.
+fn report(
+    plan: &Plan,
+    day: &Day,
+    begun_at: Instant,
+    outcomes: &[Outcome],
+    ledger: &Ledger,
+) -> usize {
+    let mut forms = BTreeMap::<(Form, bool), usize>::new();
+    let [mut whole, mut tried_again, mut cut, mut refused] = [0; 4];
+    for Outcome { stream, ended_at } in outcomes {
+        tried_again += usize::from(stream.ends.len() > 1);
+        match stream.ends.last() {
+            Some(End::Complete) => whole += 1,
+            Some(End::Refused(_) | End::NoAnswer) => refused += 1,
+            _ => cut += 1,
+        }
+        let events = stream.events.iter().map(|event| (&stream.name, event));
+        let held = Held {
+            events: &events.collect::<Vec<_>>(),
+            total: stream.total,
+            has_ended: stream.has_ended(),
+            may_resume: stream.may_resume,
+        };
+        let Some(form) = ledger.check(&held) else {
+            continue;
+        };
+        *forms.entry((form, stream.may_resume)).or_default() += 1;
+        if std::env::var("DAYS_VERBOSE").is_ok() {
+            let overlaps = day.events.iter().filter(|event| {
+                let from = begun_at + event.at;
+                from <= *ended_at && from + event.lasts >= stream.begun_at
+            });
+            let overlaps =
+                overlaps.map(|event| format!("{} {} {:?}", event.kind, event.how, event.at));
+            println!(
+                "days: wrong: {form:?} {} of {} pieces, resumable {}, from {:?} to {:?}, ends {:?}, \
+                 beside {:?}",
+                stream.events.len(),
+                stream.total,
+                stream.may_resume,
+                stream.begun_at - begun_at,
+                *ended_at - begun_at,
+                stream.ends,
+                overlaps.collect::<Vec<_>>()
+            );
+            println!("days: runs: {:?}", ledger.runs_of(&[&stream.name]));
+            println!("days: events: {:?}", stream.events);
+        }
+    }
+    let wrong = forms.values().sum::<usize>();
+    println!(
+        "days: {} {}: {} streams, {whole} whole, {tried_again} tried again, {cut} cut, \
+         {refused} refused, {wrong} wrong {forms:?}",
+        plan.name,
+        day.name,
+        outcomes.len(),
+    );
+    wrong
+}
--- a/crates/daemon/tests/hosts.rs
+++ b/crates/daemon/tests/hosts.rs
@@ -6,6 +6,7 @@
     pub mod caller;
     pub mod deployment;
     pub mod engine;
+    pub mod link;
     pub mod site;
 }
 
--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -11,6 +11,7 @@
     pub mod deployment;
     pub mod engine;
     pub mod kind;
+    pub mod link;
     pub mod site;
 }
 
--- a/crates/daemon/tests/shapes/caller.rs
+++ b/crates/daemon/tests/shapes/caller.rs
@@ -68,6 +68,10 @@
     pub leaves: bool,
     /// Whether it sends further requests on the same connection.
     pub keeps_connection: bool,
+    /// Maximum number of tries, or 0 for the usual one.
+    pub tries: usize,
+    /// Whether it tries again at once, whatever it was told.
+    pub returns_at_once: bool,
 }
 
 impl Stream {
@@ -88,11 +92,31 @@
         kept: &mut Option<TcpStream>,
         hosts: &[SocketAddr],
         manner: Manner,
+    ) {
+        self.play_via(kept, || hosts.to_vec(), manner).await;
+    }
+
+    /// Plays the stream as [`Self::play_on`] does, at one of the hosts that `hosts` returns
+    /// before each try.
+    pub async fn play_via(
+        &mut self,
+        kept: &mut Option<TcpStream>,
+        hosts: impl Fn() -> Vec<SocketAddr>,
+        manner: Manner,
     ) {
         let deadline = Instant::now() + DEADLINE;
-        for _ in 0..MAX_TRIES {
+        let tries = if manner.tries == 0 {
+            MAX_TRIES
+        } else {
+            manner.tries
+        };
+        for _ in 0..tries {
             let attempt = format!("{}-{}", self.name, self.ends.len());
-            let host = *hosts.choose(&mut rand::rng()).unwrap();
+            let Some(host) = hosts().choose(&mut rand::rng()).copied() else {
+                self.ends.push(End::NoAnswer);
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            };
             let had_events = !self.events.is_empty();
             let request = self.request(&attempt, self.first_attempt.as_deref(), deadline);
             let mut wait = Duration::from_millis(100);
@@ -113,6 +137,9 @@
                     self.may_resume && !(manner.leaves && end == End::Left)
                 }
             };
+            if manner.returns_at_once {
+                wait = Duration::ZERO;
+            }
             if !may_try_again || Instant::now() + wait >= deadline {
                 return;
             }
--- a/crates/daemon/tests/shapes/deployment.rs
+++ b/crates/daemon/tests/shapes/deployment.rs
@@ -17,6 +17,8 @@
     pub mean_pieces: u32,
     /// Time between two pieces, in milliseconds.
     pub piece_ms: u64,
+    /// Whether each host reaches the store through a [`super::link::Link`] of its own.
+    pub has_links: bool,
 }
 
 /// Loan underwriting on four hosts.
@@ -28,6 +30,7 @@
     streams_per_second: 18.2,
     mean_pieces: 67,
     piece_ms: 47,
+    has_links: false,
 };
 
 /// An order desk on five hosts.
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -1,18 +1,22 @@
 //! Engines on raw sockets that follow the platform's protocol, with faults on request.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 use cranberryridge_standin::stream::Ledger;
 
+/// Tokens of a prompt.
+const PROMPT_TOKENS: usize = 3000;
+
 /// Time to read a prompt.
 const PREFILL_TIME: Duration = Duration::from_millis(90);
 
@@ -28,6 +32,9 @@
 /// Time for which a run stands still, longer than the pauses that callers expect.
 const PAUSE: Duration = Duration::from_millis(2500);
 
+/// Time between a whole stream and a late answer behind it.
+const EXTRA_DELAY: Duration = Duration::from_millis(300);
+
 /// Time for a request that states no deadline, in milliseconds.
 const MAX_TIME_MS: u64 = 60_000;
 
@@ -44,6 +51,8 @@
     Stop,
     /// Sends a second answer behind the whole stream.
     Extra,
+    /// Sends a second answer some time behind the whole stream.
+    ExtraLate,
     /// Sends the stream again from its first piece where it was asked to go on.
     Anew,
     /// Runs the request and resets the connection without an answer.
@@ -75,13 +84,90 @@
     pub per_mille: u32,
 }
 
+/// Bounds of an engine that queues and preempts runs, and that stops them at their deadlines.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Maximum number of runs at the same time.
+    pub slots: usize,
+    /// Maximum number of tokens that the open runs hold.
+    pub kv_tokens: usize,
+    /// Maximum number of connections. Further ones are reset.
+    pub connections: usize,
+    /// Tokens of a piece.
+    pub stride: usize,
+}
+
+/// Room of a start of an engine with limits.
+#[derive(Clone, Debug)]
+struct Room {
+    limits: Limits,
+    slots: Arc<Semaphore>,
+    kv_tokens: Arc<Semaphore>,
+}
+
+impl Room {
+    fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            slots: Arc::new(Semaphore::new(limits.slots)),
+            kv_tokens: Arc::new(Semaphore::new(limits.kv_tokens)),
+        }
+    }
+
+    /// Waits for a slot and for tokens.
+    async fn enter(&self, tokens: usize) -> Lease {
+        let slot = self.slots.clone().acquire_owned().await.unwrap();
+        let tokens = self.take(tokens).await;
+        Lease {
+            room: self.clone(),
+            _slot: slot,
+            tokens: Some(tokens),
+        }
+    }
+
+    async fn take(&self, tokens: usize) -> OwnedSemaphorePermit {
+        let tokens = tokens.min(self.limits.kv_tokens) as u32;
+        let semaphore = self.kv_tokens.clone();
+        semaphore.acquire_many_owned(tokens).await.unwrap()
+    }
+}
+
+/// Room that a run holds.
+struct Lease {
+    room: Room,
+    _slot: OwnedSemaphorePermit,
+    tokens: Option<OwnedSemaphorePermit>,
+}
+
+impl Lease {
+    /// Takes the tokens of a piece. If there are none, the run is preempted: it gives all of its
+    /// tokens back and waits for them.
+    async fn grow(&mut self) {
+        let stride = self.room.limits.stride as u32;
+        let semaphore = self.room.kv_tokens.clone();
+        let more = semaphore.try_acquire_many_owned(stride);
+        let tokens = self.tokens.as_mut().unwrap();
+        if let Ok(more) = more {
+            tokens.merge(more);
+        } else {
+            let count = tokens.num_permits() + self.room.limits.stride;
+            self.tokens = None;
+            self.tokens = Some(self.room.take(count).await);
+        }
+    }
+}
+
 /// What the tasks of an engine share.
 #[derive(Debug)]
 struct State {
     is_prefill: bool,
     piece_time: Duration,
     ledger: Ledger,
-    fault: Mutex<Option<Share>>,
+    faults: Mutex<Vec<Share>>,
+    /// Version of the software, which each piece names.
+    version: Mutex<String>,
+    room: Mutex<Option<Room>>,
+    connections: AtomicUsize,
     /// Whether connections that are dropped are reset.
     resets: AtomicBool,
     /// Whether nothing is sent any more.
@@ -110,7 +196,10 @@
             is_prefill,
             piece_time,
             ledger,
-            fault: Mutex::new(None),
+            faults: Mutex::default(),
+            version: Mutex::new("v1".into()),
+            room: Mutex::new(None),
+            connections: AtomicUsize::new(0),
             resets: AtomicBool::new(false),
             is_dark: AtomicBool::new(false),
             born: AtomicU64::new(0),
@@ -129,6 +218,9 @@
         }
         self.state.born.fetch_add(1, Ordering::SeqCst);
         self.state.is_dark.store(false, Ordering::SeqCst);
+        if let Some(room) = &mut *self.state.room.lock().unwrap() {
+            *room = Room::new(room.limits);
+        }
         let listener = TcpListener::bind(self.address).await.unwrap();
         self.process = Some(tokio::spawn(serve(listener, self.state.clone())));
     }
@@ -161,7 +253,27 @@
 
     /// Sets the fault of the runs from now on.
     pub fn set_fault(&self, share: Option<Share>) {
-        *self.state.fault.lock().unwrap() = share;
+        self.set_faults(share.into_iter().collect());
+    }
+
+    /// Sets the faults of the runs from now on, each of which has the first that strikes it.
+    pub fn set_faults(&self, shares: Vec<Share>) {
+        *self.state.faults.lock().unwrap() = shares;
+    }
+
+    /// Sets the bounds from now on.
+    pub fn set_limits(&self, limits: Limits) {
+        *self.state.room.lock().unwrap() = Some(Room::new(limits));
+    }
+
+    /// Returns the version of the software.
+    pub fn version(&self) -> String {
+        self.state.version.lock().unwrap().clone()
+    }
+
+    /// Sets the version of the software.
+    pub fn set_version(&self, version: &str) {
+        *self.state.version.lock().unwrap() = version.into();
     }
 
     /// Keeps all connections open and sends nothing until the next start.
@@ -185,7 +297,13 @@
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
                 let stop_at = Instant::now() + Duration::from_millis(MAX_TIME_MS);
+                let open = state.connections.fetch_add(1, Ordering::SeqCst);
                 let connection = Connection { stream, stop_at, state: state.clone() };
+                let room = state.room.lock().unwrap().clone();
+                if room.is_some_and(|room| open >= room.limits.connections) {
+                    connection.reset_on_close();
+                    continue;
+                }
                 connections.spawn(async move {
                     // The gateway may have closed the connection.
                     let _ = connection.answer().await;
@@ -206,6 +324,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.state.connections.fetch_sub(1, Ordering::SeqCst);
         if self.state.resets.load(Ordering::SeqCst) {
             self.reset_on_close();
         }
@@ -272,9 +391,11 @@
 
     /// Returns the fault of a run that begins.
     fn fault(&self) -> Option<Fault> {
-        let share = (*self.state.fault.lock().unwrap())?;
-        let is_hit = rand::rng().random_range(0..1000) < share.per_mille;
-        is_hit.then_some(share.fault)
+        let faults = self.state.faults.lock().unwrap();
+        let mut hits = faults
+            .iter()
+            .filter(|share| rand::rng().random_range(0..1000) < share.per_mille);
+        hits.next().map(|share| share.fault)
     }
 
     /// Streams the pieces behind `asked_id`, and stops once the gateway closes the connection.
@@ -292,7 +413,17 @@
         } else {
             asked_id
         };
-        let run = state.ledger.begin(name, "", asked_id, first_asked);
+        let room = state.room.lock().unwrap().clone();
+        let mut lease = None;
+        if let Some(room) = &room {
+            let tokens = PROMPT_TOKENS + asked_id as usize * room.limits.stride;
+            tokio::select! {
+                entered = room.enter(tokens) => lease = Some(entered),
+                left = self.wait(self.stop_at - Instant::now()) => return left,
+            }
+        }
+        let version = state.version.lock().unwrap().clone();
+        let run = state.ledger.begin(name, &version, asked_id, first_asked);
         let _watch = state.ledger.watch(run, attempt);
         let is_unframed = matches!(fault, Some(Fault::Unframed | Fault::UnframedClose));
         let framing = if is_unframed {
@@ -316,6 +447,21 @@
         };
         for id in first_asked + 1..=total {
             let is_last = Instant::now() + piece_time >= self.stop_at;
+            if let Some(lease) = &mut lease {
+                if is_last {
+                    tokio::time::sleep_until(self.stop_at).await;
+                    return self
+                        .send(if is_unframed { b"" } else { b"0\r\n\r\n" })
+                        .await;
+                }
+                tokio::select! {
+                    () = lease.grow() => {}
+                    left = self.wait(self.stop_at - Instant::now()) => {
+                        left?;
+                        return self.send(if is_unframed { b"" } else { b"0\r\n\r\n" }).await;
+                    }
+                }
+            }
             match fault {
                 Some(Fault::Deadline) if is_last => {
                     tokio::time::sleep_until(self.stop_at).await;
@@ -364,7 +510,12 @@
                 Ok(())
             }
             _ if is_unframed => Ok(()),
-            Some(Fault::Extra) => {
+            Some(Fault::Extra | Fault::ExtraLate) => {
+                if fault == Some(Fault::ExtraLate) {
+                    self.send(b"0\r\n\r\n").await?;
+                    tokio::time::sleep(EXTRA_DELAY).await;
+                    return self.send(head.as_bytes()).await;
+                }
                 let again = format!("0\r\n\r\n{head}");
                 self.send(again.as_bytes()).await
             }
--- a/crates/daemon/tests/shapes/kind.rs
+++ b/crates/daemon/tests/shapes/kind.rs
@@ -127,7 +127,7 @@
         Manner {
             is_slow: self == Self::SlowCallers,
             leaves: self == Self::GiveUp && rand::random_ratio(3, 10),
-            keeps_connection: false,
+            ..Manner::default()
         }
     }
 
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -14,6 +14,7 @@
 
 use super::deployment::Deployment;
 use super::engine::Engine;
+use super::link::Link;
 
 /// Hosts of the gateways begin with this one.
 const FIRST_GATEWAY_HOST: u8 = 2;
@@ -21,6 +22,9 @@
 /// Hosts of the engines begin with this one.
 const FIRST_ENGINE_HOST: u8 = 100;
 
+/// Ports of the links to the store begin with this one.
+const FIRST_LINK_PORT: u16 = 7100;
+
 /// One engine in this many reads prompts.
 const PREFILL_SHARE: usize = 3;
 
@@ -28,7 +32,9 @@
 pub struct Site {
     pub deployment: Deployment,
     pub engines: Vec<Engine>,
-    store: Store,
+    pub store: Store,
+    /// Link of each host to the store, if the deployment has links.
+    pub links: Vec<Link>,
     _store_server: Server,
     processes: Vec<(PathBuf, Child)>,
     subnet: u8,
@@ -44,6 +50,7 @@
             deployment,
             engines: Vec::new(),
             store,
+            links: Vec::new(),
             _store_server: store_server,
             processes: Vec::new(),
             subnet,
@@ -59,10 +66,8 @@
             site.engines.push(engine);
             site.list(index, "ready");
         }
-        for host in (FIRST_GATEWAY_HOST..).take(deployment.hosts.into()) {
-            let settings = site.write_settings(host);
-            let child = start_gateway(&settings);
-            site.processes.push((settings, child));
+        for _ in 0..deployment.hosts {
+            site.add_host().await;
         }
         for host in site.hosts() {
             while tokio::net::TcpStream::connect(host).await.is_err() {
@@ -72,6 +77,21 @@
         site
     }
 
+    /// Starts a further gateway. Returns its index.
+    pub async fn add_host(&mut self) -> usize {
+        let index = self.processes.len();
+        let host = FIRST_GATEWAY_HOST + index as u8;
+        if self.deployment.has_links {
+            let at = address(self.subnet, 1, FIRST_LINK_PORT + u16::from(host));
+            let link = Link::start(at, address(self.subnet, 1, 7001)).await;
+            self.links.push(link);
+        }
+        let settings = self.write_settings(host);
+        let child = start_gateway(&settings);
+        self.processes.push((settings, child));
+        index
+    }
+
     /// Returns the id of the current start of an engine.
     fn engine_id(&self, index: usize) -> String {
         format!("i-{index}-{}", self.engines[index].born())
@@ -88,7 +108,7 @@
         let entry = json!({
             "service": "model", "address": engine.address.to_string(), "zone": "a",
             "slots": 64, "state": state, "born": engine.born(), "phase": phase,
-            "version": "v1",
+            "version": engine.version(),
         });
         self.store
             .put("keyed.servers", &self.engine_id(index), Some(&entry));
@@ -135,7 +155,8 @@
 
     fn write_settings(&self, host: u8) -> PathBuf {
         let ip = address(self.subnet, host, 0).ip();
-        let store = address(self.subnet, 1, 7001);
+        let links = self.links.get(usize::from(host - FIRST_GATEWAY_HOST));
+        let store = links.map_or(address(self.subnet, 1, 7001), |link| link.address);
         let memory_mb = self.deployment.memory_mb;
         let text = format!(
             "nodeName = \"front-{host}\"\nzone = \"a\"\nheartbeatMs = 1200\n\
@@ -153,7 +174,7 @@
 
     /// Addresses of the gateways for callers.
     pub fn hosts(&self) -> Vec<SocketAddr> {
-        let hosts = (FIRST_GATEWAY_HOST..).take(self.deployment.hosts.into());
+        let hosts = (FIRST_GATEWAY_HOST..).take(self.processes.len());
         hosts.map(|host| address(self.subnet, host, 7001)).collect()
     }
 
@@ -167,12 +188,23 @@
         }
     }
 
+    /// Returns whether the process of a gateway is running.
+    pub fn is_running(&mut self, index: usize) -> bool {
+        matches!(self.processes[index].1.try_wait(), Ok(None))
+    }
+
+    /// Restarts a gateway if its process has ended.
+    pub fn restart(&mut self, index: usize) {
+        let (settings, child) = &mut self.processes[index];
+        if !matches!(child.try_wait(), Ok(None)) {
+            *child = start_gateway(settings);
+        }
+    }
+
     /// Restarts the gateways whose processes have ended.
     pub fn restart_ended(&mut self) {
-        for (settings, child) in &mut self.processes {
-            if !matches!(child.try_wait(), Ok(None)) {
-                *child = start_gateway(settings);
-            }
+        for index in 0..self.processes.len() {
+            self.restart(index);
         }
     }
 }
@@ -198,7 +230,7 @@
 fn start_gateway(settings: &PathBuf) -> Child {
     let log = settings.with_extension("log");
     let log = std::fs::File::options().create(true).append(true).open(log);
-    let gateway = std::env::var("SHAPES_GATEWAY");
+    let gateway = std::env::var("SHAPES_GATEWAY").or_else(|_| std::env::var("DAYS_GATEWAY"));
     let gateway = gateway.unwrap_or_else(|_| env!("CARGO_BIN_EXE_cranberryridge-gateway").into());
     Command::new(gateway)
         .env("CRANBERRYRIDGE_BOOT", settings)
