--- a/crates/daemon/tests/day/plan.rs
+++ b/crates/daemon/tests/day/plan.rs
@@ -16,6 +16,8 @@
     pub hosts: u8,
     pub memory_mb: u32,
     pub engines: u8,
+    /// Number of the engines of a further service of models.
+    pub other_engines: u8,
     pub slots: usize,
     pub kv_tokens: usize,
     pub connections: usize,
@@ -68,11 +70,11 @@
         let fronts = fronts.collect::<Vec<_>>();
         let hosts = fronts.iter().map(|front| number(front, "count"));
         let memory = fronts.iter().map(|front| number(front, "memory_mb"));
-        let service = tables(&site, "services").find(|service| service.contains_key("llm"));
-        let service = service.expect("a site has a service of models");
+        let mut services = tables(&site, "services").filter(|service| service.contains_key("llm"));
+        let service = services.next().expect("a site has a service of models");
+        let other_engines = services.next().map_or(0.0, engines_of);
         let llm = service["llm"].as_table().unwrap();
         let name = string(service, "name");
-        let engines = tables(service, "servers").map(|servers| number(servers, "count"));
         let step = number(llm, "step_ms") + USUAL_RUNS * number(llm, "step_ms_per_slot");
         let classes = tables(&site, "classes").filter(|class| string(class, "service") == name);
         let classes = classes.collect::<Vec<_>>();
@@ -101,7 +103,8 @@
         Self {
             hosts: hosts.sum::<f64>() as u8,
             memory_mb: memory.fold(f64::MAX, f64::min) as u32,
-            engines: engines.sum::<f64>() as u8,
+            engines: (engines_of(service) + other_engines) as u8,
+            other_engines: other_engines as u8,
             slots: number(service, "slots") as usize,
             kv_tokens: number(llm, "kv_tokens") as usize,
             connections: number(service, "conn_cap") as usize,
@@ -167,6 +170,12 @@
     }
 }
 
+/// Returns the number of the engines of a service.
+fn engines_of(service: &Table) -> f64 {
+    let servers = tables(service, "servers");
+    servers.map(|servers| number(servers, "count")).sum()
+}
+
 /// Returns the tables of a list, or none if there is no such list.
 fn tables<'a>(table: &'a Table, name: &str) -> impl Iterator<Item = &'a Table> {
     let list = table.get(name).and_then(Value::as_array);
--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -55,22 +55,54 @@
 #[derive(Clone, Debug)]
 enum Step {
     Begin(Box<Event>),
-    Kill { host: usize, down: Duration },
-    Term { host: usize },
-    Leave { host: usize },
-    Signal { host: usize, name: &'static str },
+    Kill {
+        host: usize,
+        down: Duration,
+    },
+    Term {
+        host: usize,
+    },
+    Leave {
+        host: usize,
+    },
+    Signal {
+        host: usize,
+        name: &'static str,
+    },
     AddHost,
-    Link { host: usize, state: State },
-    StopEngine { engine: usize, resets: bool },
-    StartEngine { engine: usize },
-    Darken { engine: usize },
-    Drain { engine: usize },
-    Replace { engine: usize, version: String },
-    ResetConnections { engine: usize },
+    Link {
+        host: usize,
+        state: State,
+    },
+    StopEngine {
+        engine: usize,
+        resets: bool,
+    },
+    StartEngine {
+        engine: usize,
+    },
+    Darken {
+        engine: usize,
+    },
+    Drain {
+        engine: usize,
+    },
+    Replace {
+        engine: usize,
+        version: String,
+    },
+    ResetConnections {
+        engine: usize,
+    },
     Store(StoreFault),
     Compact,
     Rewind(Duration),
-    Publish { timeout_ms: u64, attempts: u32 },
+    /// Moves the routes to the other service, or back.
+    Move,
+    Publish {
+        timeout_ms: u64,
+        attempts: u32,
+    },
 }
 
 /// State of a host.
@@ -269,7 +301,7 @@
             Step::Replace { engine, version } => {
                 self.site.unlist(engine);
                 self.site.engines[engine].kill(false).await;
-                self.site.engines[engine].set_version(&version);
+                self.site.set_version(engine, &version);
                 self.site.restart_engine(engine).await;
             }
             Step::ResetConnections { engine } => {
@@ -292,6 +324,10 @@
                     }
                 }
             }
+            Step::Move => {
+                self.site.is_moved = !self.site.is_moved;
+                self.site.publish(TIMEOUT_MS, true, 2);
+            }
             Step::Publish {
                 timeout_ms,
                 attempts,
@@ -320,6 +356,9 @@
                 };
                 self.after(at, Duration::ZERO, step);
             }
+            "config_change" if event.is("move") && plan.other_engines > 0 => {
+                self.after(at, Duration::ZERO, Step::Move);
+            }
             "config_storm" => {
                 let mut delay = Duration::ZERO;
                 while delay < lasts {
--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -94,6 +94,7 @@
         mean_pieces: plan.mean_pieces,
         piece_ms: plan.piece_ms,
         has_links: true,
+        other_engines: plan.other_engines,
     };
     let site = Site::start(subnet, deployment, &ledger).await;
     for engine in &site.engines {
--- a/crates/daemon/tests/shapes/deployment.rs
+++ b/crates/daemon/tests/shapes/deployment.rs
@@ -19,6 +19,8 @@
     pub piece_ms: u64,
     /// Whether each host reaches the store through a [`super::link::Link`] of its own.
     pub has_links: bool,
+    /// Number of the engines of another service, which are the last ones.
+    pub other_engines: u8,
 }
 
 /// Loan underwriting on four hosts.
@@ -31,6 +33,7 @@
     mean_pieces: 67,
     piece_ms: 47,
     has_links: false,
+    other_engines: 0,
 };
 
 /// An order desk on five hosts.
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -298,7 +298,7 @@
                 let Ok((stream, _)) = accepted else { continue };
                 let stop_at = Instant::now() + Duration::from_millis(MAX_TIME_MS);
                 let open = state.connections.fetch_add(1, Ordering::SeqCst);
-                let connection = Connection { stream, stop_at, state: state.clone() };
+                let connection = Connection { stream, stop_at, is_over: false, state: state.clone() };
                 let room = state.room.lock().unwrap().clone();
                 if room.is_some_and(|room| open >= room.limits.connections) {
                     connection.reset_on_close();
@@ -319,6 +319,8 @@
     stream: TcpStream,
     /// Deadline of the request.
     stop_at: Instant,
+    /// Whether no further request is read.
+    is_over: bool,
     state: Arc<State>,
 }
 
@@ -336,10 +338,21 @@
         self.stream.set_zero_linger().unwrap();
     }
 
-    /// Answers a request.
+    /// Answers requests: the first one, or each in turn if the engine has limits.
     async fn answer(mut self) -> std::io::Result<()> {
         let _ = self.stream.set_nodelay(true);
+        self.is_over = self.state.room.lock().unwrap().is_none();
+        self.answer_next().await?;
+        while !self.is_over {
+            self.answer_next().await?;
+        }
+        Ok(())
+    }
+
+    /// Answers a request.
+    async fn answer_next(&mut self) -> std::io::Result<()> {
         let Some((head, body)) = read_request(&mut self.stream).await else {
+            self.is_over = true;
             return Ok(());
         };
         if head.contains(" /-/") {
@@ -400,7 +413,7 @@
 
     /// Streams the pieces behind `asked_id`, and stops once the gateway closes the connection.
     async fn stream_pieces(
-        mut self,
+        &mut self,
         attempt: &str,
         name: &str,
         asked_id: u32,
@@ -445,20 +458,19 @@
             Some(Fault::Deadline | Fault::LastPiece) => state.piece_time * DEADLINE_FACTOR,
             _ => state.piece_time,
         };
+        let mut last_chunk = String::new();
         for id in first_asked + 1..=total {
             let is_last = Instant::now() + piece_time >= self.stop_at;
             if let Some(lease) = &mut lease {
                 if is_last {
                     tokio::time::sleep_until(self.stop_at).await;
-                    return self
-                        .send(if is_unframed { b"" } else { b"0\r\n\r\n" })
-                        .await;
+                    return self.end(is_unframed).await;
                 }
                 tokio::select! {
                     () = lease.grow() => {}
                     left = self.wait(self.stop_at - Instant::now()) => {
                         left?;
-                        return self.send(if is_unframed { b"" } else { b"0\r\n\r\n" }).await;
+                        return self.end(is_unframed).await;
                     }
                 }
             }
@@ -485,9 +497,13 @@
                     if fault == Some(Fault::BreakReset) {
                         self.reset_on_close();
                     }
+                    self.is_over = true;
+                    return Ok(());
+                }
+                Some(Fault::Close | Fault::UnframedClose) if is_hit => {
+                    self.is_over = true;
                     return Ok(());
                 }
-                Some(Fault::Close | Fault::UnframedClose) if is_hit => return Ok(()),
                 Some(Fault::Stop) if is_hit && id > first_asked + 1 => {
                     return self.send(b"0\r\n\r\n").await;
                 }
@@ -503,24 +519,35 @@
                 _ => {}
             }
             self.send(chunk.as_bytes()).await?;
+            last_chunk = chunk;
         }
         match fault {
             Some(Fault::Lost) => {
                 self.reset_on_close();
+                self.is_over = true;
                 Ok(())
             }
-            _ if is_unframed => Ok(()),
-            Some(Fault::Extra | Fault::ExtraLate) => {
-                if fault == Some(Fault::ExtraLate) {
-                    self.send(b"0\r\n\r\n").await?;
-                    tokio::time::sleep(EXTRA_DELAY).await;
-                    return self.send(head.as_bytes()).await;
-                }
+            Some(Fault::ExtraLate) => {
+                self.end(false).await?;
+                tokio::time::sleep(EXTRA_DELAY).await;
+                let again = format!("{head}{last_chunk}0\r\n\r\n");
+                self.send(again.as_bytes()).await
+            }
+            Some(Fault::Extra) => {
                 let again = format!("0\r\n\r\n{head}");
                 self.send(again.as_bytes()).await
             }
-            _ => self.send(b"0\r\n\r\n").await,
+            _ => self.end(is_unframed).await,
+        }
+    }
+
+    /// Ends an answer in order.
+    async fn end(&mut self, is_unframed: bool) -> std::io::Result<()> {
+        if is_unframed {
+            self.is_over = true;
+            return Ok(());
         }
+        self.send(b"0\r\n\r\n").await
     }
 
     /// Waits, and fails if the gateway closes the connection meanwhile.
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -39,6 +39,8 @@
     processes: Vec<(PathBuf, Child)>,
     subnet: u8,
     version: u64,
+    /// Whether routes lead to the other service.
+    pub is_moved: bool,
 }
 
 impl Site {
@@ -55,6 +57,7 @@
             processes: Vec::new(),
             subnet,
             version: 0,
+            is_moved: false,
         };
         site.publish(14_000, true, 2);
         for index in 0..usize::from(deployment.engines) {
@@ -64,6 +67,7 @@
             let mut engine = Engine::new(at, is_prefill, piece_time, ledger.clone());
             engine.start().await;
             site.engines.push(engine);
+            site.set_version(index, "v1");
             site.list(index, "ready");
         }
         for _ in 0..deployment.hosts {
@@ -97,6 +101,25 @@
         format!("i-{index}-{}", self.engines[index].born())
     }
 
+    /// Returns the service of an engine.
+    fn service(&self, index: usize) -> &'static str {
+        let others = usize::from(self.deployment.other_engines);
+        if index + others >= usize::from(self.deployment.engines) {
+            "other"
+        } else {
+            "model"
+        }
+    }
+
+    /// Sets the version of an engine's software, which differs between services.
+    pub fn set_version(&self, index: usize, version: &str) {
+        let version = match self.service(index) {
+            "model" => version.to_owned(),
+            service => format!("{service}-{version}"),
+        };
+        self.engines[index].set_version(&version);
+    }
+
     /// Lists the current start of an engine.
     pub fn list(&self, index: usize, state: &str) {
         let engine = &self.engines[index];
@@ -106,7 +129,7 @@
             "decode"
         };
         let entry = json!({
-            "service": "model", "address": engine.address.to_string(), "zone": "a",
+            "service": self.service(index), "address": engine.address.to_string(), "zone": "a",
             "slots": 64, "state": state, "born": engine.born(), "phase": phase,
             "version": engine.version(),
         });
@@ -132,21 +155,28 @@
     /// Publishes a configuration.
     pub fn publish(&mut self, timeout_ms: u64, is_resumable: bool, attempts: u32) {
         self.version += 3;
+        let service = if self.is_moved { "other" } else { "model" };
         let route = |name: &str, attempts: u32, is_resumable: bool| {
             json!({
                 "name": name, "host": "desk.example", "pathPrefix": format!("/{name}/"),
                 "kind": "streaming", "timeoutMs": timeout_ms, "sloMs": 1000, "priority": 1,
-                "service": "model", "attempts": attempts, "sticky": true,
+                "service": service, "attempts": attempts, "sticky": true,
                 "resumable": is_resumable, "gapAimMs": 300,
             })
         };
+        let services = ["model", "other"].into_iter();
+        let services = services.take(1 + usize::from(self.deployment.other_engines > 0));
+        let services = services.map(|name| {
+            json!({ "name": name, "engine": {
+                "slots": 64, "kvCapacity": 33279, "stride": 11, "holdMs": 2000.0,
+                "handleTtlS": 0.5,
+            }})
+        });
+        let services = services.collect::<Vec<_>>();
         let configuration = json!({
             "version": self.version,
             "routes": [route("note", 1, false), route("list", attempts, is_resumable)],
-            "services": [{ "name": "model", "engine": {
-                "slots": 64, "kvCapacity": 33279, "stride": 11, "holdMs": 2000.0,
-                "handleTtlS": 0.5,
-            }}],
+            "services": services,
             "limits": { "headerBytes": 16384, "bodyBytes": 100_000,
                 "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
