gateway: ask no endpoint to check an end whose last check was useless

A stream without a length or chunks took all attempts that were left, as each check went to an endpoint that marks its ends by the connection too.

So an endpoint is left out only after a check that repeated the last event, added none and ended unstated. The mark belongs to one start of the endpoint, lasts for ten minutes, and is lifted by the next end that the endpoint states. Such an endpoint still begins streams, and goes on with broken ones.

A check that fails while no endpoint is left that can check now ends at once instead of waiting for one, as the first check did: the question moves into `is_retry_allowed`.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -18,6 +18,7 @@
 use cranberryridge_policy::answer::Sequence;
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
+use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -546,7 +547,7 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
-/// Returns whether another endpoint may run or resume the request.
+/// Returns whether another endpoint may run or resume the request, or check its end.
 fn is_retry_allowed<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     progress: &Progress,
@@ -554,6 +555,21 @@
     call.route.kind == Kind::ResumableStream
         && progress.run_count < call.route.max_attempts
         && call.shared.may_resend(&call.input)
+        && (!progress.sequence.is_checking() || has_other_endpoint(call, progress))
+}
+
+/// Returns whether an endpoint that has not run the request can generate its answer. A caller
+/// that may have all events is not kept waiting for one to come.
+fn has_other_endpoint<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &Progress,
+) -> bool {
+    let pool = call.shared.pool();
+    let now = call.shared.clock.now();
+    let keys = pool.candidates(now, call.scope(&progress.excluded));
+    let mut endpoints = keys.iter().filter_map(|key| pool.get(*key));
+    endpoints
+        .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
 }
 
 /// Reads a stream until its first event has begun. Returns `None` if the answer is no stream,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,9 +8,9 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
-use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
+use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::Engine;
 
 use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Run};
@@ -73,6 +73,8 @@
         match outcome {
             Outcome::Complete => {
                 run.reservation.record_completion();
+                let key = run.reservation.key;
+                call.shared.pool().record_stated_end(key);
                 run.record_ids(&call, &progress.sequence);
                 let sent_at = run.sent_at;
                 drop(run);
@@ -109,6 +111,10 @@
             first_event_at: Some(run.first_event_at),
         };
         if outcome == Outcome::Unstated {
+            if progress.sequence.is_checking() {
+                let now = shared.clock.now();
+                shared.pool().record_useless_check(now, key);
+            }
             shared.record_unstated_end(lost).await;
             progress.sequence.begin_check();
         } else {
@@ -153,38 +159,43 @@
     progress: &mut Progress,
     reply: &mut Reply,
 ) -> Option<Run<N, C, D>> {
+    let unable = if progress.sequence.is_checking() {
+        find_unable(call, progress)
+    } else {
+        Vec::new()
+    };
+    progress.excluded.extend(&unable);
     if !progress.sequence.is_resumable() || !is_retry_allowed(call, progress) {
         return None;
     }
-    if progress.sequence.is_checking() && !has_other_endpoint(call, progress) {
-        return None;
-    }
     if !call.input.retain_body() {
         call.shared.metrics.count("stream.body_released");
         return None;
     }
     let (shared, deadline) = (Arc::clone(&call.shared), call.deadline);
-    tokio::select! {
+    let run = tokio::select! {
         () = reply.closed() => None,
         run = shared.run_until(deadline, join::start(call, engine, progress)) => match run {
             Ok(Ok(Answer::Stream(run))) => Some(*run),
             _ => None,
         },
-    }
+    };
+    // If the check finds events and breaks, they may go on with the stream.
+    progress.excluded.retain(|key| !unable.contains(key));
+    run
 }
 
-/// Returns whether an endpoint that has not run the request can generate its answer. A caller
-/// that may have all events is not kept waiting for one to come.
-fn has_other_endpoint<N: Net, C: Clock, D: Dialect>(
+/// Returns the endpoints that are not asked to check an end, without those that have run the
+/// request.
+fn find_unable<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     progress: &Progress,
-) -> bool {
-    let pool = call.shared.pool();
+) -> Vec<EndpointKey> {
     let now = call.shared.clock.now();
-    let keys = pool.candidates(now, call.scope(&progress.excluded));
-    let mut endpoints = keys.iter().filter_map(|key| pool.get(*key));
-    endpoints
-        .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
+    let pool = call.shared.pool();
+    let keys = pool.unable_to_check(now, &call.service);
+    keys.filter(|key| !progress.excluded.contains(key))
+        .collect()
 }
 
 /// Outcome of relaying one run's stream.
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -120,6 +120,9 @@
 /// Longest rest that an endpoint gets.
 const MAX_REST: Duration = Duration::from_secs(60);
 
+/// Time until an endpoint whose check of an end was useless is asked to check another one.
+const CHECK_RETRY_INTERVAL: Duration = Duration::from_secs(600);
+
 /// Returns the rest that an endpoint gets when it asks for `seconds`. `None` if
 /// the value is not a time.
 ///
@@ -338,6 +341,61 @@
         service.mean_event_seconds = Some(mean + (clamped - mean) * SLOW_WEIGHT);
     }
 
+    /// Records that an endpoint has stated the end of a stream.
+    pub fn record_stated_end(&mut self, key: EndpointKey) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.check_due = None;
+        }
+    }
+
+    /// Records that an endpoint was asked to check the end of another run, and neither stated
+    /// one nor added an event.
+    pub fn record_useless_check(&mut self, now: Instant, key: EndpointKey) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.check_due = Some(now + CHECK_RETRY_INTERVAL);
+        }
+    }
+
+    /// Returns the endpoints of a service that are not asked to check an end, as their last
+    /// check was useless.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use cranberryridge_policy::gateway::member::Endpoint;
+    /// use cranberryridge_policy::gateway::pool::{Pool, Settings};
+    /// let mut pool = Pool::new(Settings::default());
+    /// pool.update(vec![Endpoint {
+    ///     id: "d0".into(),
+    ///     started_ms: 1,
+    ///     address: ([127, 0, 0, 1], 80).into(),
+    ///     service: "model".into(),
+    ///     domain: "a".into(),
+    ///     version: "v1".into(),
+    ///     phase: None,
+    ///     slots: 8,
+    ///     draining: false,
+    /// }]);
+    /// let (now, key) = (Instant::now(), pool.key("d0").unwrap());
+    /// assert_eq!(pool.unable_to_check(now, "model").count(), 0);
+    /// pool.record_useless_check(now, key);
+    /// assert!(pool.unable_to_check(now, "model").eq([key]));
+    /// pool.record_stated_end(key);
+    /// assert_eq!(pool.unable_to_check(now, "model").count(), 0);
+    /// ```
+    pub fn unable_to_check(
+        &self,
+        now: Instant,
+        service: &str,
+    ) -> impl Iterator<Item = EndpointKey> + '_ {
+        let keys = self.endpoints(service).iter().copied();
+        keys.filter(move |key| {
+            let due = self.states.get(*key).and_then(|state| state.check_due);
+            due.is_some_and(|due| due > now)
+        })
+    }
+
     /// Records whether an answer succeeded. In either case, ends the endpoint's
     /// pause and resets both backoffs, but a full endpoint still counts as full
     /// until that mark expires.
--- a/crates/policy/src/gateway/pool/state.rs
+++ b/crates/policy/src/gateway/pool/state.rs
@@ -52,6 +52,8 @@
     pub(in crate::gateway) permit_due: Option<Instant>,
     /// Stage that the endpoint is moving to, and when that mark expires.
     pub(super) moving: Option<(Phase, Instant)>,
+    /// Time from which the endpoint may check ends again. `None` if it may at any time.
+    pub(super) check_due: Option<Instant>,
 }
 
 /// Reason why an endpoint did not serve a request.
@@ -91,6 +93,7 @@
             limit: Limit::default(),
             permit_due: None,
             moving: None,
+            check_due: None,
         }
     }
 
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -438,3 +438,52 @@
     assert!(unknown.offer(now), "its time is not known");
     assert!(!unknown.offer(now));
 }
+
+// Ends were checked at endpoints that state none.
+#[test]
+fn an_endpoint_whose_check_was_useless_checks_none_until_it_states_an_end() {
+    let now = Instant::now();
+    let mut pool = engine_pool(1, 3);
+    let keys = ["d0", "d1", "d2"].map(|id| key(&pool, id));
+    assert_eq!(pool.unable_to_check(now, "model").count(), 0);
+    pool.record_useless_check(now, keys[0]);
+    pool.record_useless_check(now, keys[1]);
+    pool.record_stated_end(keys[2]);
+    assert!(pool.unable_to_check(now, "model").eq([keys[0], keys[1]]));
+    assert_eq!(pool.unable_to_check(now, "orders").count(), 0);
+    pool.record_stated_end(keys[1]);
+    assert!(pool.unable_to_check(now, "model").eq([keys[0]]));
+}
+
+// An endpoint that comes to state the ends of checks alone could have been left out for ever.
+#[test]
+fn an_endpoint_whose_check_was_useless_is_asked_again_later() {
+    let begin = Instant::now();
+    let mut pool = engine_pool(0, 1);
+    let engine = key(&pool, "d0");
+    let is_unable = |pool: &Pool, now| pool.unable_to_check(now, "model").eq([engine]);
+    pool.record_useless_check(begin, engine);
+    assert!(is_unable(&pool, begin + 60 * SECOND));
+    let later = begin + 3600 * SECOND;
+    assert!(!is_unable(&pool, later));
+    pool.record_useless_check(later, engine);
+    assert!(is_unable(&pool, later + 60 * SECOND));
+}
+
+// A new release may state what the one before it did not.
+#[test]
+fn a_new_start_of_an_endpoint_may_check_ends() {
+    let now = Instant::now();
+    let mut pool = engine_pool(0, 1);
+    let mut listed = pool.endpoint("d0").unwrap();
+    let old = key(&pool, "d0");
+    pool.record_useless_check(now, old);
+    pool.update(vec![listed.clone()]);
+    assert!(pool.unable_to_check(now, "model").eq([old]));
+    listed.started_ms += 1;
+    pool.update(vec![listed]);
+    assert_eq!(pool.unable_to_check(now, "model").count(), 0);
+    // The check may end after the new start is listed.
+    pool.record_useless_check(now, old);
+    assert_eq!(pool.unable_to_check(now, "model").count(), 0);
+}
