--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -460,6 +460,9 @@
                     self.after(at, lasts, Step::StartEngine { engine });
                 }
             }
+            "srv_grey" if event.is("reset") => {
+                self.strike_runs(event, Fault::BreakReset, event.x.unwrap_or(0.3));
+            }
             "srv_slow" | "kv_slow" | "srv_grey" => self.strike_runs(event, Fault::Deadline, 1.0),
             "garble" => {
                 let fault = match event {
--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -95,6 +95,7 @@
         piece_ms: plan.piece_ms,
         has_links: true,
         other_engines: plan.other_engines,
+        keeps_ids: true,
     };
     let site = Site::start(subnet, deployment, &ledger).await;
     for engine in &site.engines {
--- a/crates/daemon/tests/shapes/deployment.rs
+++ b/crates/daemon/tests/shapes/deployment.rs
@@ -21,6 +21,8 @@
     pub has_links: bool,
     /// Number of the engines of another service, which are the last ones.
     pub other_engines: u8,
+    /// Whether some of the engines have the same id after a restart.
+    pub keeps_ids: bool,
 }
 
 /// Loan underwriting on four hosts.
@@ -34,6 +36,7 @@
     piece_ms: 47,
     has_links: false,
     other_engines: 0,
+    keeps_ids: false,
 };
 
 /// An order desk on five hosts.
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -25,6 +25,9 @@
 /// Ports of the links to the store begin with this one.
 const FIRST_LINK_PORT: u16 = 7100;
 
+/// One engine in this many has the same id after a restart, if any does.
+const KEPT_ID_SHARE: usize = 4;
+
 /// One engine in this many reads prompts.
 const PREFILL_SHARE: usize = 3;
 
@@ -98,6 +101,9 @@
 
     /// Returns the id of the current start of an engine.
     fn engine_id(&self, index: usize) -> String {
+        if self.deployment.keeps_ids && index.is_multiple_of(KEPT_ID_SHARE) {
+            return format!("i-{index}");
+        }
         format!("i-{index}-{}", self.engines[index].born())
     }
 
