policy: let no part of most requests hide the culprit

A request is not refused for a part if another one, which it lacks, explains the crashes of that part. An engine that came back got a dozen runs at once, the culprit among them, so each crash ended runs with the culprit (c0, in 385 requests) and runs with what all others have in its place (b1, in 8557). None outlived its probation, so each of the two explained the other, and neither was barred, crash after crash. In the end two crashes lacked a loss of c0, so b1 was barred.

Runs with a part of most requests are lost in any crash, so of two parts that explain each other's crashes, it does not explain the other's. The rarer one is barred after three crashes, and the other one's runs prove it harmless. If neither or both are in most requests nothing changes; the reverse case, a culprit that most requests have, has a test.

Measured: a_part_of_most_requests_does_not_hide_the_culprit failed before and passes. The policy's tests of parts (23) and the platform's (18) pass.

--- a/crates/policy/src/gateway/part.rs
+++ b/crates/policy/src/gateway/part.rs
@@ -477,13 +477,18 @@
         let rows = parts
             .iter()
             .filter_map(|part| Some((*part, self.rows.get(part)?)));
-        rows.filter(|(_, row)| row.is_dangerous() && !self.is_explained(row, parts))
+        rows.filter(|(part, row)| row.is_dangerous() && !self.is_explained(*part, row, parts))
     }
 
     /// Returns whether a part that the request lacks explains the crashes of one that it has.
-    fn is_explained(&self, row: &Row, parts: &[Digest]) -> bool {
+    /// Of two that explain each other, the one that most requests have does not, as runs with it
+    /// are lost in any crash.
+    fn is_explained(&self, part: Digest, row: &Row, parts: &[Digest]) -> bool {
         let mut others = self.rows.iter().filter(|(part, _)| !parts.contains(*part));
-        others.any(|(_, other)| other.explains(row))
+        others.any(|(other_part, other)| {
+            other.explains(row)
+                && !(row.explains(other) && self.is_common(*other_part) && !self.is_common(part))
+        })
     }
 
     /// Returns the time at which the bar of a part lapses, or `None` if all its crashes
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -793,3 +793,40 @@
     }
     println!("{crashes} crashes, {refused} of {sound} sound requests refused");
 }
+
+/// Where endpoints take many requests at a time, each crash ends a run with the culprit and others
+/// with what most requests have instead of it, and none is left to prove these harmless.
+#[test]
+fn a_part_of_most_requests_does_not_hide_the_culprit() {
+    let start = Instant::now();
+    let mut table = Table::new(Settings::default());
+    arrive(&mut table, start, &[FIRST, SECOND]);
+    let begin = start + Duration::from_secs(20);
+    for round in 1..=4_u32 {
+        let at = seconds(begin, f64::from(round));
+        crash(&mut table, u64::from(round), at, &[FIRST, SECOND]);
+        crash(&mut table, u64::from(round), at, &[FIRST, CULPRIT]);
+    }
+    let now = seconds(begin, 4.1);
+    assert!(table.admit(now, &[FIRST, CULPRIT]).is_err());
+    assert_eq!(table.admit(now, &[FIRST, SECOND]), Ok(()));
+}
+
+/// A part that seldom runs beside the culprit is not refused, though most requests have the culprit.
+#[test]
+fn a_culprit_that_most_requests_have_explains_crashes_of_other_parts() {
+    let start = Instant::now();
+    let mut table = Table::new(Settings::default());
+    arrive(&mut table, start, &[FIRST, CULPRIT]);
+    let begin = start + Duration::from_secs(20);
+    for round in 1..=5_u32 {
+        let at = seconds(begin, f64::from(round));
+        crash(&mut table, u64::from(round), at, &[FIRST, CULPRIT]);
+        if round <= 3 {
+            crash(&mut table, u64::from(round), at, &[FIRST, SECOND]);
+        }
+    }
+    let now = seconds(begin, 5.1);
+    assert!(table.admit(now, &[FIRST, CULPRIT]).is_err());
+    assert_eq!(table.admit(now, &[SECOND]), Ok(()));
+}
