gateway: count a crash whose listener is closed last

A gateway asks the endpoint of a lost run at once for a connection. If the connection of the run is closed before the listener, the endpoint accepts one, and an engine that is back under its old id is not found later either. The mechanism is shown: in a_crash_is_counted_though_the_listener_is_closed_last three such crashes barred nothing, and the request was served.

An endpoint that accepts the connection is tried once more after 20 ms, the delay that plain answers have for the same reason. One that does not answer or resets the connection is not, so a request that waits for the outcome waits no longer there.

--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -28,7 +28,7 @@
 /// Time after the end of an answer at which its server is asked whether it is up. The kernel
 /// closes the sockets of a process that was killed one after the other, and its listener may
 /// be the last.
-const PROBE_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const PROBE_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns how the end of an answer with a body is marked, from its headers.
 ///
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -170,7 +170,7 @@
         let is_listed = self.pool().get(run.key).is_some();
         let key = run.key;
         let investigation = tokio::spawn(async move {
-            if shared.refuses_connections(&endpoint).await {
+            if shared.has_crashed(&endpoint).await {
                 shared.record_crash(&input, endpoint.address);
                 lost.inspect(|lost| shared.record_lost_prompt(lost));
                 return;
@@ -220,14 +220,28 @@
             || self.parts.is_suspected(&input.parts)
     }
 
-    /// Returns whether an endpoint that lost a request refuses connections, and so has
-    /// crashed. One that does not answer, or resets a connection that it accepted, may be
-    /// behind a network fault.
-    pub(super) async fn refuses_connections(&self, endpoint: &Endpoint) -> bool {
+    /// Returns whether an endpoint that has just lost a request has crashed, as it refuses
+    /// connections. One that accepts a connection is asked twice, as its listener may be closed
+    /// after the connection of the request.
+    async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        match self.refuses_connections(endpoint).await {
+            Some(false) => {
+                tokio::time::sleep(client::PROBE_DELAY).await;
+                self.refuses_connections(endpoint).await == Some(true)
+            }
+            refuses => refuses == Some(true),
+        }
+    }
+
+    /// Returns whether an endpoint refuses connections, or `None` if it does not answer or
+    /// resets a connection that it accepted, as it may be behind a network fault.
+    async fn refuses_connections(&self, endpoint: &Endpoint) -> Option<bool> {
         let connect = self.net.connect(endpoint.address);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
-        let refused = io::ErrorKind::ConnectionRefused;
-        matches!(connected, Ok(Err(error)) if error.kind() == refused)
+        match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(Ok(_)) => Some(false),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Some(true),
+            _ => None,
+        }
     }
 
     /// Returns how a plain answer with a framing ended that its transport reported as complete.
