gateway: record how services number events in the platform's log

Callers got streams without an event as whole ones after a kill of all hosts and at a new software version, as what a host had learned of the numbering was its own and of one version.

A host writes a finding that the log does not suggest yet to a topic of its own, with four records a service at most, and reads the topic when it starts, before it writes, and after the store came back from an older copy. A version of which nothing is known begins with what the service's other versions agree on. Both hold until the host has eight streams of its own, or as many contradict. No request waits for the store. Both need the same order of precedence, so they are one change.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -169,6 +169,8 @@
     origins: Mutex<Registry>,
     /// How engines number events.
     numberings: numberings::Registry,
+    /// Notified when the store lacks a numbering that this host has learned.
+    numbering_learned: Notify,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -264,6 +266,7 @@
             table: ArcSwap::default(),
             budgets: Mutex::default(),
             numberings: numberings::Registry::default(),
+            numbering_learned: Notify::new(),
             suspects: Suspects::default(),
             parts: parts::Registry::default(),
             origins: Mutex::default(),
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the configuration, the endpoints and the other entry hosts.
+//! Follows the configuration, the endpoints, the other entry hosts and what they have learned.
 //!
 //! No request waits for the store: while it is unavailable, the last readings
 //! stay in force.
@@ -18,7 +18,7 @@
 
 use super::snapshot::{self, Snapshot};
 use super::store::{Answer, Error, Host, Page, Record, Store, Topic};
-use super::{lock, Shared};
+use super::{lock, numberings, Shared};
 use crate::clock::Clock;
 
 /// Delay after a failed call to the store. Doubles with each further failure.
@@ -59,6 +59,7 @@
         follow_configuration(&shared, &store),
         follow_endpoints(&shared, &store),
         follow_hosts(&shared, &store),
+        numberings::follow(&shared, &store),
     );
 }
 
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use cranberryridge_policy::answer::numbering::Finding;
 use cranberryridge_policy::gateway::balance::Move;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -42,6 +43,14 @@
     /// came first. The result is [`Error::Unavailable`] if no answer came; the
     /// claim may have been recorded.
     fn claim(&self, claim: &Claim, next: u64) -> impl Future<Output = Answer<Option<u64>>> + Send;
+
+    /// Returns the numberings that hosts have recorded. The result is
+    /// [`Error::Unavailable`] if the store does not answer.
+    fn numberings(&self) -> impl Future<Output = Answer<Vec<Numbered>>> + Send;
+
+    /// Records a numbering. The store may replace that of an earlier version of the service.
+    /// The result is [`Error::Unavailable`] if the store does not answer.
+    fn record_numbering(&self, entry: &Numbered) -> impl Future<Output = Answer<()>> + Send;
 }
 
 /// Outcome of a call to the store.
@@ -116,6 +125,17 @@
     pub order: Move,
 }
 
+/// A service at a software version, with the numbering of its events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Numbered {
+    /// Name of the service.
+    pub service: CompactString,
+    /// Software version of its endpoints.
+    pub version: CompactString,
+    /// What streams have shown.
+    pub finding: Finding,
+}
+
 /// A topic of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
--- a/crates/policy/src/answer/numbering.rs
+++ b/crates/policy/src/answer/numbering.rs
@@ -129,9 +129,18 @@
         is_irregular.then_some(Finding::Irregular)
     }
 
-    /// Returns whether no stream is recorded.
-    pub fn is_blank(&self) -> bool {
-        self.regular == 0 && self.other == 0
+    /// Returns whether too few streams are recorded to tell anything, so that what is known
+    /// elsewhere counts.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::numbering::{Finding, Numbering};
+    /// assert!(Numbering::default().has_few_streams());
+    /// assert!(!Numbering::from(Finding::Irregular).has_few_streams());
+    /// ```
+    pub fn has_few_streams(&self) -> bool {
+        self.regular + self.other < MIN_STREAMS
     }
 
     /// Returns the id of the first event of each stream if ids count by one from there, or
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -572,6 +572,25 @@
     assert!(lost <= 8, "{lost}");
 }
 
+// What another host or version has shown must not cost many streams where it does not hold.
+#[test]
+fn a_finding_of_others_is_overturned_by_eight_streams() {
+    let mut numbering = Numbering::from(Finding::Regular { first: 1 });
+    assert_eq!(numbering, known());
+    for _ in 0..8 {
+        assert_eq!(numbering.first_id(), Some(1));
+        numbering.record_gap();
+    }
+    assert_eq!(numbering.finding(), None);
+    let mut numbering = Numbering::from(Finding::Irregular);
+    for _ in 0..4 {
+        assert_eq!(numbering.finding(), Some(Finding::Irregular));
+        numbering.record(REGULAR);
+    }
+    (0..8).for_each(|_| numbering.record(REGULAR));
+    assert_eq!(numbering.first_id(), Some(1));
+}
+
 // An event that lost its id must not end a stream, or keep it from going on elsewhere.
 #[test]
 fn an_event_without_an_id_is_not_admitted_where_ids_count_by_one() {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -122,6 +122,12 @@
         topic.records = newest;
     }
 
+    /// Returns the number of records in a topic.
+    pub fn record_count(&self, topic: &str) -> usize {
+        let topics = lock(&self.topics);
+        topics.get(topic).map_or(0, |topic| topic.records.len())
+    }
+
     /// Returns the newest value of a key, or `None` if it has none or isn't
     /// JSON.
     pub fn get(&self, topic: &str, key: &str) -> Option<Value> {
