gateway: hold streams of all routes to the version that began them

Callers got events of two software versions if the route of their stream lost its permission to resume, or gained it, between their tries. Records were kept only for streams of routes that may be resumed at that moment, and only those were held to a version: a stream taken up on a route that had ceased to be resumable went to any engine, and one that had begun before its route was resumable had no record, so that it was taken for one of the version that served alone until shortly ago.

Streams of all routes are now recorded, told while several versions serve, and held to their version when a caller takes them up. The kind of the route at either moment no longer matters. Only streams that may be taken up when they begin wait for a new version to join, as before. A move of a route that may not be resumed counts as one too; the test that it does not is replaced by one over all pairs of kinds, since its claim no longer holds.

--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -218,10 +218,16 @@
         }
     }
 
+    /// Returns whether a version has yet to begin this stream, and it may be taken up. The
+    /// version that began a stream may serve it at once.
+    fn begins_resumable_stream(&self) -> bool {
+        let is_resumable = self.route.kind == Kind::ResumableStream;
+        is_resumable && self.stream.is_some() && self.version.is_none()
+    }
+
     /// Returns the time until an endpoint's version may begin this stream, zero if it may.
     pub fn joining_time(&self, endpoint: &Endpoint) -> Duration {
-        // The version that began a stream may serve it at once.
-        if self.stream.is_none() || self.version.is_some() {
+        if !self.begins_resumable_stream() {
             return Duration::ZERO;
         }
         self.shared.joining_time(&self.service, &endpoint.version)
@@ -233,7 +239,7 @@
     ///
     /// Returns a refusal if there are no others, with the time until the first one may.
     pub fn exclude_joining(&self, excluded: &mut Vec<EndpointKey>) -> Result<(), Refusal> {
-        if self.stream.is_none() || self.version.is_some() {
+        if !self.begins_resumable_stream() {
             return Ok(());
         }
         let (shared, service) = (&self.shared, self.service.as_str());
@@ -287,7 +293,7 @@
     /// Returns a refusal if the version is unknown or no endpoint serves it.
     pub async fn restrict_version(&mut self) -> Result<(), Refusal> {
         let is_resumption = self.record.description.is_resumption;
-        if !is_resumption || self.route.kind != Kind::ResumableStream {
+        if !is_resumption || !self.route.kind.is_stream() {
             return Ok(());
         }
         self.shared.metrics.count("stream.taken_up");
@@ -357,12 +363,13 @@
     }
 }
 
-/// Returns the digest by which hosts know the stream of a request. `None` if it is none that
-/// can be taken up, or its caller does not name it.
+/// Returns the digest by which hosts know the stream of a request. `None` if it is no stream, or
+/// its caller takes it up and does not name it. A route that may not be resumed may become
+/// resumable while its streams run, or may have been when they began.
 pub(super) fn stream_digest(route: &Route, description: &Description) -> Option<u64> {
     let id = description.stream_id()?;
-    let is_resumable = route.kind == Kind::ResumableStream;
-    is_resumable.then(|| Digest::of(&[id.as_bytes()]).0[0])
+    let is_stream = route.kind.is_stream();
+    is_stream.then(|| Digest::of(&[id.as_bytes()]).0[0])
 }
 
 /// Returns the message that tells the origin of a stream.
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -204,7 +204,7 @@
             let earlier = before.find(&route.host, &route.path_prefix)?;
             let current = self.find(&route.host, &route.path_prefix)?;
             let is_moved = earlier.kind.is_stream()
-                && current.kind == Kind::ResumableStream
+                && current.kind.is_stream()
                 && earlier.targets != current.targets;
             is_moved.then_some(&current.targets)
         });
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -55,14 +55,19 @@
 }
 
 #[test]
-fn a_route_that_may_not_be_resumed_is_not_moved() {
+fn only_routes_of_streams_are_moved() {
     let of_kind = |kind, service| table(vec![route("/list/", kind, &[(service, 1)])]);
-    let before = of_kind(Kind::Stream, "model");
-    assert_eq!(moved(&before, &of_kind(Kind::Stream, "other")), [""; 0]);
-    let resumable = of_kind(Kind::ResumableStream, "other");
-    assert_eq!(moved(&before, &resumable), ["other"]);
-    let plain = of_kind(Kind::Idempotent, "model");
-    assert_eq!(moved(&plain, &resumable), [""; 0]);
+    for kind in [Kind::Stream, Kind::ResumableStream] {
+        let before = of_kind(kind, "model");
+        for now in [Kind::Stream, Kind::ResumableStream] {
+            assert_eq!(moved(&before, &of_kind(now, "other")), ["other"]);
+            assert_eq!(moved(&before, &of_kind(now, "model")), [""; 0]);
+        }
+        for plain in [Kind::Idempotent, Kind::Single] {
+            assert_eq!(moved(&before, &of_kind(plain, "other")), [""; 0]);
+            assert_eq!(moved(&of_kind(plain, "other"), &before), [""; 0]);
+        }
+    }
 }
 
 #[test]
