daemon: play two software versions in the shape of deployments

SHAPES_VERSIONS gives the engines two versions side by side, or a new one at each start, and pieces tell the version that made them.

--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -2,7 +2,8 @@
 //! held against the pieces that the engines made.
 //!
 //! `SHAPES_DEPLOYMENTS` and `SHAPES_KINDS` are comma-separated names, or `all`. `SHAPES_GATEWAY`
-//! is the path of another gateway, such as an older one. Without them, a few kinds are played on
+//! is the path of another gateway, such as an older one. `SHAPES_VERSIONS` is `mixed` for engines
+//! of two software versions, or `release` for a new one at each start of an engine. Without them, a few kinds are played on
 //! one deployment, and no stream may be wrong.
 
 #[allow(dead_code)]
@@ -26,7 +27,7 @@
 
 use shapes::caller::{End, Stream};
 use shapes::deployment::{self, Deployment};
-use shapes::engine::Fault;
+use shapes::engine::{Fault, Versions};
 use shapes::kind::{self, Kind};
 use shapes::site::Site;
 
@@ -77,6 +78,11 @@
     list.split(',').map(str::to_owned).collect()
 }
 
+/// Returns the software versions of the engines.
+fn versions() -> Versions {
+    Versions::parse(&std::env::var("SHAPES_VERSIONS").unwrap_or_default())
+}
+
 /// Plays kinds on the deployments asked for. Returns the number of wrong streams.
 fn play(kinds: &[Kind], first_subnet: u8) -> usize {
     let names = list("SHAPES_DEPLOYMENTS");
@@ -88,7 +94,11 @@
     for (subnet, deployment) in (first_subnet..).zip(deployments) {
         let runtime = tokio::runtime::Builder::new_multi_thread();
         let runtime = { runtime }.worker_threads(2).enable_all().build().unwrap();
-        wrong += runtime.block_on(run(subnet, *deployment, kinds));
+        let deployment = Deployment {
+            versions: versions(),
+            ..*deployment
+        };
+        wrong += runtime.block_on(run(subnet, deployment, kinds));
     }
     wrong
 }
--- a/crates/daemon/tests/shapes/deployment.rs
+++ b/crates/daemon/tests/shapes/deployment.rs
@@ -1,5 +1,7 @@
 //! Sizes and load of deployments.
 
+use super::engine::Versions;
+
 /// Size and load of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Deployment {
@@ -17,6 +19,8 @@
     pub mean_pieces: u32,
     /// Time between two pieces, in milliseconds.
     pub piece_ms: u64,
+    /// Software versions of the engines.
+    pub versions: Versions,
 }
 
 /// Loan underwriting on four hosts.
@@ -28,6 +32,7 @@
     streams_per_second: 18.2,
     mean_pieces: 67,
     piece_ms: 47,
+    versions: Versions::One,
 };
 
 /// An order desk on five hosts.
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -75,9 +75,35 @@
     pub per_mille: u32,
 }
 
+/// Software versions of the engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions {
+    /// All engines have the same one.
+    One,
+    /// Two serve side by side.
+    Mixed,
+    /// Each start of an engine has a new one.
+    Release,
+}
+
+impl Versions {
+    /// Returns the setting with a name. An empty one stands for one version.
+    pub fn parse(name: &str) -> Self {
+        match name {
+            "" => Self::One,
+            "mixed" => Self::Mixed,
+            "release" => Self::Release,
+            _ => panic!("{name} is no setting of versions, but mixed and release are"),
+        }
+    }
+}
+
 /// What the tasks of an engine share.
 #[derive(Debug)]
 struct State {
+    /// Place in the list of engines.
+    index: usize,
+    versions: Versions,
     is_prefill: bool,
     piece_time: Duration,
     ledger: Ledger,
@@ -90,6 +116,18 @@
     born: AtomicU64,
 }
 
+impl State {
+    /// Returns the software version of the current start. Each version of a mixture has
+    /// engines that read prompts, which are every third one.
+    fn version(&self) -> String {
+        match self.versions {
+            Versions::One => "v1".into(),
+            Versions::Mixed => format!("v{}", 1 + self.index / 3 % 2),
+            Versions::Release => format!("v{}", self.born.load(Ordering::SeqCst)),
+        }
+    }
+}
+
 /// An engine, which may be stopped like a process and started again.
 #[derive(Debug)]
 pub struct Engine {
@@ -102,11 +140,15 @@
     /// Creates an engine that has not been started.
     pub fn new(
         address: SocketAddr,
+        index: usize,
+        versions: Versions,
         is_prefill: bool,
         piece_time: Duration,
         ledger: Ledger,
     ) -> Self {
         let state = State {
+            index,
+            versions,
             is_prefill,
             piece_time,
             ledger,
@@ -154,6 +196,11 @@
         self.state.born.load(Ordering::SeqCst)
     }
 
+    /// Returns the software version of the current start.
+    pub fn version(&self) -> String {
+        self.state.version()
+    }
+
     /// Returns whether the engine reads prompts.
     pub fn is_prefill(&self) -> bool {
         self.state.is_prefill
@@ -292,7 +339,9 @@
         } else {
             asked_id
         };
-        let run = state.ledger.begin(name, "", asked_id, first_asked);
+        let run = state
+            .ledger
+            .begin(name, &state.version(), asked_id, first_asked);
         let _watch = state.ledger.watch(run, attempt);
         let is_unframed = matches!(fault, Some(Fault::Unframed | Fault::UnframedClose));
         let framing = if is_unframed {
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -54,7 +54,14 @@
             let at = address(subnet, FIRST_ENGINE_HOST + index as u8, 7001);
             let piece_time = Duration::from_millis(deployment.piece_ms);
             let is_prefill = index % PREFILL_SHARE == 0;
-            let mut engine = Engine::new(at, is_prefill, piece_time, ledger.clone());
+            let mut engine = Engine::new(
+                at,
+                index,
+                deployment.versions,
+                is_prefill,
+                piece_time,
+                ledger.clone(),
+            );
             engine.start().await;
             site.engines.push(engine);
             site.list(index, "ready");
@@ -88,7 +95,7 @@
         let entry = json!({
             "service": "model", "address": engine.address.to_string(), "zone": "a",
             "slots": 64, "state": state, "born": engine.born(), "phase": phase,
-            "version": "v1",
+            "version": engine.version(),
         });
         self.store
             .put("keyed.servers", &self.engine_id(index), Some(&entry));
