--- a/crates/daemon/tests/shapes/deployment.rs
+++ b/crates/daemon/tests/shapes/deployment.rs
@@ -1,5 +1,38 @@
 //! Sizes and load of deployments.
 
+/// Software versions of the engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions {
+    /// All engines have the same one.
+    One,
+    /// Two serve side by side.
+    Mixed,
+    /// Each start of an engine has a new one.
+    Release,
+}
+
+impl Versions {
+    /// Returns the setting with a name. An empty one stands for one version.
+    pub fn parse(name: &str) -> Self {
+        match name {
+            "" => Self::One,
+            "mixed" => Self::Mixed,
+            "release" => Self::Release,
+            _ => panic!("{name} is no setting of versions, but mixed and release are"),
+        }
+    }
+
+    /// Returns the version of a start of an engine. Each version of a mixture has engines of
+    /// both stages.
+    pub fn name(self, index: usize, born: u64) -> String {
+        match self {
+            Self::One => "v1".into(),
+            Self::Mixed => format!("v{}", 1 + index / 3 % 2),
+            Self::Release => format!("v{born}"),
+        }
+    }
+}
+
 /// Size and load of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Deployment {
@@ -23,6 +56,8 @@
     pub other_engines: u8,
     /// Whether some of the engines have the same id after a restart.
     pub keeps_ids: bool,
+    /// Software versions of the engines.
+    pub versions: Versions,
 }
 
 /// Loan underwriting on four hosts.
@@ -37,6 +72,7 @@
     has_links: false,
     other_engines: 0,
     keeps_ids: false,
+    versions: Versions::One,
 };
 
 /// An order desk on five hosts.
--- a/crates/daemon/tests/shapes/site.rs
+++ b/crates/daemon/tests/shapes/site.rs
@@ -12,7 +12,7 @@
 use cranberryridge_standin::store::Store;
 use cranberryridge_standin::stream::Ledger;
 
-use super::deployment::Deployment;
+use super::deployment::{Deployment, Versions};
 use super::engine::Engine;
 use super::link::Link;
 
@@ -70,7 +70,7 @@
             let mut engine = Engine::new(at, is_prefill, piece_time, ledger.clone());
             engine.start().await;
             site.engines.push(engine);
-            site.set_version(index, "v1");
+            site.set_version(index, &deployment.versions.name(index, 1));
             site.list(index, "ready");
         }
         for _ in 0..deployment.hosts {
@@ -153,6 +153,10 @@
     pub async fn restart_engine(&mut self, index: usize) {
         if !self.engines[index].is_running() {
             self.unlist(index);
+            if self.deployment.versions == Versions::Release {
+                let born = self.engines[index].born() + 1;
+                self.set_version(index, &Versions::Release.name(index, born));
+            }
             self.engines[index].start().await;
             self.list(index, "ready");
         }
