--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -342,7 +342,8 @@
         match event.kind.as_str() {
             _ if is_other_service => self.leave_out(event),
             "config_change" if event.is("timeout") => {
-                let timeout_ms = self.random.random_range(MIN_TIMEOUT_MS..=TIMEOUT_MS);
+                let drawn = self.random.random_range(MIN_TIMEOUT_MS..=TIMEOUT_MS);
+                let timeout_ms = event.x.map_or(drawn, |timeout_ms| timeout_ms as u64);
                 let step = Step::Publish {
                     timeout_ms,
                     attempts: 2,
--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -54,6 +54,9 @@
 /// Share of the callers that keep their connections.
 const KEEPING_SHARE: f64 = 0.5;
 
+/// Least share of streams that reach their callers whole, so that a day plays what it checks.
+const MIN_WHOLE_SHARE: f64 = 0.25;
+
 /// A stream that has ended.
 struct Outcome {
     stream: Stream,
@@ -286,5 +289,7 @@
         day.name,
         outcomes.len(),
     );
+    let share = whole as f64 / outcomes.len().max(1) as f64;
+    assert!(share >= MIN_WHOLE_SHARE, "{share:.2} whole");
     wrong
 }
