--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -240,9 +240,10 @@
     ledger: &Ledger,
 ) -> usize {
     let mut forms = BTreeMap::<(Form, bool), usize>::new();
-    let [mut whole, mut tried_again, mut cut, mut refused] = [0; 4];
+    let [mut whole, mut tried_again, mut cut, mut refused, mut followed] = [0; 5];
     for Outcome { stream, ended_at } in outcomes {
         tried_again += usize::from(stream.ends.len() > 1);
+        followed += usize::from(stream.ends.contains(&End::Refused(0)));
         match stream.ends.last() {
             Some(End::Complete) => whole += 1,
             Some(End::Refused(_) | End::NoAnswer) => refused += 1,
@@ -281,10 +282,10 @@
             println!("days: events: {:?}", stream.events);
         }
     }
-    let wrong = forms.values().sum::<usize>();
+    let wrong = forms.values().sum::<usize>() + followed;
     println!(
         "days: {} {}: {} streams, {whole} whole, {tried_again} tried again, {cut} cut, \
-         {refused} refused, {wrong} wrong {forms:?}",
+         {refused} refused, {wrong} wrong {forms:?}, {followed} with bytes behind the end",
         plan.name,
         day.name,
         outcomes.len(),
