--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -35,7 +35,7 @@
 use day::plan::{Day, Plan};
 use day::player::{Mood, Player};
 use shapes::caller::{End, Manner, Stream};
-use shapes::deployment::Deployment;
+use shapes::deployment::{Deployment, Versions};
 use shapes::engine::Limits;
 use shapes::site::Site;
 
@@ -126,6 +126,7 @@
         piece_ms: plan.piece_ms,
         has_links: true,
         other_engines: plan.other_engines,
+        versions: Versions::One,
         keeps_ids: true,
     };
     let site = Site::start(subnet, deployment, &ledger).await;
