--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -30,7 +30,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use cranberryridge_standin::stream::{Form, Held, Ledger};
+use cranberryridge_standin::stream::{Form, Ledger};
 
 use day::plan::{Day, Plan};
 use day::player::{Mood, Player};
@@ -278,14 +278,7 @@
             Some(End::Refused(_) | End::NoAnswer) => refused += 1,
             _ => cut += 1,
         }
-        let events = stream.events.iter().map(|event| (&stream.name, event));
-        let held = Held {
-            events: &events.collect::<Vec<_>>(),
-            total: stream.total,
-            has_ended: stream.has_ended(),
-            may_resume: stream.may_resume,
-        };
-        let Some(form) = ledger.check(&held) else {
+        let Some(form) = stream.check(ledger) else {
             continue;
         };
         *forms.entry((form, stream.may_resume)).or_default() += 1;
--- a/crates/daemon/tests/hosts.rs
+++ b/crates/daemon/tests/hosts.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use cranberryridge_standin::stream::{Held, Ledger, Run};
+use cranberryridge_standin::stream::{Ledger, Run};
 
 use shapes::caller::{End, Manner, Stream};
 use shapes::deployment::{Deployment, LIPOWA};
@@ -90,14 +90,7 @@
     let runs = ledger.runs();
     let mut wrong = Vec::new();
     for stream in streams {
-        let events = stream.events.iter().map(|event| (&stream.name, event));
-        let held = Held {
-            events: &events.collect::<Vec<_>>(),
-            total: stream.total,
-            has_ended: stream.has_ended(),
-            may_resume: stream.may_resume,
-        };
-        if let Some(form) = ledger.check(&held) {
+        if let Some(form) = stream.check(ledger) {
             wrong.push(format!("{form:?}: {} {:?}", stream.name, stream.ends));
         }
         if stream.ends.contains(&End::Refused(0)) {
--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -24,7 +24,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, Instant};
 
-use cranberryridge_standin::stream::{Form, Held, Ledger};
+use cranberryridge_standin::stream::{Form, Ledger};
 
 use shapes::caller::{End, Stream};
 use shapes::deployment::{self, Deployment, Versions};
@@ -199,14 +199,7 @@
             Some(End::Refused(_) | End::NoAnswer) => refused += 1,
             _ => cut += 1,
         }
-        let events = stream.events.iter().map(|event| (&stream.name, event));
-        let held = Held {
-            events: &events.collect::<Vec<_>>(),
-            total: stream.total,
-            has_ended: stream.has_ended(),
-            may_resume: stream.may_resume,
-        };
-        if let Some(form) = ledger.check(&held) {
+        if let Some(form) = stream.check(ledger) {
             *forms.entry((form, stream.may_resume)).or_default() += 1;
             if std::env::var("SHAPES_VERBOSE").is_ok() {
                 println!("shapes: wrong: {form:?} {stream:?}");
--- a/crates/daemon/tests/shapes/caller.rs
+++ b/crates/daemon/tests/shapes/caller.rs
@@ -9,6 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
 
+use cranberryridge_standin::stream::{Form, Held, Ledger};
+
 /// Longest silence before a caller gives a try up.
 const PATIENCE: Duration = Duration::from_secs(4);
 
@@ -80,6 +82,17 @@
         self.ends.last() == Some(&End::Complete)
     }
 
+    /// Returns what is wrong with the events that the caller holds.
+    pub fn check(&self, ledger: &Ledger) -> Option<Form> {
+        let events = self.events.iter().map(|event| (&self.name, event));
+        ledger.check(&Held {
+            events: &events.collect::<Vec<_>>(),
+            total: self.total,
+            has_ended: self.has_ended(),
+            may_resume: self.may_resume,
+        })
+    }
+
     /// Plays the stream at random hosts.
     pub async fn play(&mut self, hosts: &[SocketAddr], manner: Manner) {
         self.play_on(&mut None, hosts, manner).await;
