Look at engines behind the ends that they state

Nothing in the logs tells an end of an engine that serves on from one of an engine that stops: the line of a request has how the end is framed and who stated it. A gateway now asks the engine for its start, 20 ms behind an end that chunks state, and once more 200 ms later if the engine is leaving or has closed the connection. What it shows stands as sign in the line of the request. It decides nothing yet. The capacity of a run is free once it has stated its end.

--- a/crates/lib/src/client.rs
+++ b/crates/lib/src/client.rs
@@ -212,7 +212,21 @@
     ///
     /// [`Error::Broken`] if the request may have been sent, also if the head of the answer
     /// is larger than 64 KiB.
-    pub async fn send(mut self, mut request: Request<B>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(self, request: Request<B>) -> Result<Response<Incoming>, Error> {
+        let (answer, _) = self.send_and_hold(request).await?;
+        Ok(answer)
+    }
+
+    /// Sends a request as [`Connection::send`] does, and returns the connection as well, which
+    /// stays open behind the answer until it is dropped or the server closes it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::send`].
+    pub async fn send_and_hold(
+        mut self,
+        mut request: Request<B>,
+    ) -> Result<(Response<Incoming>, Held<B>), Error> {
         if !request.headers().contains_key(http::header::HOST) {
             let host = self.server.to_string();
             if let Ok(host) = host.parse() {
@@ -221,6 +235,17 @@
         }
         let answer = self.sender.send_request(request).await?;
         self.bound.lift();
-        Ok(answer)
+        Ok((answer, Held(self.sender)))
+    }
+}
+
+/// Connection that is held behind its answer.
+#[derive(Debug)]
+pub struct Held<B>(http1::SendRequest<B>);
+
+impl<B> Held<B> {
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
     }
 }
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -57,6 +57,7 @@
 mod plain;
 mod record;
 mod refusal;
+mod survival;
 mod suspects;
 
 /// Parameters of a gateway.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -31,7 +31,7 @@
 use super::suspects::LostRun;
 use super::{held, lock, Shared};
 use crate::body::{Chunks, ReadError};
-use crate::client::{self, Client, Error};
+use crate::client::{self, Client, Error, Held};
 use crate::clock::Clock;
 use crate::events::{self, Splitter};
 use crate::net::Net;
@@ -152,6 +152,8 @@
 pub struct Answer {
     /// Head and unread body.
     pub response: Response<Incoming>,
+    /// The connection that it arrives on.
+    pub connection: Held<Chunks>,
     /// How it states its end, and until when its endpoint works on it.
     pub timing: Timing,
 }
@@ -209,13 +211,21 @@
     }
 }
 
-impl<N, C, D> Drop for InFlight<N, C, D> {
-    fn drop(&mut self) {
+impl<N, C, D> InFlight<N, C, D> {
+    /// Removes the work from the pool, once.
+    pub fn finish(&mut self) {
         self.shared.pool().finish(self.work);
+        self.work.endpoint = EndpointKey::default();
         self.shared.capacity_freed.notify_waiters();
     }
 }
 
+impl<N, C, D> Drop for InFlight<N, C, D> {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
+
 /// Builds the request of an attempt.
 fn build_request<D: Dialect>(
     dialect: &D,
@@ -240,7 +250,7 @@
     known_limit: u64,
     stage: Stage<'_>,
     deadline: Deadline,
-    answer: Response<Incoming>,
+    (answer, connection): (Response<Incoming>, Held<Chunks>),
 ) -> Outcome {
     let head_at = shared.clock.moment();
     let now = head_at.now;
@@ -265,7 +275,11 @@
                 deadline,
             };
             let response = Response::from_parts(head, body);
-            Outcome::Answer(Box::new(Answer { response, timing }))
+            Outcome::Answer(Box::new(Answer {
+                response,
+                connection,
+                timing,
+            }))
         }
         Verdict::NotRun => {
             shared.metrics.count("endpoint.full");
@@ -329,7 +343,7 @@
                     ..parameters
                 };
                 let request = build_request(&shared.dialect, input, body, &parameters);
-                connection.send(request).await
+                connection.send_and_hold(request).await
             }
             Err(error) => Err(error),
         };
@@ -374,7 +388,9 @@
         max_bytes: usize,
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
-        let Answer { response, timing } = *answer;
+        let Answer {
+            response, timing, ..
+        } = *answer;
         let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
         let event_time = if expects_stream {
@@ -507,20 +523,39 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Option<Response<Bytes>> {
+    let answer = try_control(shared, key, at, request, limit).await;
+    answer.ok()
+}
+
+/// Makes a control call to an endpoint.
+///
+/// # Errors
+///
+/// [`Error::Connect`] if nothing was sent, else [`Error::Unreadable`] if no answer came within
+/// `limit`, or as [`Client::send`].
+pub async fn try_control<N: Net, C: Clock, D: Dialect>(
+    shared: &Shared<N, C, D>,
+    key: EndpointKey,
+    at: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Response<Bytes>, Error> {
     let client = Client::new(shared.net.clone(), at).with_connect_timeout(CONNECT_TIMEOUT);
     let known_limit = shared.pool().limit(key).version;
     let memory = shared.held.share(&OWN_CALLS);
     let fetch = async {
-        let (head, body) = client.send(request).await.ok()?.into_parts();
+        let (head, body) = client.send(request).await?.into_parts();
         let purpose = |_| Purpose::Answer;
         let body = held::read(&memory, body, MAX_DOCUMENT_BYTES, purpose).await;
-        Some((head, body.ok()?.to_bytes()))
+        let body = body.map_err(|error| Error::Unreadable(error.into()))?;
+        Ok((head, body.to_bytes()))
     };
-    let (head, body) = tokio::time::timeout(limit, fetch).await.ok()??;
+    let fetched = tokio::time::timeout(limit, fetch).await;
+    let (head, body) = fetched.unwrap_or_else(|elapsed| Err(Error::Unreadable(elapsed.into())))?;
     let now = shared.clock.now();
     let notice = shared.dialect.parse_notice(&head);
     shared.record_notice(now, key, notice, Some(known_limit));
-    Some(Response::from_parts(head, body))
+    Ok(Response::from_parts(head, body))
 }
 
 /// Makes a control call to an endpoint in the background. A failure is only
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -33,6 +33,7 @@
 use super::serve::Call;
 use super::suspects::LostRun;
 use crate::body::{Body, Chunks};
+use crate::client::Held;
 use crate::clock::Clock;
 use crate::events::{append, Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
@@ -66,6 +67,8 @@
     timing: Timing,
     /// Rest of the body after `first_chunk`.
     body: Incoming,
+    /// The connection that the body arrives on.
+    connection: Held<Chunks>,
     first_chunk: Option<Bytes>,
     /// Reserved capacity at the endpoint that runs the request.
     reservation: Reservation<N, C, D>,
@@ -495,7 +498,11 @@
         };
         return Ok(Attempt::Answered(Answer::Failure(head, body)));
     }
-    let exchange::Answer { response, timing } = *answer;
+    let exchange::Answer {
+        response,
+        connection,
+        timing,
+    } = *answer;
     let (head, mut body) = response.into_parts();
     call.record.framing = Some(timing.framing);
     let Some(first_chunk) = read_start(call, &head, &mut body).await else {
@@ -520,6 +527,7 @@
         head,
         timing,
         body,
+        connection,
         first_chunk: Some(first_chunk),
         reservation,
         sent_at: started_at,
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,13 +8,14 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{self, Overrun};
-use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
+use cranberryridge_policy::answer::survival::Watch;
+use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::Engine;
 
-use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Run};
+use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Reservation, Run};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::events::Splitter;
@@ -73,7 +74,6 @@
         call.record.add_run(endpoint_id, ids, outcome.name());
         match outcome {
             Outcome::Complete => {
-                run.reservation.record_completion();
                 let key = run.reservation.key;
                 call.shared.pool().record_stated_end(key);
                 run.record_ids(&call, &progress.sequence);
@@ -232,6 +232,25 @@
     }
 }
 
+/// Looks at the endpoint of a run that has stated its end, unless it stated that with the head.
+/// Returns `None` if the caller disconnects.
+async fn watch_end<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    run: &mut Run<N, C, D>,
+    reply: &mut Reply,
+) -> Option<Option<Watch>> {
+    run.reservation.complete();
+    if run.timing.framing != Framing::Chunks {
+        return Some(None);
+    }
+    let Reservation { key, endpoint, .. } = &run.reservation;
+    let watch = call.shared.watch_end(*key, endpoint, &run.connection);
+    tokio::select! {
+        watch = watch => Some(Some(watch)),
+        () = reply.closed() => None,
+    }
+}
+
 /// Copies complete events from a run to the caller.
 async fn copy_events<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
@@ -341,7 +360,12 @@
                 };
                 call.record.end = end.proof().or(call.record.end);
                 match end {
-                    Conclusion::Complete(_) => {}
+                    Conclusion::Complete(_) => {
+                        let Some(watch) = watch_end(call, run, reply).await else {
+                            return Outcome::CallerGone;
+                        };
+                        call.record.sign = watch.and_then(|watch| watch.last_sign());
+                    }
                     Conclusion::Unstated => return Outcome::Unstated,
                     Conclusion::Overdue => return Outcome::Overdue,
                     Conclusion::Broken => {
--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -104,18 +104,19 @@
         shared.pool().record_event_interval(now, self.key, interval);
     }
 
-    /// Records that the run completed.
-    pub fn record_completion(&mut self) {
+    /// Records that the run has stated its end, and frees its capacity.
+    pub fn complete(&mut self) {
         let (count, total) = self.event_intervals;
-        if let Some(lease) = self.lease.as_mut().filter(|_| count > 0) {
+        if let Some(mut lease) = self.lease.take().filter(|_| count > 0) {
             lease.record_event_interval(total / count);
         }
         let shared = &self.in_flight.shared;
-        let Some(at) = self.started_at else { return };
-        let took = shared.clock.now().saturating_duration_since(at);
-        shared
-            .pool()
-            .record_run(self.key, took, self.in_flight.work.kv_tokens);
+        if let Some(at) = self.started_at.take() {
+            let took = shared.clock.now().saturating_duration_since(at);
+            let mut pool = shared.pool();
+            pool.record_run(self.key, took, self.in_flight.work.kv_tokens);
+        }
+        self.in_flight.finish();
     }
 }
 
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -7,6 +7,7 @@
 use http::Version;
 use slog::Logger;
 
+use cranberryridge_policy::answer::survival::Sign;
 use cranberryridge_policy::answer::{Framing, Proof};
 
 use super::dialect::Description;
@@ -44,6 +45,8 @@
     pub framing: Option<Framing>,
     /// How the end of the caller's stream was established, if a run came to an end.
     pub end: Option<Proof>,
+    /// What the endpoint showed after it stated the end of the last run, if it was looked at.
+    pub sign: Option<Sign>,
     /// Bytes that arrived after the last complete event when the last stream
     /// ended.
     pub partial_bytes: usize,
@@ -81,6 +84,7 @@
             max_event_gap: Duration::ZERO,
             framing: None,
             end: None,
+            sign: None,
             partial_bytes: 0,
             version: CompactString::default(),
             calls: String::new(),
@@ -177,6 +181,7 @@
             "total_ms" => total.as_millis() as u64,
             "framing" => self.framing.map(Framing::name),
             "end" => self.end.map(Proof::name),
+            "sign" => self.sign.map(Sign::name),
             "partial_bytes" => self.partial_bytes,
             "calls" => %self.calls,
             "runs" => %self.runs);
--- /dev/null
+++ b/crates/lib/src/gateway/survival.rs
@@ -0,0 +1,67 @@
+//! Looks at endpoints after the ends of answers that they stated.
+
+use std::io;
+
+use cranberryridge_policy::answer::survival::{Sign, Watch};
+use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::pool::{EndpointKey, State};
+
+use super::dialect::Dialect;
+use super::{exchange, Shared};
+use crate::client::{Error, Held};
+use crate::clock::Clock;
+use crate::net::Net;
+
+impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
+    /// Looks at an endpoint until it is known whether it has outlived the end of an answer that
+    /// arrived on a connection. Returns what it showed at last.
+    pub(super) async fn watch_end<B>(
+        &self,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        connection: &Held<B>,
+    ) -> Watch {
+        let mut watch = Watch::default();
+        loop {
+            let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
+            let may_be_stopping = is_leaving || connection.is_closed();
+            let Some(delay) = watch.next_look(may_be_stopping) else {
+                return watch;
+            };
+            tokio::time::sleep(delay).await;
+            watch.record(match self.look(key, endpoint).await {
+                // The process that gave the answer holds its connection, so the list is old.
+                Sign::Restarted if !connection.is_closed() => Sign::Serving,
+                sign => sign,
+            });
+        }
+    }
+
+    /// Asks an endpoint for a connection, and an engine for its start.
+    async fn look(&self, key: EndpointKey, endpoint: &Endpoint) -> Sign {
+        if endpoint.phase.is_none() {
+            return match self.refuses_connections(endpoint).await {
+                Some(true) => Sign::Refusing,
+                Some(false) => Sign::Serving,
+                None => Sign::Silent,
+            };
+        }
+        let request = self.dialect.report_request(endpoint.address);
+        let limit = self.settings.call_timeout;
+        let answer = exchange::try_control(self, key, endpoint.address, request, limit).await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(Error::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Sign::Refusing
+            }
+            Err(_) => return Sign::Silent,
+        };
+        match self.dialect.parse_report(answer.body()) {
+            Some(report) if report.started_ms.unwrap_or_default() == endpoint.started_ms => {
+                Sign::Serving
+            }
+            Some(_) => Sign::Restarted,
+            None => Sign::Silent,
+        }
+    }
+}
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -235,7 +235,7 @@
 
     /// Returns whether an endpoint refuses connections, or `None` if it does not answer or
     /// resets a connection that it accepted, as it may be behind a network fault.
-    async fn refuses_connections(&self, endpoint: &Endpoint) -> Option<bool> {
+    pub(super) async fn refuses_connections(&self, endpoint: &Endpoint) -> Option<bool> {
         let connect = self.net.connect(endpoint.address);
         match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(_)) => Some(false),
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -18,6 +18,7 @@
 
 pub mod deadline;
 pub mod numbering;
+pub mod survival;
 
 /// Least number of events whose ids count by one from which a stream is held to that itself.
 const MIN_OWN_EVENTS: u32 = 4;
--- /dev/null
+++ b/crates/policy/src/answer/survival.rs
@@ -0,0 +1,122 @@
+//! Decides whether an endpoint has outlived the end of an answer that it stated.
+//!
+//! A process that stops may end its answers in order as it goes, so an end that it states then does
+//! not say that nothing follows. An endpoint that serves on behind the end did not state it because
+//! it stopped.
+
+use std::time::Duration;
+
+/// Time between an end and the first look at its endpoint. The sockets of a process that stops are
+/// closed one after the other, and its listener may be the last.
+const FIRST_LOOK_DELAY: Duration = Duration::from_millis(20);
+
+/// Time until the last look at an endpoint that may be stopping. Servers cancel their handlers some
+/// time before they close their listeners and exit.
+const LAST_LOOK_DELAY: Duration = Duration::from_millis(200);
+
+/// Time until the next look at an endpoint that did not answer, as its link may lose packets.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Number of looks without an answer after which an endpoint counts as gone.
+const MAX_SILENT_LOOKS: u32 = 3;
+
+/// What an endpoint shows when it is looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// The start that gave the answer serves on.
+    Serving,
+    /// It refuses connections.
+    Refusing,
+    /// Another start has its address.
+    Restarted,
+    /// It does not answer.
+    Silent,
+}
+
+impl Sign {
+    /// Returns the name in logs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::Sign;
+    /// assert_eq!(Sign::Restarted.name(), "restarted");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Refusing => "refusing",
+            Self::Restarted => "restarted",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Looks at an endpoint after an end that it stated.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use cranberryridge_policy::answer::survival::{Sign, Watch};
+/// let mut watch = Watch::default();
+/// let may_be_stopping = false;
+/// assert_eq!(watch.next_look(may_be_stopping), Some(Duration::from_millis(20)));
+/// watch.record(Sign::Serving);
+/// assert_eq!(watch.next_look(may_be_stopping), None);
+/// assert!(watch.has_survived());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Watch {
+    last_sign: Option<Sign>,
+    serving_looks: u32,
+    silent_looks: u32,
+}
+
+impl Watch {
+    /// Returns the time until the next look, or `None` if the looks tell enough. `may_be_stopping`
+    /// is whether the endpoint is leaving, or has closed the connection behind its answer.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::{Sign, Watch};
+    /// let mut watch = Watch::default();
+    /// watch.record(Sign::Serving);
+    /// assert!(watch.next_look(true).is_some());
+    /// watch.record(Sign::Refusing);
+    /// assert!(watch.next_look(true).is_none() && !watch.has_survived());
+    /// ```
+    pub fn next_look(&self, may_be_stopping: bool) -> Option<Duration> {
+        match self.last_sign {
+            None => Some(FIRST_LOOK_DELAY),
+            Some(Sign::Refusing | Sign::Restarted) => None,
+            Some(Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => None,
+            Some(Sign::Silent) => Some(RETRY_DELAY),
+            Some(Sign::Serving) if may_be_stopping && self.serving_looks < 2 => {
+                Some(LAST_LOOK_DELAY)
+            }
+            Some(Sign::Serving) => None,
+        }
+    }
+
+    /// Records a look.
+    pub fn record(&mut self, sign: Sign) {
+        self.last_sign = Some(sign);
+        match sign {
+            Sign::Serving => self.serving_looks += 1,
+            Sign::Silent => self.silent_looks += 1,
+            Sign::Refusing | Sign::Restarted => {}
+        }
+    }
+
+    /// Returns what the endpoint showed at last, or `None` before the first look.
+    pub fn last_sign(&self) -> Option<Sign> {
+        self.last_sign
+    }
+
+    /// Returns whether the endpoint has outlived the end.
+    pub fn has_survived(&self) -> bool {
+        self.last_sign == Some(Sign::Serving)
+    }
+}
