--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -13,7 +13,7 @@
 use cranberryridge_standin::store::Fault as StoreFault;
 
 use super::plan::{Event, Plan};
-use crate::shapes::engine::{Fault, Share};
+use crate::shapes::engine::{Fault, Share, Stop};
 use crate::shapes::link::State;
 use crate::shapes::site::Site;
 
@@ -76,7 +76,7 @@
     },
     StopEngine {
         engine: usize,
-        resets: bool,
+        stop: Stop,
     },
     StartEngine {
         engine: usize,
@@ -294,13 +294,13 @@
                 });
             }
             Step::Link { host, state } => self.site.links[host].set(state),
-            Step::StopEngine { engine, resets } => self.site.engines[engine].kill(resets).await,
+            Step::StopEngine { engine, stop } => self.site.engines[engine].stop(stop).await,
             Step::StartEngine { engine } => self.site.restart_engine(engine).await,
             Step::Darken { engine } => self.site.engines[engine].darken(),
             Step::Drain { engine } => self.site.list(engine, "draining"),
             Step::Replace { engine, version } => {
                 self.site.unlist(engine);
-                self.site.engines[engine].kill(false).await;
+                self.site.engines[engine].stop(Stop::Close).await;
                 self.site.set_version(engine, &version);
                 self.site.restart_engine(engine).await;
             }
@@ -418,8 +418,8 @@
                     0
                 };
                 for engine in 0..all {
-                    let resets = false;
-                    self.after(at, Duration::ZERO, Step::StopEngine { engine, resets });
+                    let stop = Stop::Close;
+                    self.after(at, Duration::ZERO, Step::StopEngine { engine, stop });
                     self.after(at, lasts, Step::StartEngine { engine });
                 }
             }
@@ -449,9 +449,14 @@
                 }
             }
             "srv_crash" => {
-                let (is_dark, resets) = (event.is("dark"), event.is("reset"));
+                let is_dark = event.is("dark");
+                let stop = if event.is("reset") {
+                    Stop::Reset
+                } else {
+                    Stop::Close
+                };
                 for engine in self.draw_engines(event) {
-                    let stop = Step::StopEngine { engine, resets };
+                    let stop = Step::StopEngine { engine, stop };
                     if is_dark {
                         self.after(at, Duration::ZERO, Step::Darken { engine });
                         self.after(at, lasts, stop);
--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -73,6 +73,15 @@
     }
 }
 
+// Guards against streams that look whole as their engines end them in order when they stop.
+#[test]
+fn streams_that_stopping_engines_end_are_not_whole() {
+    if list("SHAPES_KINDS") == [""] {
+        let wrong = play(&[Kind::CrashEnds, Kind::ReleaseEnds], 15);
+        assert_eq!(wrong, 0, "streams are wrong, see the table");
+    }
+}
+
 /// Returns the names in a variable of the environment.
 fn list(name: &str) -> Vec<String> {
     let list = std::env::var(name).unwrap_or_default();
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -75,6 +75,18 @@
     Spoil,
 }
 
+/// How the connections of an engine end when it stops.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stop {
+    /// They are closed in order, as those of a process that is killed.
+    #[default]
+    Close,
+    /// They are reset.
+    Reset,
+    /// The chunks of open streams are ended, and then the connections are closed.
+    EndStreams,
+}
+
 /// Fault of a share of the runs that begin at an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Share {
@@ -168,8 +180,8 @@
     version: Mutex<String>,
     room: Mutex<Option<Room>>,
     connections: AtomicUsize,
-    /// Whether connections that are dropped are reset.
-    resets: AtomicBool,
+    /// What is done with connections that are dropped.
+    stop: Mutex<Stop>,
     /// Whether nothing is sent any more.
     is_dark: AtomicBool,
     /// Number of the current start.
@@ -200,7 +212,7 @@
             version: Mutex::new("v1".into()),
             room: Mutex::new(None),
             connections: AtomicUsize::new(0),
-            resets: AtomicBool::new(false),
+            stop: Mutex::default(),
             is_dark: AtomicBool::new(false),
             born: AtomicU64::new(0),
         };
@@ -225,15 +237,14 @@
         self.process = Some(tokio::spawn(serve(listener, self.state.clone())));
     }
 
-    /// Ends the engine like a process that is killed: the listener is closed first, then all
-    /// connections, which are reset if `resets`.
-    pub async fn kill(&mut self, resets: bool) {
-        self.state.resets.store(resets, Ordering::SeqCst);
+    /// Ends the engine: the listener is closed first, then all connections.
+    pub async fn stop(&mut self, stop: Stop) {
+        *self.state.stop.lock().unwrap() = stop;
         if let Some(process) = self.process.take() {
             process.abort();
             let _ = process.await;
         }
-        self.state.resets.store(false, Ordering::SeqCst);
+        *self.state.stop.lock().unwrap() = Stop::Close;
     }
 
     /// Returns whether the engine runs.
@@ -283,7 +294,7 @@
 
     /// Resets the connections that are open.
     pub async fn reset_connections(&mut self) {
-        self.kill(true).await;
+        self.stop(Stop::Reset).await;
         self.state.born.fetch_sub(1, Ordering::SeqCst);
         self.start().await;
     }
@@ -298,7 +309,13 @@
                 let Ok((stream, _)) = accepted else { continue };
                 let stop_at = Instant::now() + Duration::from_millis(MAX_TIME_MS);
                 let open = state.connections.fetch_add(1, Ordering::SeqCst);
-                let connection = Connection { stream, stop_at, is_over: false, state: state.clone() };
+                let connection = Connection {
+                    stream,
+                    stop_at,
+                    is_over: false,
+                    is_inside_chunks: false,
+                    state: state.clone(),
+                };
                 let room = state.room.lock().unwrap().clone();
                 if room.is_some_and(|room| open >= room.limits.connections) {
                     connection.reset_on_close();
@@ -321,14 +338,22 @@
     stop_at: Instant,
     /// Whether no further request is read.
     is_over: bool,
+    /// Whether a stream in chunks has not ended, and the last chunk is sent.
+    is_inside_chunks: bool,
     state: Arc<State>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.state.connections.fetch_sub(1, Ordering::SeqCst);
-        if self.state.resets.load(Ordering::SeqCst) {
-            self.reset_on_close();
+        let stop = *self.state.stop.lock().unwrap();
+        match stop {
+            Stop::Reset => self.reset_on_close(),
+            Stop::EndStreams if self.is_inside_chunks => {
+                // The gateway may have closed the connection.
+                let _ = self.stream.try_write(b"0\r\n\r\n");
+            }
+            Stop::EndStreams | Stop::Close => {}
         }
     }
 }
@@ -518,9 +543,12 @@
                 }
                 _ => {}
             }
+            self.is_inside_chunks = false;
             self.send(chunk.as_bytes()).await?;
+            self.is_inside_chunks = !is_unframed && fault.is_none();
             last_chunk = chunk;
         }
+        self.is_inside_chunks = false;
         match fault {
             Some(Fault::Lost) => {
                 self.reset_on_close();
@@ -543,6 +571,7 @@
 
     /// Ends an answer in order.
     async fn end(&mut self, is_unframed: bool) -> std::io::Result<()> {
+        self.is_inside_chunks = false;
         if is_unframed {
             self.is_over = true;
             return Ok(());
--- a/crates/daemon/tests/shapes/kind.rs
+++ b/crates/daemon/tests/shapes/kind.rs
@@ -6,7 +6,7 @@
 use tokio::time::{sleep, Instant};
 
 use super::caller::Manner;
-use super::engine::{Fault, Share};
+use super::engine::{Fault, Share, Stop};
 use super::site::Site;
 
 /// Time for which a kind strikes.
@@ -48,6 +48,8 @@
     /// Engines are killed; their connections are closed in order or reset.
     Crash,
     CrashReset,
+    /// Engines stop and end the chunks of their streams as they go.
+    CrashEnds,
     /// Engines fall silent.
     Dark,
     /// Connections of engines are reset.
@@ -64,6 +66,8 @@
     Resumable,
     /// Engines leave as planned, and others come.
     Release,
+    /// The same of engines that end the chunks of their streams as they go.
+    ReleaseEnds,
     /// Callers leave.
     GiveUp,
     /// Callers read at a tenth of the pace while engines are killed.
@@ -73,7 +77,7 @@
 }
 
 /// All kinds.
-pub const ALL: [Kind; 34] = [
+pub const ALL: [Kind; 36] = [
     Kind::None,
     Kind::Kill,
     Kind::HerdKill,
@@ -83,6 +87,7 @@
     Kind::Hup,
     Kind::Crash,
     Kind::CrashReset,
+    Kind::CrashEnds,
     Kind::Dark,
     Kind::ResetLinks,
     Kind::Runs(Fault::Break),
@@ -105,6 +110,7 @@
     Kind::Timeouts,
     Kind::Resumable,
     Kind::Release,
+    Kind::ReleaseEnds,
     Kind::GiveUp,
     Kind::SlowCallers,
     Kind::Several,
@@ -195,9 +201,9 @@
                     site.signal(host, "HUP");
                 }
             }
-            Self::Crash | Self::CrashReset | Self::SlowCallers => {
-                crash(site, self == Self::CrashReset).await;
-            }
+            Self::Crash | Self::SlowCallers => crash(site, Stop::Close).await,
+            Self::CrashReset => crash(site, Stop::Reset).await,
+            Self::CrashEnds => crash(site, Stop::EndStreams).await,
             Self::Dark => {
                 let engines = some_engines(site);
                 engines
@@ -205,7 +211,7 @@
                     .for_each(|index| site.engines[*index].darken());
                 sleep(Duration::from_secs(3)).await;
                 for index in engines {
-                    site.engines[index].kill(true).await;
+                    site.engines[index].stop(Stop::Reset).await;
                     site.restart_engine(index).await;
                 }
             }
@@ -240,12 +246,17 @@
                     sleep(Duration::from_millis(800)).await;
                 }
             }
-            Self::Release => {
+            Self::Release | Self::ReleaseEnds => {
+                let stop = if self == Self::ReleaseEnds {
+                    Stop::EndStreams
+                } else {
+                    Stop::Close
+                };
                 for index in some_engines(site) {
                     site.list(index, "draining");
                     sleep(Duration::from_millis(2000)).await;
                     site.unlist(index);
-                    site.engines[index].kill(false).await;
+                    site.engines[index].stop(stop).await;
                     site.restart_engine(index).await;
                 }
             }
@@ -256,7 +267,7 @@
                 set_faults(site, fault, 150);
                 hosts.iter().for_each(|host| site.signal(*host, "STOP"));
                 site.publish(13_000, false, 1);
-                crash(site, false).await;
+                crash(site, Stop::Close).await;
                 sleep(Duration::from_secs(2)).await;
                 hosts.iter().for_each(|host| site.signal(*host, "CONT"));
                 site.publish(14_000, true, 3);
@@ -275,11 +286,11 @@
     }
 }
 
-/// Kills some engines, and starts them again.
-async fn crash(site: &mut Site, resets: bool) {
+/// Stops some engines, and starts them again.
+async fn crash(site: &mut Site, stop: Stop) {
     let engines = some_engines(site);
     for index in &engines {
-        site.engines[*index].kill(resets).await;
+        site.engines[*index].stop(stop).await;
     }
     sleep(RESTART_TIME).await;
     for index in engines {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -679,6 +679,10 @@
                 if fault == Some(Fault::UnframedStop(event - 1)) {
                     break;
                 }
+                if fault == Some(Fault::StopWithProcess(event - 1)) {
+                    crashed.notify_one();
+                    break;
+                }
                 if fault == Some(Fault::StopAtDeadline(event - 1)) {
                     wait_until(stop_at).await;
                     break;
