Believe the end of a stream only if its engine outlives it

Callers got streams that ended early and looked whole when the engine stopped while it served them: most servers write the last chunk when a handler returns, also one that was cancelled. An end was held against its frame, who stated it and when, but not against a reason of the one who stated it.

An end is forsaken now if its engine shows that. On routes that may be resumed another engine is asked from the event before the last one, as for an end that nobody stated; on others the stream is cut.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -429,7 +429,7 @@
                             shared.metrics.count("endpoint.stopped_at_deadline");
                             return None;
                         }
-                        Conclusion::Broken => {}
+                        Conclusion::Forsaken | Conclusion::Broken => {}
                     }
                 } else if is_overdue
                     && head.status.is_success()
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,7 +8,6 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{self, Overrun};
-use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -102,7 +101,7 @@
                 call.record.set_outcome("cut off", call.record.status);
                 return reply.abort().await;
             }
-            Outcome::Broken | Outcome::Unstated => {}
+            Outcome::Broken | Outcome::Unstated | Outcome::Forsaken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
         let lost = LostRun {
@@ -112,18 +111,26 @@
             sent_at: run.sent_at,
             first_event_at: Some(run.first_event_at),
         };
-        if outcome == Outcome::Unstated {
-            if progress.sequence.is_checking() {
-                let now = shared.clock.now();
-                shared.pool().record_useless_check(now, key);
+        match outcome {
+            Outcome::Unstated => {
+                if progress.sequence.is_checking() {
+                    let now = shared.clock.now();
+                    shared.pool().record_useless_check(now, key);
+                }
+                shared.record_unstated_end(lost).await;
+                progress.sequence.begin_check();
             }
-            shared.record_unstated_end(lost).await;
-            progress.sequence.begin_check();
-        } else {
-            shared.record_lost_run(lost).await;
-            progress.sequence.begin_run();
-            if !progress.sequence.is_checking() {
-                call.record.end = None;
+            Outcome::Forsaken => {
+                shared.metrics.count("endpoint.stopped_at_end");
+                shared.record_lost_run(lost).await;
+                progress.sequence.begin_check();
+            }
+            _ => {
+                shared.record_lost_run(lost).await;
+                progress.sequence.begin_run();
+                if !progress.sequence.is_checking() {
+                    call.record.end = None;
+                }
             }
         }
         let id = shared.endpoint_id(key);
@@ -212,6 +219,8 @@
     Unstated,
     /// The run stated its end when its endpoint may have stopped at its deadline.
     Overdue,
+    /// The run stated its end, and its endpoint has not outlived it.
+    Forsaken,
     /// The caller disconnected.
     CallerGone,
     /// This host is about to exit.
@@ -226,31 +235,13 @@
             Self::Broken => "broken",
             Self::Unstated => "unstated",
             Self::Overdue => "overdue",
+            Self::Forsaken => "forsaken",
             Self::CallerGone => "caller gone",
             Self::Stopped => "stopped",
         }
     }
 }
 
-/// Looks at the endpoint of a run that has stated its end, unless it stated that with the head.
-/// Returns `None` if the caller disconnects.
-async fn watch_end<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
-    run: &mut Run<N, C, D>,
-    reply: &mut Reply,
-) -> Option<Option<Watch>> {
-    run.reservation.complete();
-    if run.timing.framing != Framing::Chunks {
-        return Some(None);
-    }
-    let Reservation { key, endpoint, .. } = &run.reservation;
-    let watch = call.shared.watch_end(*key, endpoint, &run.connection);
-    tokio::select! {
-        watch = watch => Some(Some(watch)),
-        () = reply.closed() => None,
-    }
-}
-
 /// Copies complete events from a run to the caller.
 async fn copy_events<N: Net, C: Clock, D: Dialect>(
     call: &mut Call<N, C, D>,
@@ -353,19 +344,28 @@
                 let mean_gap = took / run_event_count.saturating_sub(1).max(1);
                 let event_time = deadline::event_time(call.route.max_event_gap, mean_gap);
                 let is_overdue = run.timing.is_overdue(shared.clock.moment(), event_time);
-                let end = if is_overdue && !overrun.is_evident() {
+                let mut end = if is_overdue && !overrun.is_evident() {
                     end.at_deadline()
                 } else {
                     end
                 };
-                call.record.end = end.proof().or(call.record.end);
-                match end {
-                    Conclusion::Complete(_) => {
-                        let Some(watch) = watch_end(call, run, reply).await else {
-                            return Outcome::CallerGone;
+                if matches!(end, Conclusion::Complete(_)) {
+                    run.reservation.complete();
+                    if run.timing.framing == Framing::Chunks {
+                        let Reservation { key, endpoint, .. } = &run.reservation;
+                        let watch = tokio::select! {
+                            watch = shared.watch_end(*key, endpoint, &run.connection) => watch,
+                            () = reply.closed() => return Outcome::CallerGone,
+                            () = exit.as_mut() => return Outcome::Stopped,
                         };
-                        call.record.sign = watch.and_then(|watch| watch.last_sign());
+                        call.record.sign = watch.last_sign();
+                        end = end.after(watch);
                     }
+                }
+                call.record.end = end.proof().or(call.record.end);
+                match end {
+                    Conclusion::Complete(_) => {}
+                    Conclusion::Forsaken => return Outcome::Forsaken,
                     Conclusion::Unstated => return Outcome::Unstated,
                     Conclusion::Overdue => return Outcome::Overdue,
                     Conclusion::Broken => {
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -10,11 +10,13 @@
 //! stream, as a link or a process that ends midway closes it in order as well: a run at another
 //! endpoint has to repeat the last event and state what follows it. Of a plain answer, the sender
 //! must have outlived it. An answer without any event or byte is no evidence of an end. Neither
-//! is an end that an endpoint states at the deadline that it was sent, as it stops work then.
+//! is an end that an endpoint states at the deadline that it was sent, as it stops work then, nor
+//! one that it does not outlive.
 
 use compact_str::CompactString;
 
 use self::numbering::{Finding, Ids, Numbering};
+use self::survival::Watch;
 
 pub mod deadline;
 pub mod numbering;
@@ -131,6 +133,8 @@
     Unproven,
     /// It was stated when the endpoint may have stopped at its deadline.
     Overdue,
+    /// It was stated by an endpoint that has not outlived it.
+    Forsaken,
 }
 
 impl Proof {
@@ -148,6 +152,7 @@
             Self::Repeated => "repeated",
             Self::Unproven => "unproven",
             Self::Overdue => "overdue",
+            Self::Forsaken => "forsaken",
         }
     }
 }
@@ -177,6 +182,8 @@
     Unstated,
     /// The run stated its end when its endpoint may have stopped at its deadline.
     Overdue,
+    /// The run stated its end, and its endpoint has not outlived it.
+    Forsaken,
     /// The run is lost.
     Broken,
 }
@@ -196,6 +203,7 @@
             Self::Complete(proof) => Some(proof),
             Self::Unstated => Some(Proof::Unproven),
             Self::Overdue => Some(Proof::Overdue),
+            Self::Forsaken => Some(Proof::Forsaken),
             Self::Broken => None,
         }
     }
@@ -216,6 +224,26 @@
             other => other,
         }
     }
+
+    /// Returns what the end means after looks at the endpoint.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::{Sign, Watch};
+    /// use cranberryridge_policy::answer::{Conclusion, Proof};
+    /// let (stated, mut watch) = (Conclusion::Complete(Proof::Stated), Watch::default());
+    /// watch.record(Sign::Serving);
+    /// assert_eq!(stated.after(watch), stated);
+    /// watch.record(Sign::Refusing);
+    /// assert_eq!(stated.after(watch), Conclusion::Forsaken);
+    /// ```
+    pub fn after(self, watch: Watch) -> Self {
+        match self {
+            Self::Complete(_) if !watch.has_survived() => Self::Forsaken,
+            other => other,
+        }
+    }
 }
 
 /// Reason why a run's event does not belong into the stream.
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -298,7 +298,7 @@
                 played.is_complete = true;
                 return played;
             }
-            Conclusion::Unstated => sequence.begin_check(),
+            Conclusion::Unstated | Conclusion::Forsaken => sequence.begin_check(),
             Conclusion::Overdue => return played,
             Conclusion::Broken => sequence.begin_run(),
         }
