Hold plain answers in chunks to the life of their endpoint

The same cause elsewhere: a plain service that stops may end the chunks of an answer in order. Callers got half of an answer as 200, with a gateway and behind a sidecar, which kept it for its key. An end that chunks state now counts only if the endpoint outlives it; a gateway looks as behind the stream of an engine, and a sidecar asks its service for a connection.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -377,7 +377,8 @@
     /// `expects_stream` is set, or if the answers that are being read take too much memory.
     /// Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
     /// stream that only its connection marks, without a failure of its endpoint. An end that is
-    /// stated at the endpoint's deadline is none, and no lost run either.
+    /// stated at the endpoint's deadline is none, and no lost run either. An end that chunks state
+    /// counts only if the endpoint outlives it.
     pub async fn read_answer(
         &mut self,
         key: EndpointKey,
@@ -389,7 +390,9 @@
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
         let Answer {
-            response, timing, ..
+            response,
+            connection,
+            timing,
         } = *answer;
         let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
@@ -404,13 +407,18 @@
             Ok(body) if !expects_stream && self.has_no_body(&head) => return Some((head, body)),
             Ok(body) => {
                 if expects_stream {
-                    let end = self.conclude_stream(
+                    let mut end = self.conclude_stream(
                         &head,
                         &body,
                         timing.framing,
                         is_overdue,
                         &endpoint.version,
                     );
+                    if matches!(end, Conclusion::Complete(_)) && timing.framing == Framing::Chunks {
+                        let watch = shared.watch_end(key, endpoint, &connection).await;
+                        self.record.sign = watch.last_sign();
+                        end = end.after(watch);
+                    }
                     self.record.end = end.proof();
                     match end {
                         Conclusion::Complete(_) => return Some((head, body)),
@@ -429,7 +437,8 @@
                             shared.metrics.count("endpoint.stopped_at_deadline");
                             return None;
                         }
-                        Conclusion::Forsaken | Conclusion::Broken => {}
+                        Conclusion::Forsaken => shared.metrics.count("endpoint.stopped_at_end"),
+                        Conclusion::Broken => {}
                     }
                 } else if is_overdue
                     && head.status.is_success()
@@ -438,7 +447,8 @@
                     shared.metrics.count("endpoint.stopped_at_deadline");
                     return None;
                 } else {
-                    let end = shared.observe_end(timing.framing, key, endpoint).await;
+                    let end = shared.observe_end(timing.framing, key, endpoint, &connection);
+                    let end = end.await;
                     if is_complete(&head, &body, end) {
                         return Some((head, body));
                     }
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -21,7 +21,7 @@
 use super::exchange::{self, Input, CONNECT_TIMEOUT};
 use super::parts::LostPrompt;
 use super::{lock, Shared};
-use crate::client;
+use crate::client::{self, Held};
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -245,20 +245,39 @@
     }
 
     /// Returns how a plain answer with a framing ended that its transport reported as complete.
-    /// Asks the endpoint whether it is up if only its connection marked the end.
-    pub(super) async fn observe_end(
+    /// Asks the endpoint whether it is up unless a length marked the end.
+    pub(super) async fn observe_end<B>(
         &self,
         framing: Framing,
         key: EndpointKey,
         endpoint: &Endpoint,
+        connection: &Held<B>,
     ) -> End {
-        let is_endpoint_up = !End::needs_probe(framing) || self.outlives(key, endpoint).await;
+        let is_endpoint_up = match framing {
+            Framing::Length => true,
+            Framing::Chunks => self.outlives_chunks(key, endpoint, connection).await,
+            Framing::Connection => self.outlives(key, endpoint).await,
+        };
         End {
             framing,
             is_endpoint_up,
         }
     }
 
+    /// Returns whether an endpoint outlives an answer that its chunks ended.
+    async fn outlives_chunks<B>(
+        &self,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        connection: &Held<B>,
+    ) -> bool {
+        let watch = self.watch_end(key, endpoint, connection).await;
+        if !watch.has_survived() {
+            self.metrics.count("endpoint.stopped_at_end");
+        }
+        watch.has_survived()
+    }
+
     /// Returns whether an endpoint accepts connections after the end of its answer, and is the
     /// start that gave it if it is an engine. If not, it may have crashed in the middle of the
     /// answer.
--- a/crates/lib/src/sidecar/plain.rs
+++ b/crates/lib/src/sidecar/plain.rs
@@ -241,16 +241,16 @@
             return true;
         }
         let framing = client::framing(&head.headers);
-        if let Some(events) = events {
-            return framing.completes_stream(events.has_event(), events.is_inside_event());
-        }
         let is_endpoint_up = !End::needs_probe(framing)
             || client::outlives_answer(self.net, self.address, PROBE_TIMEOUT).await;
         let end = End {
             framing,
             is_endpoint_up,
         };
-        end.completes_body(is_empty, false)
+        match events {
+            Some(events) => end.completes_stream(events.has_event(), events.is_inside_event()),
+            None => end.completes_body(is_empty, false),
+        }
     }
 
     /// Records an answer that is not complete, though its transport reported it as such.
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -65,45 +65,31 @@
     pub fn states_end(self) -> bool {
         self != Self::Connection
     }
-
-    /// Returns whether a stream that is read whole is complete, from whether it has an event and
-    /// whether it ends inside one.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge_policy::answer::Framing;
-    /// assert!(Framing::Length.completes_stream(true, false));
-    /// assert!(!Framing::Length.completes_stream(false, false));
-    /// assert!(!Framing::Connection.completes_stream(true, false));
-    /// ```
-    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
-        self.states_end() && has_event && !is_inside
-    }
 }
 
-/// End of an answer that is no stream and whose transport reported no error.
+/// End of an answer that is read whole and whose transport reported no error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
     /// How the end was marked.
     pub framing: Framing,
-    /// Whether the endpoint accepted connections after the end. Matters only if the
-    /// connection marked it.
+    /// Whether the endpoint has outlived the end. Matters only if [`End::needs_probe`].
     pub is_endpoint_up: bool,
 }
 
 impl End {
-    /// Returns whether the endpoint has to be asked for [`End::is_endpoint_up`].
+    /// Returns whether the endpoint has to be asked for [`End::is_endpoint_up`]. A length states
+    /// the end with the head; what comes behind the answer may come from an endpoint that stops.
     ///
     /// # Examples
     ///
     /// ```
     /// use cranberryridge_policy::answer::{End, Framing};
     /// assert!(End::needs_probe(Framing::Connection));
-    /// assert!(!End::needs_probe(Framing::Chunks));
+    /// assert!(End::needs_probe(Framing::Chunks));
+    /// assert!(!End::needs_probe(Framing::Length));
     /// ```
     pub fn needs_probe(framing: Framing) -> bool {
-        !framing.states_end()
+        framing != Framing::Length
     }
 
     /// Returns whether an answer that is no stream is complete, from whether its body is
@@ -116,9 +102,34 @@
     /// let closed = End { framing: Framing::Connection, is_endpoint_up: true };
     /// assert!(closed.completes_body(false, false));
     /// assert!(!closed.completes_body(true, false));
+    /// let stopped = End { framing: Framing::Chunks, is_endpoint_up: false };
+    /// assert!(!stopped.completes_body(false, false));
     /// ```
     pub fn completes_body(self, is_empty: bool, may_be_empty: bool) -> bool {
-        self.framing.states_end() || may_be_empty || (self.is_endpoint_up && !is_empty)
+        may_be_empty
+            || match self.framing {
+                Framing::Length => true,
+                Framing::Chunks => self.is_endpoint_up,
+                Framing::Connection => self.is_endpoint_up && !is_empty,
+            }
+    }
+
+    /// Returns whether a stream is complete, from whether it has an event and whether it ends
+    /// inside one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{End, Framing};
+    /// let end = End { framing: Framing::Chunks, is_endpoint_up: true };
+    /// assert!(end.completes_stream(true, false));
+    /// assert!(!end.completes_stream(false, false));
+    /// let stopped = End { is_endpoint_up: false, ..end };
+    /// assert!(!stopped.completes_stream(true, false));
+    /// ```
+    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
+        let is_stated = self.framing.states_end();
+        is_stated && self.completes_body(false, false) && has_event && !is_inside
     }
 }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -542,7 +542,12 @@
             let body = format!("{} {}", head.method, head.uri);
             if matches!(
                 fault,
-                Some(Fault::Unframed | Fault::UnframedCrash(_) | Fault::StopAtDeadline(_))
+                Some(
+                    Fault::Unframed
+                        | Fault::UnframedCrash(_)
+                        | Fault::StopAtDeadline(_)
+                        | Fault::StopWithProcess(_)
+                )
             ) {
                 self.send_halves(body.into(), fault, stop_at)
             } else {
@@ -602,6 +607,11 @@
             let (first, second) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
             // A caller that has gone needs neither half.
             let _ = sender.send(Piece::Data(first)).await;
+            if matches!(fault, Some(Fault::StopWithProcess(_))) {
+                crashed.notify_one();
+                let _ = sender.send(Piece::End).await;
+                return;
+            }
             if matches!(fault, Some(Fault::StopAtDeadline(_))) {
                 wait_until(stop_at).await;
                 let _ = sender.send(Piece::End).await;
--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -56,7 +56,8 @@
     StopAtDeadline(u32),
     /// Ends a stream in order before the first event that it cannot complete by the deadline.
     StopEarly,
-    /// Ends a stream in order after this many events, as its process stops. Whoever waits for
+    /// Ends a stream in order after this many events, or the chunks of a body after its first
+    /// half, as its process stops. Whoever waits for
     /// [`Runner::crashed`](super::Runner::crashed) must then kill the endpoint's host.
     StopWithProcess(u32),
     /// As [`Fault::StopAtDeadline`], but sends its answer with a length once it stops.
