Play engines that close their listener behind their streams

CrashEndsFirst of the shapes: engines end the chunks of their streams and close the connections, and accept others for 100 ms more, so that the first look at them finds them serving. The regression test of stopping engines plays it as well.

--- a/crates/daemon/tests/shapes.rs
+++ b/crates/daemon/tests/shapes.rs
@@ -77,7 +77,10 @@
 #[test]
 fn streams_that_stopping_engines_end_are_not_whole() {
     if list("SHAPES_KINDS") == [""] {
-        let wrong = play(&[Kind::CrashEnds, Kind::ReleaseEnds], 15);
+        let wrong = play(
+            &[Kind::CrashEnds, Kind::CrashEndsFirst, Kind::ReleaseEnds],
+            15,
+        );
         assert_eq!(wrong, 0, "streams are wrong, see the table");
     }
 }
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -35,6 +35,9 @@
 /// Time between a whole stream and a late answer behind it.
 const EXTRA_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for which an engine accepts connections behind the end of its streams.
+const LISTENER_LAG: Duration = Duration::from_millis(100);
+
 /// Time for a request that states no deadline, in milliseconds.
 const MAX_TIME_MS: u64 = 60_000;
 
@@ -87,6 +90,8 @@
     Reset,
     /// The chunks of open streams are ended, and then the connections are closed.
     EndStreams,
+    /// The same, but the engine accepts connections for some time behind that.
+    EndStreamsFirst,
 }
 
 /// Fault of a share of the runs that begin at an engine.
@@ -184,6 +189,8 @@
     connections: AtomicUsize,
     /// What is done with connections that are dropped.
     stop: Mutex<Stop>,
+    /// Drops the open connections.
+    drop_connections: Notify,
     /// Whether nothing is sent any more.
     is_dark: AtomicBool,
     /// Number of the current start.
@@ -215,6 +222,7 @@
             room: Mutex::new(None),
             connections: AtomicUsize::new(0),
             stop: Mutex::default(),
+            drop_connections: Notify::new(),
             is_dark: AtomicBool::new(false),
             born: AtomicU64::new(0),
         };
@@ -239,9 +247,14 @@
         self.process = Some(tokio::spawn(serve(listener, self.state.clone())));
     }
 
-    /// Ends the engine: the listener is closed first, then all connections.
+    /// Ends the engine: the listener is closed first, then all connections, unless streams are to
+    /// end first.
     pub async fn stop(&mut self, stop: Stop) {
         *self.state.stop.lock().unwrap() = stop;
+        if stop == Stop::EndStreamsFirst {
+            self.state.drop_connections.notify_one();
+            tokio::time::sleep(LISTENER_LAG).await;
+        }
         if let Some(process) = self.process.take() {
             process.abort();
             let _ = process.await;
@@ -328,6 +341,7 @@
                     let _ = connection.answer().await;
                 });
             }
+            () = state.drop_connections.notified() => connections.abort_all(),
             Some(_) = connections.join_next() => {}
         }
     }
@@ -351,11 +365,13 @@
         let stop = *self.state.stop.lock().unwrap();
         match stop {
             Stop::Reset => self.reset_on_close(),
-            Stop::EndStreams if self.is_inside_chunks && !self.is_dark() => {
+            Stop::EndStreams | Stop::EndStreamsFirst
+                if self.is_inside_chunks && !self.is_dark() =>
+            {
                 // The gateway may have closed the connection.
                 let _ = self.stream.try_write(b"0\r\n\r\n");
             }
-            Stop::EndStreams | Stop::Close => {}
+            Stop::EndStreams | Stop::EndStreamsFirst | Stop::Close => {}
         }
     }
 }
--- a/crates/daemon/tests/shapes/kind.rs
+++ b/crates/daemon/tests/shapes/kind.rs
@@ -50,6 +50,8 @@
     CrashReset,
     /// Engines stop and end the chunks of their streams as they go.
     CrashEnds,
+    /// The same, but they accept connections for some time behind that.
+    CrashEndsFirst,
     /// Engines fall silent.
     Dark,
     /// Connections of engines are reset.
@@ -77,7 +79,7 @@
 }
 
 /// All kinds.
-pub const ALL: [Kind; 37] = [
+pub const ALL: [Kind; 38] = [
     Kind::None,
     Kind::Kill,
     Kind::HerdKill,
@@ -88,6 +90,7 @@
     Kind::Crash,
     Kind::CrashReset,
     Kind::CrashEnds,
+    Kind::CrashEndsFirst,
     Kind::Dark,
     Kind::ResetLinks,
     Kind::Runs(Fault::Break),
@@ -205,6 +208,7 @@
             Self::Crash | Self::SlowCallers => crash(site, Stop::Close).await,
             Self::CrashReset => crash(site, Stop::Reset).await,
             Self::CrashEnds => crash(site, Stop::EndStreams).await,
+            Self::CrashEndsFirst => crash(site, Stop::EndStreamsFirst).await,
             Self::Dark => {
                 let engines = some_engines(site);
                 engines
