Join no run of an engine that has started anew

The list names the version, and nothing asked the engine whether it is the listed start. It is asked at the first event of each run that goes on, and by a host whose list is not fresh also of the runs that begin streams of routes that may be resumed.

--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -2,13 +2,14 @@
 
 use bytes::BytesMut;
 
+use cranberryridge_policy::answer::survival::Sign;
 use cranberryridge_policy::answer::{Disorder, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
-use cranberryridge_policy::gateway::route::Engine;
+use cranberryridge_policy::gateway::route::{Engine, Kind};
 use cranberryridge_wire::code::Code;
 
 use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run};
-use super::{Answer, Chunk, Progress, Run};
+use super::{Answer, Chunk, Progress, Reservation, Run};
 use crate::clock::Clock;
 use crate::events::{append, Splitter};
 use crate::gateway::dialect::Dialect;
@@ -39,21 +40,52 @@
             }
             Answer::Failure(..) => return Ok(answer),
         };
-        if !progress.has_begun && progress.sequence.last_id().is_none() {
-            return Ok(Answer::Stream(run));
-        }
         progress.current = Some(run.reservation.key);
+        let is_continuation = progress.has_begun || progress.sequence.last_id().is_some();
         progress.sequence.expect(run.numbering(call));
-        let is_joinable = goes_on(call, &mut run, &progress.sequence).await;
+        let fit = if is_continuation && !goes_on(call, &mut run, &progress.sequence).await {
+            Fit::Misfit
+        } else if is_at_unlisted_start(call, &run, is_continuation).await {
+            Fit::OtherStart
+        } else {
+            Fit::Sound
+        };
         progress.current = None;
-        if is_joinable {
+        if fit == Fit::Sound {
             return Ok(Answer::Stream(run));
         }
-        abandon(call, progress, *run).await?;
+        abandon(call, progress, *run, fit).await?;
+    }
+}
+
+/// Whether a run may make up the caller's stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fit {
+    Sound,
+    /// It does not go on where the stream ends.
+    Misfit,
+    /// It is at a start of its endpoint that is not listed, perhaps of another software version.
+    OtherStart,
+}
+
+/// Returns whether a run is at a start of its endpoint that is not listed, as the endpoint has
+/// started again under its id. A run that begins a stream matters only if the stream may go on
+/// elsewhere, and a host whose list is fresh need not ask.
+async fn is_at_unlisted_start<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    run: &Run<N, C, D>,
+    is_continuation: bool,
+) -> bool {
+    let shared = &call.shared;
+    let may_go_on = call.route.kind == Kind::ResumableStream;
+    if !is_continuation && (!may_go_on || shared.has_fresh_list()) {
+        return false;
     }
+    let Reservation { key, endpoint, .. } = &run.reservation;
+    shared.look(*key, endpoint).await == Sign::Restarted
 }
 
-/// Counts a run that does not go on with the stream as lost.
+/// Gives up a run that must not make up the stream. One that does not go on with it counts as lost.
 ///
 /// # Errors
 ///
@@ -62,20 +94,25 @@
     call: &mut Call<N, C, D>,
     progress: &mut Progress,
     run: Run<N, C, D>,
+    fit: Fit,
 ) -> Result<(), Refusal> {
     // Closes the connection, which ends the run before another one starts.
-    drop(run.body);
+    drop((run.body, run.connection));
     let (key, endpoint) = (run.reservation.key, &run.reservation.endpoint);
     call.shared.metrics.count("stream.not_joined");
-    call.record.add_call("stream", &endpoint.id, "not joined");
-    let lost = LostRun {
-        input: &call.input,
-        key,
-        endpoint,
-        sent_at: run.sent_at,
-        first_event_at: Some(run.first_event_at),
-    };
-    call.shared.record_lost_run(lost).await;
+    if fit == Fit::OtherStart {
+        call.record.add_call("stream", &endpoint.id, "other start");
+    } else {
+        call.record.add_call("stream", &endpoint.id, "not joined");
+        let lost = LostRun {
+            input: &call.input,
+            key,
+            endpoint,
+            sent_at: run.sent_at,
+            first_event_at: Some(run.first_event_at),
+        };
+        call.shared.record_lost_run(lost).await;
+    }
     progress.excluded.push(key);
     if is_retry_allowed(call, progress) {
         return Ok(());
--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -148,6 +148,11 @@
         age <= self.settings.list_interval * MAX_LIST_AGE_INTERVALS
     }
 
+    /// Returns whether this host's own list names every version that may have begun a stream.
+    pub(super) fn has_fresh_list(&self) -> bool {
+        self.own_list_age().is_some_and(|age| self.is_fresh(age))
+    }
+
     /// Returns the time until a version may begin streams that may be taken up.
     fn joining_time(&self, service: &str, version: &str) -> Duration {
         let (now, interval) = (self.clock.now(), self.settings.list_interval);
@@ -307,9 +312,7 @@
     async fn find_origin(&self) -> Result<CompactString, Refusal> {
         let shared = &self.shared;
         let (stream, service) = (self.stream, self.service.as_str());
-        let is_list_fresh = shared
-            .own_list_age()
-            .is_some_and(|age| shared.is_fresh(age));
+        let is_list_fresh = shared.has_fresh_list();
         let decision = {
             let origins = lock(&shared.origins);
             origins.decide(shared.clock.now(), stream, service, is_list_fresh)
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -38,7 +38,7 @@
     }
 
     /// Asks an endpoint for a connection, and an engine for its start.
-    async fn look(&self, key: EndpointKey, endpoint: &Endpoint) -> Sign {
+    pub(super) async fn look(&self, key: EndpointKey, endpoint: &Endpoint) -> Sign {
         if endpoint.phase.is_none() {
             return match self.refuses_connections(endpoint).await {
                 Some(true) => Sign::Refusing,
