--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -35,6 +35,9 @@
 /// Time between a whole stream and a late answer behind it.
 const EXTRA_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for which an engine accepts connections behind the end of its streams.
+const LISTENER_LAG: Duration = Duration::from_millis(100);
+
 /// Time for a request that states no deadline, in milliseconds.
 const MAX_TIME_MS: u64 = 60_000;
 
@@ -69,12 +72,28 @@
     Deadline,
     /// As `Deadline`, but stops before the first piece that it cannot complete in time.
     LastPiece,
+    /// As `LastPiece`, with pieces that take from a twenty-fifth to four times the usual time.
+    UnevenPiece,
     /// Leaves out a piece that is not the last one.
     Skip,
     /// Sends an event of other bytes in place of a piece.
     Spoil,
 }
 
+/// How the connections of an engine end when it stops.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stop {
+    /// They are closed in order, as those of a process that is killed.
+    #[default]
+    Close,
+    /// They are reset.
+    Reset,
+    /// The chunks of open streams are ended, and then the connections are closed.
+    EndStreams,
+    /// The same, but the engine accepts connections for some time behind that.
+    EndStreamsFirst,
+}
+
 /// Fault of a share of the runs that begin at an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Share {
@@ -168,8 +187,10 @@
     version: Mutex<String>,
     room: Mutex<Option<Room>>,
     connections: AtomicUsize,
-    /// Whether connections that are dropped are reset.
-    resets: AtomicBool,
+    /// What is done with connections that are dropped.
+    stop: Mutex<Stop>,
+    /// Drops the open connections.
+    drop_connections: Notify,
     /// Whether nothing is sent any more.
     is_dark: AtomicBool,
     /// Number of the current start.
@@ -200,7 +221,8 @@
             version: Mutex::new("v1".into()),
             room: Mutex::new(None),
             connections: AtomicUsize::new(0),
-            resets: AtomicBool::new(false),
+            stop: Mutex::default(),
+            drop_connections: Notify::new(),
             is_dark: AtomicBool::new(false),
             born: AtomicU64::new(0),
         };
@@ -225,15 +247,19 @@
         self.process = Some(tokio::spawn(serve(listener, self.state.clone())));
     }
 
-    /// Ends the engine like a process that is killed: the listener is closed first, then all
-    /// connections, which are reset if `resets`.
-    pub async fn kill(&mut self, resets: bool) {
-        self.state.resets.store(resets, Ordering::SeqCst);
+    /// Ends the engine: the listener is closed first, then all connections, unless streams are to
+    /// end first.
+    pub async fn stop(&mut self, stop: Stop) {
+        *self.state.stop.lock().unwrap() = stop;
+        if stop == Stop::EndStreamsFirst {
+            self.state.drop_connections.notify_one();
+            tokio::time::sleep(LISTENER_LAG).await;
+        }
         if let Some(process) = self.process.take() {
             process.abort();
             let _ = process.await;
         }
-        self.state.resets.store(false, Ordering::SeqCst);
+        *self.state.stop.lock().unwrap() = Stop::Close;
     }
 
     /// Returns whether the engine runs.
@@ -283,7 +309,7 @@
 
     /// Resets the connections that are open.
     pub async fn reset_connections(&mut self) {
-        self.kill(true).await;
+        self.stop(Stop::Reset).await;
         self.state.born.fetch_sub(1, Ordering::SeqCst);
         self.start().await;
     }
@@ -298,7 +324,13 @@
                 let Ok((stream, _)) = accepted else { continue };
                 let stop_at = Instant::now() + Duration::from_millis(MAX_TIME_MS);
                 let open = state.connections.fetch_add(1, Ordering::SeqCst);
-                let connection = Connection { stream, stop_at, is_over: false, state: state.clone() };
+                let connection = Connection {
+                    stream,
+                    stop_at,
+                    is_over: false,
+                    is_inside_chunks: false,
+                    state: state.clone(),
+                };
                 let room = state.room.lock().unwrap().clone();
                 if room.is_some_and(|room| open >= room.limits.connections) {
                     connection.reset_on_close();
@@ -309,6 +341,7 @@
                     let _ = connection.answer().await;
                 });
             }
+            () = state.drop_connections.notified() => connections.abort_all(),
             Some(_) = connections.join_next() => {}
         }
     }
@@ -321,14 +354,24 @@
     stop_at: Instant,
     /// Whether no further request is read.
     is_over: bool,
+    /// Whether a stream in chunks has not ended, and the last chunk is sent.
+    is_inside_chunks: bool,
     state: Arc<State>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.state.connections.fetch_sub(1, Ordering::SeqCst);
-        if self.state.resets.load(Ordering::SeqCst) {
-            self.reset_on_close();
+        let stop = *self.state.stop.lock().unwrap();
+        match stop {
+            Stop::Reset => self.reset_on_close(),
+            Stop::EndStreams | Stop::EndStreamsFirst
+                if self.is_inside_chunks && !self.is_dark() =>
+            {
+                // The gateway may have closed the connection.
+                let _ = self.stream.try_write(b"0\r\n\r\n");
+            }
+            Stop::EndStreams | Stop::EndStreamsFirst | Stop::Close => {}
         }
     }
 }
@@ -394,9 +437,13 @@
         self.send(text.as_bytes()).await
     }
 
+    fn is_dark(&self) -> bool {
+        self.state.is_dark.load(Ordering::SeqCst)
+    }
+
     /// Writes bytes, unless the engine is dark.
     async fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        if self.state.is_dark.load(Ordering::SeqCst) {
+        if self.is_dark() {
             return std::future::pending().await;
         }
         self.stream.write_all(bytes).await
@@ -453,13 +500,21 @@
         if fault != Some(Fault::Lost) {
             self.send(head.as_bytes()).await?;
         }
-        let piece_time = match fault {
+        let usual_time = match fault {
             Some(Fault::Slow) => state.piece_time * SLOW_FACTOR,
-            Some(Fault::Deadline | Fault::LastPiece) => state.piece_time * DEADLINE_FACTOR,
+            Some(Fault::Deadline | Fault::LastPiece | Fault::UnevenPiece) => {
+                state.piece_time * DEADLINE_FACTOR
+            }
             _ => state.piece_time,
         };
         let mut last_chunk = String::new();
         for id in first_asked + 1..=total {
+            let piece_time = match fault {
+                Some(Fault::UnevenPiece) => {
+                    usual_time.mul_f64(rand::rng().random_range(0.2_f64..2.0).powi(2))
+                }
+                _ => usual_time,
+            };
             let is_last = Instant::now() + piece_time >= self.stop_at;
             if let Some(lease) = &mut lease {
                 if is_last {
@@ -479,7 +534,9 @@
                     tokio::time::sleep_until(self.stop_at).await;
                     return self.send(b"0\r\n\r\n").await;
                 }
-                Some(Fault::LastPiece) if is_last => return self.send(b"0\r\n\r\n").await,
+                Some(Fault::LastPiece | Fault::UnevenPiece) if is_last => {
+                    return self.send(b"0\r\n\r\n").await
+                }
                 _ => {}
             }
             self.wait(piece_time).await?;
@@ -518,9 +575,12 @@
                 }
                 _ => {}
             }
+            self.is_inside_chunks = false;
             self.send(chunk.as_bytes()).await?;
+            self.is_inside_chunks = !is_unframed && fault.is_none();
             last_chunk = chunk;
         }
+        self.is_inside_chunks = false;
         match fault {
             Some(Fault::Lost) => {
                 self.reset_on_close();
@@ -543,6 +603,7 @@
 
     /// Ends an answer in order.
     async fn end(&mut self, is_unframed: bool) -> std::io::Result<()> {
+        self.is_inside_chunks = false;
         if is_unframed {
             self.is_over = true;
             return Ok(());
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -7,14 +7,14 @@
 use http::Response;
 use tokio::time::timeout_at;
 
-use cranberryridge_policy::answer::deadline::{self, Overrun};
-use cranberryridge_policy::answer::{Conclusion, Disorder, Sequence};
+use cranberryridge_policy::answer::deadline::{Overrun, Pace};
+use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
 use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::Engine;
 
-use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Run};
+use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Reservation, Run};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::events::Splitter;
@@ -73,7 +73,6 @@
         call.record.add_run(endpoint_id, ids, outcome.name());
         match outcome {
             Outcome::Complete => {
-                run.reservation.record_completion();
                 let key = run.reservation.key;
                 call.shared.pool().record_stated_end(key);
                 run.record_ids(&call, &progress.sequence);
@@ -102,7 +101,7 @@
                 call.record.set_outcome("cut off", call.record.status);
                 return reply.abort().await;
             }
-            Outcome::Broken | Outcome::Unstated => {}
+            Outcome::Broken | Outcome::Unstated | Outcome::Forsaken => {}
         }
         let (shared, key) = (Arc::clone(&call.shared), run.reservation.key);
         let lost = LostRun {
@@ -112,18 +111,26 @@
             sent_at: run.sent_at,
             first_event_at: Some(run.first_event_at),
         };
-        if outcome == Outcome::Unstated {
-            if progress.sequence.is_checking() {
-                let now = shared.clock.now();
-                shared.pool().record_useless_check(now, key);
+        match outcome {
+            Outcome::Unstated => {
+                if progress.sequence.is_checking() {
+                    let now = shared.clock.now();
+                    shared.pool().record_useless_check(now, key);
+                }
+                shared.record_unstated_end(lost).await;
+                progress.sequence.begin_check();
             }
-            shared.record_unstated_end(lost).await;
-            progress.sequence.begin_check();
-        } else {
-            shared.record_lost_run(lost).await;
-            progress.sequence.begin_run();
-            if !progress.sequence.is_checking() {
-                call.record.end = None;
+            Outcome::Forsaken => {
+                shared.metrics.count("endpoint.stopped_at_end");
+                shared.record_lost_run(lost).await;
+                progress.sequence.begin_check();
+            }
+            _ => {
+                shared.record_lost_run(lost).await;
+                progress.sequence.begin_run();
+                if !progress.sequence.is_checking() {
+                    call.record.end = None;
+                }
             }
         }
         let id = shared.endpoint_id(key);
@@ -212,6 +219,8 @@
     Unstated,
     /// The run stated its end when its endpoint may have stopped at its deadline.
     Overdue,
+    /// The run stated its end, and its endpoint has not outlived it.
+    Forsaken,
     /// The caller disconnected.
     CallerGone,
     /// This host is about to exit.
@@ -226,6 +235,7 @@
             Self::Broken => "broken",
             Self::Unstated => "unstated",
             Self::Overdue => "overdue",
+            Self::Forsaken => "forsaken",
             Self::CallerGone => "caller gone",
             Self::Stopped => "stopped",
         }
@@ -249,7 +259,7 @@
     let mut chunk = run.first_chunk.take();
     let mut partial = call.memory.begin(Purpose::Answer);
     let mut last_events_at = call.shared.clock.now();
-    let mut run_event_count = 0;
+    let mut pace = Pace::default();
     let mut overrun = Overrun::default();
     // Until the first event, the request's deadline holds.
     let mut event_deadline = if call.record.event_count > 0 {
@@ -270,13 +280,13 @@
             if let Some(batch) = batch.filter(|batch| !batch.bytes.is_empty()) {
                 let gap = now.saturating_duration_since(last_events_at);
                 last_events_at = now;
+                pace.record(now, batch.event_count);
                 if call.record.event_count > 0 {
                     call.record.record_gap(gap);
                     run.reservation
                         .record_event_interval(gap / batch.event_count.max(1));
                 }
                 call.record.event_count += batch.event_count;
-                run_event_count += batch.event_count;
                 let (events, is_within) = call.memory.count(batch.bytes);
                 if reply.send_piece(events).await.is_err() {
                     return Outcome::CallerGone;
@@ -330,18 +340,30 @@
             }
             Ok(Chunk::End) => {
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
-                let took = last_events_at.saturating_duration_since(run.first_event_at);
-                let mean_gap = took / run_event_count.saturating_sub(1).max(1);
-                let event_time = deadline::event_time(call.route.max_event_gap, mean_gap);
+                let event_time = pace.event_time(call.route.max_event_gap);
                 let is_overdue = run.timing.is_overdue(shared.clock.moment(), event_time);
-                let end = if is_overdue && !overrun.is_evident() {
+                let mut end = if is_overdue && !overrun.is_evident() {
                     end.at_deadline()
                 } else {
                     end
                 };
+                if matches!(end, Conclusion::Complete(_)) {
+                    run.reservation.complete();
+                    if run.timing.framing == Framing::Chunks {
+                        let Reservation { key, endpoint, .. } = &run.reservation;
+                        let watch = tokio::select! {
+                            watch = shared.watch_end(*key, endpoint, &run.connection) => watch,
+                            () = reply.closed() => return Outcome::CallerGone,
+                            () = exit.as_mut() => return Outcome::Stopped,
+                        };
+                        call.record.sign = watch.last_sign();
+                        end = end.after(watch);
+                    }
+                }
                 call.record.end = end.proof().or(call.record.end);
                 match end {
                     Conclusion::Complete(_) => {}
+                    Conclusion::Forsaken => return Outcome::Forsaken,
                     Conclusion::Unstated => return Outcome::Unstated,
                     Conclusion::Overdue => return Outcome::Overdue,
                     Conclusion::Broken => {
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -10,14 +10,17 @@
 //! stream, as a link or a process that ends midway closes it in order as well: a run at another
 //! endpoint has to repeat the last event and state what follows it. Of a plain answer, the sender
 //! must have outlived it. An answer without any event or byte is no evidence of an end. Neither
-//! is an end that an endpoint states at the deadline that it was sent, as it stops work then.
+//! is an end that an endpoint states at the deadline that it was sent, as it stops work then, nor
+//! one that it does not outlive.
 
 use compact_str::CompactString;
 
 use self::numbering::{Finding, Ids, Numbering};
+use self::survival::Watch;
 
 pub mod deadline;
 pub mod numbering;
+pub mod survival;
 
 /// Least number of events whose ids count by one from which a stream is held to that itself.
 const MIN_OWN_EVENTS: u32 = 4;
@@ -62,45 +65,31 @@
     pub fn states_end(self) -> bool {
         self != Self::Connection
     }
-
-    /// Returns whether a stream that is read whole is complete, from whether it has an event and
-    /// whether it ends inside one.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge_policy::answer::Framing;
-    /// assert!(Framing::Length.completes_stream(true, false));
-    /// assert!(!Framing::Length.completes_stream(false, false));
-    /// assert!(!Framing::Connection.completes_stream(true, false));
-    /// ```
-    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
-        self.states_end() && has_event && !is_inside
-    }
 }
 
-/// End of an answer that is no stream and whose transport reported no error.
+/// End of an answer that is read whole and whose transport reported no error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
     /// How the end was marked.
     pub framing: Framing,
-    /// Whether the endpoint accepted connections after the end. Matters only if the
-    /// connection marked it.
+    /// Whether the endpoint has outlived the end. Matters only if [`End::needs_probe`].
     pub is_endpoint_up: bool,
 }
 
 impl End {
-    /// Returns whether the endpoint has to be asked for [`End::is_endpoint_up`].
+    /// Returns whether the endpoint has to be asked for [`End::is_endpoint_up`]. A length states
+    /// the end with the head; what comes behind the answer may come from an endpoint that stops.
     ///
     /// # Examples
     ///
     /// ```
     /// use cranberryridge_policy::answer::{End, Framing};
     /// assert!(End::needs_probe(Framing::Connection));
-    /// assert!(!End::needs_probe(Framing::Chunks));
+    /// assert!(End::needs_probe(Framing::Chunks));
+    /// assert!(!End::needs_probe(Framing::Length));
     /// ```
     pub fn needs_probe(framing: Framing) -> bool {
-        !framing.states_end()
+        framing != Framing::Length
     }
 
     /// Returns whether an answer that is no stream is complete, from whether its body is
@@ -113,9 +102,34 @@
     /// let closed = End { framing: Framing::Connection, is_endpoint_up: true };
     /// assert!(closed.completes_body(false, false));
     /// assert!(!closed.completes_body(true, false));
+    /// let stopped = End { framing: Framing::Chunks, is_endpoint_up: false };
+    /// assert!(!stopped.completes_body(false, false));
     /// ```
     pub fn completes_body(self, is_empty: bool, may_be_empty: bool) -> bool {
-        self.framing.states_end() || may_be_empty || (self.is_endpoint_up && !is_empty)
+        may_be_empty
+            || match self.framing {
+                Framing::Length => true,
+                Framing::Chunks => self.is_endpoint_up,
+                Framing::Connection => self.is_endpoint_up && !is_empty,
+            }
+    }
+
+    /// Returns whether a stream is complete, from whether it has an event and whether it ends
+    /// inside one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::{End, Framing};
+    /// let end = End { framing: Framing::Chunks, is_endpoint_up: true };
+    /// assert!(end.completes_stream(true, false));
+    /// assert!(!end.completes_stream(false, false));
+    /// let stopped = End { is_endpoint_up: false, ..end };
+    /// assert!(!stopped.completes_stream(true, false));
+    /// ```
+    pub fn completes_stream(self, has_event: bool, is_inside: bool) -> bool {
+        let is_stated = self.framing.states_end();
+        is_stated && self.completes_body(false, false) && has_event && !is_inside
     }
 }
 
@@ -130,6 +144,8 @@
     Unproven,
     /// It was stated when the endpoint may have stopped at its deadline.
     Overdue,
+    /// It was stated by an endpoint that has not outlived it.
+    Forsaken,
 }
 
 impl Proof {
@@ -147,6 +163,7 @@
             Self::Repeated => "repeated",
             Self::Unproven => "unproven",
             Self::Overdue => "overdue",
+            Self::Forsaken => "forsaken",
         }
     }
 }
@@ -176,6 +193,8 @@
     Unstated,
     /// The run stated its end when its endpoint may have stopped at its deadline.
     Overdue,
+    /// The run stated its end, and its endpoint has not outlived it.
+    Forsaken,
     /// The run is lost.
     Broken,
 }
@@ -195,6 +214,7 @@
             Self::Complete(proof) => Some(proof),
             Self::Unstated => Some(Proof::Unproven),
             Self::Overdue => Some(Proof::Overdue),
+            Self::Forsaken => Some(Proof::Forsaken),
             Self::Broken => None,
         }
     }
@@ -215,6 +235,26 @@
             other => other,
         }
     }
+
+    /// Returns what the end means after looks at the endpoint.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::{Sign, Watch};
+    /// use cranberryridge_policy::answer::{Conclusion, Proof};
+    /// let (stated, mut watch) = (Conclusion::Complete(Proof::Stated), Watch::default());
+    /// watch.record(Sign::Serving);
+    /// assert_eq!(stated.after(watch), stated);
+    /// watch.record(Sign::Refusing);
+    /// assert_eq!(stated.after(watch), Conclusion::Forsaken);
+    /// ```
+    pub fn after(self, watch: Watch) -> Self {
+        match self {
+            Self::Complete(_) if !watch.has_survived() => Self::Forsaken,
+            other => other,
+        }
+    }
 }
 
 /// Reason why a run's event does not belong into the stream.
