Mend what the review of the looks behind ends found

Found by reading, by one who had not seen the work: - A run of two slow batches, or of few events, had no pace, as the longest gap is left out of it; the mean of all gaps counts as before beside it (the_mean_gap_of_a_few_events_counts_whole). - An engine that is listed as draining ends its streams and is gone from the list by the look, so its planned stop counted as a crash of each stream's request. A forsaken end of an engine that leaves or is not listed accuses no request. - An engine at the limit of its connections resets the look; three of those cut whole streams. While it holds the connection of the answer it has survived (an_engine_that_resets_further_connections_and_holds_its_own_has_survived). - A caller that closes behind the last event, during the looks, ended its stream as caller gone, and nothing was learned of the run. The looks go on without it. - A prefill's answer in chunks waited for looks; it is parsed, which shows whether it is whole. The play of an engine that stops at once lets a start that has ended hold no connection, which the decision looks at now.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -42,7 +42,7 @@
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// Maximum size of an answer that the gateway reads itself, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
@@ -158,6 +158,27 @@
     pub timing: Timing,
 }
 
+/// What an answer that is read whole has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// A stream that goes on behind the events that the caller has.
+    Stream,
+    /// Any body.
+    Body,
+    /// A document that the gateway parses, which shows whether it is whole.
+    Document,
+}
+
+impl Form {
+    /// Returns the maximum size, in bytes.
+    fn max_bytes(self) -> usize {
+        match self {
+            Self::Stream | Self::Body => MAX_ANSWER_BYTES,
+            Self::Document => MAX_DOCUMENT_BYTES,
+        }
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -373,8 +394,7 @@
     }
 
     /// Reads an answer completely, so that a truncated one is never forwarded as
-    /// complete. Returns `None` if it is truncated or too large, or no stream where
-    /// `expects_stream` is set, or if the answers that are being read take too much memory.
+    /// complete. Returns `None` if it is truncated, too large or of another form, or if the answers that are being read take too much memory.
     /// Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
     /// stream that only its connection marks, without a failure of its endpoint. An end that is
     /// stated at the endpoint's deadline is none, and no lost run either. An end that chunks state
@@ -385,8 +405,7 @@
         endpoint: &Endpoint,
         sent_at: Instant,
         answer: Box<Answer>,
-        expects_stream: bool,
-        max_bytes: usize,
+        form: Form,
     ) -> Option<(response::Parts, Chunks)> {
         let shared = &self.shared;
         let Answer {
@@ -395,7 +414,8 @@
             timing,
         } = *answer;
         let (head, body) = response.into_parts();
-        let body = held::read(&self.memory, body, max_bytes, |_| Purpose::Answer).await;
+        let body = held::read(&self.memory, body, form.max_bytes(), |_| Purpose::Answer).await;
+        let expects_stream = form == Form::Stream;
         let event_time = if expects_stream {
             self.route.max_event_gap
         } else {
@@ -447,8 +467,15 @@
                     shared.metrics.count("endpoint.stopped_at_deadline");
                     return None;
                 } else {
-                    let end = shared.observe_end(timing.framing, key, endpoint, &connection);
-                    let end = end.await;
+                    let end = if form == Form::Document && timing.framing == Framing::Chunks {
+                        End {
+                            framing: timing.framing,
+                            is_endpoint_up: true,
+                        }
+                    } else {
+                        let end = shared.observe_end(timing.framing, key, endpoint, &connection);
+                        end.await
+                    };
                     if is_complete(&head, &body, end) {
                         return Some((head, body));
                     }
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -26,8 +26,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, InFlight, Outcome};
-use super::exchange::{MAX_ANSWER_BYTES, MAX_DOCUMENT_BYTES};
+use super::exchange::{self, Form, InFlight, Outcome};
 use super::parts::unless_barred;
 use super::refusal::Refusal;
 use super::serve::Call;
@@ -376,15 +375,7 @@
     }
     let handle = match outcome {
         Outcome::Answer(answer) if answer.response.status().is_success() => {
-            let (expects_stream, max_bytes) = (false, MAX_DOCUMENT_BYTES);
-            let answer = call.read_answer(
-                key,
-                &endpoint,
-                started_at,
-                answer,
-                expects_stream,
-                max_bytes,
-            );
+            let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Document);
             answer
                 .await
                 .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body.to_bytes()))
@@ -484,15 +475,7 @@
     if !answer.response.status().is_success() || has_no_body {
         let result = if has_no_body { "answered" } else { "failed" };
         call.record.add_call(stage, &endpoint.id, result);
-        let (expects_stream, max_bytes) = (false, MAX_ANSWER_BYTES);
-        let answer = call.read_answer(
-            key,
-            &endpoint,
-            started_at,
-            answer,
-            expects_stream,
-            max_bytes,
-        );
+        let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Body);
         let Some((head, body)) = answer.await else {
             return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
         };
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -121,8 +121,7 @@
                 progress.sequence.begin_check();
             }
             Outcome::Forsaken => {
-                shared.metrics.count("endpoint.stopped_at_end");
-                shared.record_lost_run(lost).await;
+                shared.record_forsaken_end(lost).await;
                 progress.sequence.begin_check();
             }
             _ => {
@@ -351,9 +350,10 @@
                     run.reservation.complete();
                     if run.timing.framing == Framing::Chunks {
                         let Reservation { key, endpoint, .. } = &run.reservation;
+                        // A caller that has disconnected after the last event needs no end, but
+                        // what the run tells of its endpoint counts.
                         let watch = tokio::select! {
                             watch = shared.watch_end(*key, endpoint, &run.connection) => watch,
-                            () = reply.closed() => return Outcome::CallerGone,
                             () = exit.as_mut() => return Outcome::Stopped,
                         };
                         call.record.sign = watch.last_sign();
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -12,7 +12,7 @@
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{InFlight, Outcome, MAX_ANSWER_BYTES};
+use super::exchange::{Form, InFlight, Outcome};
 use super::permit::Permit;
 use super::refusal::Refusal;
 use super::schedule::request_permit;
@@ -256,14 +256,12 @@
             let expects_stream = call.route.kind.is_stream()
                 && answer.response.status().is_success()
                 && call.input.head.method != Method::HEAD;
-            let answer = call.read_answer(
-                key,
-                &endpoint,
-                started_at,
-                answer,
-                expects_stream,
-                MAX_ANSWER_BYTES,
-            );
+            let form = if expects_stream {
+                Form::Stream
+            } else {
+                Form::Body
+            };
+            let answer = call.read_answer(key, &endpoint, started_at, answer, form);
             match answer.await {
                 Some((head, body)) if is_failure(head.status) => Attempt::Failed((head, body)),
                 Some(answer) => {
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -29,11 +29,8 @@
                 return watch;
             };
             tokio::time::sleep(delay).await;
-            watch.record(match self.look(key, endpoint).await {
-                // The process that gave the answer holds its connection, so the list is old.
-                Sign::Restarted if !connection.is_closed() => Sign::Serving,
-                sign => sign,
-            });
+            let sign = self.look(key, endpoint).await;
+            watch.record(sign, !connection.is_closed());
         }
     }
 
@@ -54,6 +51,7 @@
             Err(Error::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 return Sign::Refusing
             }
+            Err(Error::Broken(_)) => return Sign::Resetting,
             Err(_) => return Sign::Silent,
         };
         match self.dialect.parse_report(answer.body()) {
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -214,6 +214,16 @@
         }
     }
 
+    /// Records that an endpoint has not outlived the end of a stream that it stated. If it was to
+    /// leave, and may be listed no more by now, its end speaks against no request.
+    pub(super) async fn record_forsaken_end(self: &Arc<Self>, run: LostRun<'_>) {
+        self.metrics.count("endpoint.stopped_at_end");
+        if self.pool().get(run.key).is_none_or(State::is_leaving) {
+            return self.record_failure(self.clock.now(), run.key, Failure::Broken);
+        }
+        self.record_lost_run(run).await;
+    }
+
     /// Returns whether the request or a part of its prompt may have crashed an endpoint before.
     fn is_suspected(&self, input: &Input) -> bool {
         self.suspects.crash_count(self.clock.now(), input) > 0
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -244,9 +244,9 @@
     /// use cranberryridge_policy::answer::survival::{Sign, Watch};
     /// use cranberryridge_policy::answer::{Conclusion, Proof};
     /// let (stated, mut watch) = (Conclusion::Complete(Proof::Stated), Watch::default());
-    /// watch.record(Sign::Serving);
+    /// watch.record(Sign::Serving, true);
     /// assert_eq!(stated.after(watch), stated);
-    /// watch.record(Sign::Refusing);
+    /// watch.record(Sign::Refusing, false);
     /// assert_eq!(stated.after(watch), Conclusion::Forsaken);
     /// ```
     pub fn after(self, watch: Watch) -> Self {
--- a/crates/policy/src/answer/deadline.rs
+++ b/crates/policy/src/answer/deadline.rs
@@ -75,8 +75,10 @@
     /// assert_eq!(pace.event_time(max_gap), max_gap * 8);
     /// ```
     pub fn event_time(&self, max_gap: Duration) -> Duration {
-        let mean_gap = self.total / self.count.max(1);
-        let next_gap = mean_gap * MAX_UNEVENNESS;
+        let (longest_gap, longest_count) = self.longest;
+        let usual_gap = self.total / self.count.max(1);
+        let mean_gap = (self.total + longest_gap) / (self.count + longest_count).max(1);
+        let next_gap = mean_gap.max(usual_gap * MAX_UNEVENNESS);
         next_gap.min(max_gap * MAX_SLOWDOWN).max(max_gap)
     }
 }
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -29,6 +29,8 @@
     Refusing,
     /// Another start has its address.
     Restarted,
+    /// It accepts connections and breaks them, as at the limit of their number.
+    Resetting,
     /// It does not answer.
     Silent,
 }
@@ -47,6 +49,7 @@
             Self::Serving => "serving",
             Self::Refusing => "refusing",
             Self::Restarted => "restarted",
+            Self::Resetting => "resetting",
             Self::Silent => "silent",
         }
     }
@@ -62,7 +65,7 @@
 /// let mut watch = Watch::default();
 /// let may_be_stopping = false;
 /// assert_eq!(watch.next_look(may_be_stopping), Some(Duration::from_millis(20)));
-/// watch.record(Sign::Serving);
+/// watch.record(Sign::Serving, true);
 /// assert_eq!(watch.next_look(may_be_stopping), None);
 /// assert!(watch.has_survived());
 /// ```
@@ -82,17 +85,17 @@
     /// ```
     /// use cranberryridge_policy::answer::survival::{Sign, Watch};
     /// let mut watch = Watch::default();
-    /// watch.record(Sign::Serving);
+    /// watch.record(Sign::Serving, true);
     /// assert!(watch.next_look(true).is_some());
-    /// watch.record(Sign::Refusing);
+    /// watch.record(Sign::Refusing, false);
     /// assert!(watch.next_look(true).is_none() && !watch.has_survived());
     /// ```
     pub fn next_look(&self, may_be_stopping: bool) -> Option<Duration> {
         match self.last_sign {
             None => Some(FIRST_LOOK_DELAY),
             Some(Sign::Refusing | Sign::Restarted) => None,
-            Some(Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => None,
-            Some(Sign::Silent) => Some(RETRY_DELAY),
+            Some(Sign::Resetting | Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => None,
+            Some(Sign::Resetting | Sign::Silent) => Some(RETRY_DELAY),
             Some(Sign::Serving) if may_be_stopping && self.serving_looks < 2 => {
                 Some(LAST_LOOK_DELAY)
             }
@@ -100,12 +103,29 @@
         }
     }
 
-    /// Records a look.
-    pub fn record(&mut self, sign: Sign) {
+    /// Records a look. `is_held` is whether the connection of the answer is still open: the process
+    /// that gave it lives then, if its address is used at all.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::{Sign, Watch};
+    /// for (sign, has_survived) in [(Sign::Resetting, true), (Sign::Refusing, false)] {
+    ///     let (mut watch, is_held) = (Watch::default(), true);
+    ///     watch.record(sign, is_held);
+    ///     assert_eq!(watch.has_survived(), has_survived);
+    /// }
+    /// ```
+    pub fn record(&mut self, sign: Sign, is_held: bool) {
+        let sign = match sign {
+            // The list is old, or the endpoint is at the limit of its connections.
+            Sign::Restarted | Sign::Resetting if is_held => Sign::Serving,
+            sign => sign,
+        };
         self.last_sign = Some(sign);
         match sign {
             Sign::Serving => self.serving_looks += 1,
-            Sign::Silent => self.silent_looks += 1,
+            Sign::Resetting | Sign::Silent => self.silent_looks += 1,
             Sign::Refusing | Sign::Restarted => {}
         }
     }
--- a/crates/policy/tests/answer.rs
+++ b/crates/policy/tests/answer.rs
@@ -679,6 +679,24 @@
     );
 }
 
+// Guards against runs of a few slow events, whose longest gap may be the usual one.
+#[test]
+fn the_mean_gap_of_a_few_events_counts_whole() {
+    let (begun_at, max_gap) = (Instant::now(), Duration::from_millis(300));
+    for (times, event_time) in [
+        (vec![900, 1800], 900),
+        (vec![900, 1800, 2700], 2400),
+        (vec![100, 200, 300, 2300], 733),
+    ] {
+        let mut pace = Pace::default();
+        for time in &times {
+            pace.record(begun_at + Duration::from_millis(*time), 1);
+        }
+        let got = pace.event_time(max_gap).as_millis();
+        assert_eq!(got, event_time, "{times:?}");
+    }
+}
+
 // Guards against a clock that stands still while the host is suspended.
 #[test]
 fn time_in_which_the_host_was_suspended_counts_towards_a_deadline() {
--- a/crates/policy/tests/survival.rs
+++ b/crates/policy/tests/survival.rs
@@ -26,6 +26,8 @@
     listener_closes: Option<Duration>,
     /// Time at which another start listens, if one does.
     restarts: Option<Duration>,
+    /// Whether it resets new connections, as it has as many as it takes.
+    is_full: bool,
     /// Share of the looks that get no answer, as packets are lost.
     lossiness: f64,
 }
@@ -35,6 +37,7 @@
     connection_closes: None,
     listener_closes: None,
     restarts: None,
+    is_full: false,
     lossiness: 0.0,
 };
 
@@ -48,12 +51,14 @@
             return (watch, now);
         };
         now += delay;
-        watch.record(match fate {
+        let sign = match fate {
             _ if random.random_bool(fate.lossiness) => Sign::Silent,
             _ if is_past(fate.restarts, now) => Sign::Restarted,
             _ if is_past(fate.listener_closes, now) => Sign::Refusing,
+            _ if fate.is_full => Sign::Resetting,
             _ => Sign::Serving,
-        });
+        };
+        watch.record(sign, !is_past(fate.connection_closes, now));
     }
 }
 
@@ -70,7 +75,8 @@
         let is_back = random.random_bool(0.5);
         let fate = Fate {
             is_leaving: random.random_bool(0.5),
-            connection_closes: random.random_bool(0.5).then_some(closes),
+            // A start that has ended holds no connection.
+            connection_closes: (is_back || random.random_bool(0.5)).then_some(closes),
             listener_closes: Some(closes),
             restarts: is_back.then(|| draw(&mut random, Duration::from_millis(20)).max(closes)),
             ..ALIVE
@@ -117,6 +123,20 @@
     assert!(lost * 1000 <= PLAYS, "{lost} of {PLAYS} are cut");
 }
 
+// Guards against cuts of whole streams of engines that take no further connection.
+#[test]
+fn an_engine_that_resets_further_connections_and_holds_its_own_has_survived() {
+    let mut random = StdRng::seed_from_u64(5);
+    for is_leaving in [false, true] {
+        let fate = Fate {
+            is_leaving,
+            is_full: true,
+            ..ALIVE
+        };
+        assert!(watch(fate, &mut random).0.has_survived(), "{fate:?}");
+    }
+}
+
 #[test]
 fn an_engine_that_does_not_answer_has_not_survived() {
     let fate = Fate {
