--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -106,8 +106,10 @@
     Term {
         host: usize,
     },
+    /// Ends a host for good with a signal.
     Leave {
         host: usize,
+        signal: &'static str,
     },
     Signal {
         host: usize,
@@ -330,10 +332,10 @@
                 self.hosts[host].is_stopping = true;
                 self.site.signal(host, "TERM");
             }
-            Step::Leave { host } => {
+            Step::Leave { host, signal } => {
                 self.hosts[host].is_stopping = true;
                 self.hosts[host].has_left = true;
-                self.site.signal(host, "TERM");
+                self.site.signal(host, signal);
             }
             Step::Signal { host, name } => self.site.signal(host, name),
             Step::AddHost => {
@@ -439,7 +441,8 @@
                 let hosts = self.draw_hosts(event);
                 let left = self.hosts.iter().filter(|host| !host.has_left).count();
                 for (turn, host) in (0..).zip(hosts.into_iter().take(left - 1)) {
-                    self.after(at, gap * turn, Step::Leave { host });
+                    let signal = "TERM";
+                    self.after(at, gap * turn, Step::Leave { host, signal });
                 }
             }
             "roll_term" => {
@@ -489,6 +492,22 @@
                     self.after(at, Duration::ZERO, Step::AddHost);
                 }
             }
+            "replace_core" => {
+                let delay = Duration::from_secs_f64(event.x.unwrap_or(1.0));
+                let one = Event {
+                    count: Some(1),
+                    ..event.clone()
+                };
+                let (signal, left_after, added_after) = if event.is("planned") {
+                    ("TERM", delay, Duration::ZERO)
+                } else {
+                    ("KILL", Duration::ZERO, delay)
+                };
+                for host in self.draw_hosts(&one) {
+                    self.after(at, left_after, Step::Leave { host, signal });
+                    self.after(at, added_after, Step::AddHost);
+                }
+            }
             "node_kill" | "herd_kill" => {
                 for host in self.draw_hosts(event) {
                     self.after(at, Duration::ZERO, Step::Kill { host, down: lasts });
