Hold plain services that stop soon behind their chunks to one run

Cause: behind a sidecar, only a service that closes its listener with its answer was played, and no test counted the runs of a call that was cut so.

Measured on the paused clock: POST is cut, its key unknown afterwards, one run in all 12 cases.

--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
 
 use cranberryridge::client::Client;
 use cranberryridge::clock::Tokio;
@@ -326,3 +329,156 @@
         }
     }
 }
+
+/// Maximum time by which the end of a sound answer may follow its last byte.
+const MAX_END_DELAY: Duration = Duration::from_millis(60);
+
+/// Body of an answer that is cut, and of one that is not.
+const BODIES: [&str; 2] = ["half", "whole"];
+
+/// Head of an answer that is no stream, without its framing.
+const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+
+/// How the listener of a plain service goes on behind the end of its first answer.
+#[derive(Clone, Copy, Debug)]
+enum Stop {
+    /// It is closed for good after a time.
+    Lingers(Duration),
+    /// It is closed at once, and is back after a time.
+    Returns(Duration),
+}
+
+/// Starts a deployment with plain services whose first run ends half an answer in chunks and
+/// stops. All later runs give a whole answer. Returns the number of runs as well.
+async fn start_stopping(plain_runners: u8, stop: Stop) -> (Bench, Arc<AtomicUsize>) {
+    let net = FaultyNet::default();
+    let plan = Plan {
+        prefill_runners: 1,
+        decode_runners: 1,
+        plain_runners,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(net.clone(), Tokio, plan).await.unwrap();
+    let mut services = fleet.services();
+    let orders = "name = \"orders\"\nroutes = [{ path = \"/read\", idempotent = true }, \
+                  { path = \"/\", idempotent = false }]\n";
+    services[1] = cranberryridge::wire::service::parse(orders).unwrap();
+    fleet.publish(Version::default(), services);
+    let ready = tokio::time::timeout(Duration::from_secs(10), fleet.wait_ready());
+    ready.await.expect("fleet not ready");
+    let runs = Arc::new(AtomicUsize::new(0));
+    for index in 2..fleet.sidecars.len() {
+        let runner = fleet.runner_address(index);
+        let raw = SocketAddr::new(runner.ip(), 7400);
+        net.redirect(runner, raw);
+        let mut listener = net.bind(raw).await.unwrap();
+        let (net, runs) = (net.clone(), runs.clone());
+        tokio::spawn(async move {
+            while let Ok(mut stream) = listener.accept().await {
+                let count = stream.read(&mut [0; 4096]).await.unwrap_or_default();
+                if count == 0 {
+                    continue;
+                }
+                let is_first = runs.fetch_add(1, Ordering::Relaxed) == 0;
+                let answer = chunked(HEAD, BODIES[usize::from(!is_first)]);
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                if !is_first {
+                    continue;
+                }
+                drop(stream);
+                match stop {
+                    Stop::Lingers(time) => {
+                        tokio::time::sleep(time).await;
+                        return;
+                    }
+                    Stop::Returns(time) => {
+                        drop(listener);
+                        tokio::time::sleep(time).await;
+                        listener = net.bind(raw).await.unwrap();
+                    }
+                }
+            }
+        });
+    }
+    (Bench { net, fleet }, runs)
+}
+
+// Guards against half of an answer that passes as whole because its service stops a little
+// behind it, and against a second run of the call.
+#[tokio::test(start_paused = true)]
+async fn an_answer_of_a_service_that_stops_soon_behind_it_is_not_whole_and_runs_once() {
+    let mut whole = Vec::new();
+    for stop in [
+        Stop::Lingers(Duration::ZERO),
+        Stop::Lingers(Duration::from_millis(10)),
+        Stop::Returns(Duration::from_millis(30)),
+    ] {
+        for plain_runners in [1, 2] {
+            for is_keyed in [false, true] {
+                let (bench, runs) = start_stopping(plain_runners, stop).await;
+                let key = if is_keyed {
+                    bench.issue_key().await
+                } else {
+                    String::new()
+                };
+                let case = format!("{stop:?}, {plain_runners} runners, key {is_keyed}");
+                let (code, _, body) = bench.reserve(Method::POST, &key).await;
+                let is_lost = body.is_none() || code.map(Code::class) == Some(Class::Unknown);
+                if !is_lost {
+                    whole.push(format!("{case}: {code:?}, {body:?}"));
+                }
+                if is_keyed {
+                    let again = bench.reserve(Method::POST, &key).await;
+                    if again.0 != Some(Code::KeyUnknown) {
+                        whole.push(format!("{case}, again: {again:?}"));
+                    }
+                }
+                tokio::time::sleep(Duration::from_secs(10)).await;
+                let runs = runs.load(Ordering::Relaxed);
+                if runs != 1 {
+                    whole.push(format!("{case}: {runs} runs"));
+                }
+            }
+        }
+    }
+    assert!(whole.is_empty(), "{}", whole.join("\n"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idempotent_call_whose_service_stops_behind_half_is_cut_or_runs_elsewhere() {
+    for plain_runners in [1, 2] {
+        let stop = Stop::Lingers(Duration::ZERO);
+        let (bench, runs) = start_stopping(plain_runners, stop).await;
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = "/services/orders/read".parse().unwrap();
+        let client = Client::new(bench.net.clone(), bench.fleet.entries[0].address());
+        let answer = client.send(request).await.unwrap();
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok();
+        let body = body.map(|body| body.to_bytes());
+        let runs = runs.load(Ordering::Relaxed);
+        let is_whole = status == 200 && body.is_some();
+        assert!(
+            !is_whole || body.as_deref() == Some(b"whole"),
+            "{plain_runners} runners: {body:?}"
+        );
+        assert_eq!(
+            runs,
+            if is_whole { 2 } else { 1 },
+            "{plain_runners} runners"
+        );
+    }
+}
+
+// Guards against ends that are held back while their service evidently serves on.
+#[tokio::test(start_paused = true)]
+async fn the_end_of_a_sound_answer_in_chunks_follows_its_last_byte() {
+    for (head, body) in [(STREAM, EVENTS), (HEAD, "whole")] {
+        let bench = Bench::start(chunked(head, body), false).await;
+        let begun_at = Instant::now();
+        let got = bench.reserve(Method::POST, "").await;
+        let took = begun_at.elapsed();
+        assert_eq!(got, (None, false, Some(body.into())));
+        assert!(took < MAX_END_DELAY, "{body:?}: {took:?}");
+    }
+}
