Take an engine that does not tell its start for one that serves

The engines of that test answer 404 to a report, which counted as silence, so each end was forsaken. An engine whose reports cannot be read would have lost all of its streams. Whoever answers serves; only a start that differs tells of another process. The test is as it was.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -394,8 +394,8 @@
     }
 
     /// Reads an answer completely, so that a truncated one is never forwarded as
-    /// complete. Returns `None` if it is truncated, too large or of another form, or if the answers that are being read take too much memory.
-    /// Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
+    /// complete. Returns `None` if it is truncated, too large or of another form, or if the
+    /// answers that are being read take too much memory. Each counts as a lost run of a request that was sent at `sent_at`. So does the end of a
     /// stream that only its connection marks, without a failure of its endpoint. An end that is
     /// stated at the endpoint's deadline is none, and no lost run either. An end that chunks state
     /// counts only if the endpoint outlives it.
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -54,12 +54,11 @@
             Err(Error::Broken(_)) => return Sign::Resetting,
             Err(_) => return Sign::Silent,
         };
-        match self.dialect.parse_report(answer.body()) {
-            Some(report) if report.started_ms.unwrap_or_default() == endpoint.started_ms => {
-                Sign::Serving
-            }
-            Some(_) => Sign::Restarted,
-            None => Sign::Silent,
+        let report = self.dialect.parse_report(answer.body());
+        match report.and_then(|report| report.started_ms) {
+            Some(started_ms) if started_ms != endpoint.started_ms => Sign::Restarted,
+            // An engine that does not tell its start serves all the same.
+            _ => Sign::Serving,
         }
     }
 }
