Count what an endpoint runs at a prefill call as a run

A stream in answer to a prefill call is a run now: it counts against the attempts, and the request is no longer refused as not run. A prefill that fails or is lost counts as well, but for the first, as the first reading is no attempt; beyond that the request is refused with the new code prefill_failed, as it has not run. `calls` tells what became of each prefill: read, ran, failed, lost, not run.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use http::{response, Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -137,6 +138,8 @@
     current: Option<EndpointKey>,
     /// Number of endpoints that may have run the request.
     run_count: u32,
+    /// Number of endpoints that accepted to read the prompt and did not.
+    lost_prefills: u32,
     /// Sends to endpoints so far.
     sends: Sends,
     /// Endpoints that the request is not sent to again.
@@ -320,6 +323,45 @@
     pool.choose_prefiller(now, scope, engine, need, decode, &mut rand::rng())
 }
 
+/// What became of a request to read a prompt.
+enum Reading {
+    /// The endpoint keeps the KV cache under a handle.
+    Handle(CompactString),
+    /// The endpoint ran the request, as it does if no event is left to generate.
+    Stream,
+    /// The endpoint answered with an error or without a handle.
+    Failed,
+    /// There is no whole answer.
+    Lost,
+    /// The endpoint read nothing.
+    NotRun,
+}
+
+impl Reading {
+    /// Returns what an answer without an error means, `None` if it is not whole.
+    fn of_document<D: Dialect>(dialect: &D, answer: Option<(response::Parts, Chunks)>) -> Self {
+        let Some((head, body)) = answer else {
+            return Self::Lost;
+        };
+        if exchange::is_stream(&head) {
+            return Self::Stream;
+        }
+        let handle = dialect.parse_kv_handle(&body.to_bytes());
+        handle.map_or(Self::Failed, Self::Handle)
+    }
+
+    /// Returns the name in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Handle(_) => "read",
+            Self::Stream => "ran",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+            Self::NotRun => "not run",
+        }
+    }
+}
+
 /// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
 /// if another endpoint should be tried.
 async fn run_prefill<N: Net, C: Clock, D: Dialect>(
@@ -373,25 +415,37 @@
             matches!(&outcome, Outcome::Answer(answer) if answer.response.status().is_success());
         progress.sends.record_prefill(is_read);
     }
-    let handle = match outcome {
+    let reading = match outcome {
         Outcome::Answer(answer) if answer.response.status().is_success() => {
             let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Document);
-            answer
-                .await
-                .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body.to_bytes()))
+            Reading::of_document(&shared.dialect, answer.await)
         }
-        _ => None,
+        Outcome::Answer(_) => Reading::Failed,
+        Outcome::Lost => Reading::Lost,
+        Outcome::NotRun | Outcome::NotSent | Outcome::NotPermitted => Reading::NotRun,
     };
     let now = shared.clock.now();
     let took = now.saturating_duration_since(started_at);
-    let Some(handle) = handle else {
-        call.record.add_call("prefill", &endpoint.id, "failed");
-        progress.excluded.push(key);
-        return Ok(None);
+    call.record
+        .add_call("prefill", &endpoint.id, reading.name());
+    let handle = match reading {
+        Reading::Handle(handle) => handle,
+        Reading::Stream => {
+            progress.may_have_run = true;
+            retry_after_loss(call, progress, key)?;
+            return Ok(None);
+        }
+        Reading::Failed | Reading::Lost => {
+            retry_after_lost_prefill(call, progress, key)?;
+            return Ok(None);
+        }
+        Reading::NotRun => {
+            progress.excluded.push(key);
+            return Ok(None);
+        }
     };
     in_flight.finish_prefill(expected, took);
     reservation.record_remote_prefill(took);
-    call.record.add_call("prefill", &endpoint.id, "read");
     let valid_until = now + engine.cache_ttl;
     let cache = Cache::new(in_flight, endpoint, handle, valid_until);
     Ok(Some(cache))
@@ -538,6 +592,25 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
+/// Excludes an endpoint that did not read the prompt, so that another one may be tried. The
+/// first loss is free, as the first reading is no attempt.
+///
+/// # Errors
+///
+/// Returns [`Code::PrefillFailed`] if the attempts of the route are used up.
+fn retry_after_lost_prefill<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &mut Progress,
+    key: EndpointKey,
+) -> Result<(), Refusal> {
+    progress.excluded.push(key);
+    progress.lost_prefills += 1;
+    if progress.lost_prefills + progress.run_count > call.route.max_attempts {
+        return Err(Refusal::new(Code::PrefillFailed));
+    }
+    Ok(())
+}
+
 /// Returns whether another endpoint may run or resume the request, or check its end.
 fn is_retry_allowed<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -488,7 +488,10 @@
     async fn run(self, request: Request<Bytes>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let is_prefill = text("serving-stage") == Some("prefill");
+        let last_event = text("last-event-id").and_then(|id| id.parse::<u32>().ok());
+        // Behind the last event nothing is left to read the prompt for, so the request runs.
+        let is_ended = last_event.is_some_and(|event| event >= self.settings.stream_events);
+        let is_prefill = text("serving-stage") == Some("prefill") && !is_ended;
         let fault = self.next_fault(!is_prefill && text("last-event-id").is_some());
         let expected = text("expect-instance").is_none_or(|id| id == self.settings.id);
         let refused = match fault {
