Check the end of a stream whose next run finds nothing

A caller whose connection broke between the last event and the end never got the end: an engine that has nothing left to generate ends its stream without an event, which the gateway took for a broken run, both for callers that come back and for its own second runs.

An empty stream proves nothing by itself. The next run is therefore asked to repeat the last event and to state the end behind it, as for an unstated end. If the caller names the last event, the one before it follows from ids that count by one. A call to read a prompt is asked from the same event as the run that follows it, or it would be answered with the end again.

--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -123,7 +123,7 @@
     /// Reservation at the endpoint that the request uses.
     pub reservation_id: Option<&'a str>,
     /// Event after which the answer is to begin, if the request resumes a stream or checks its
-    /// end.
+    /// end. Replaces the one that the caller named.
     pub last_event_id: Option<&'a str>,
 }
 
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -16,10 +16,10 @@
 
 use cranberryridge_policy::answer::deadline::Timing;
 use cranberryridge_policy::answer::numbering::Numbering;
-use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
-use cranberryridge_policy::gateway::member::Phase;
+use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -402,7 +402,7 @@
         remaining_time: call.remaining_time(),
         stage: Stage::Prefill,
         reservation_id: None,
-        last_event_id: None,
+        last_event_id: progress.sequence.asked_id(),
     };
     let length = predict_length(call, engine, need);
     let sent = call.send(key, &endpoint, permit, parameters, length);
@@ -432,7 +432,7 @@
         Reading::Handle(handle) => handle,
         Reading::Stream => {
             progress.may_have_run = true;
-            retry_after_loss(call, progress, key)?;
+            retry_after_empty_run(call, progress, key, &endpoint)?;
             return Ok(None);
         }
         Reading::Failed | Reading::Lost => {
@@ -542,17 +542,27 @@
     } = *answer;
     let (head, mut body) = response.into_parts();
     call.record.framing = Some(timing.framing);
-    let Some(first_chunk) = read_start(call, &head, &mut body).await else {
-        call.record.add_call(stage, &endpoint.id, "broken");
-        let run = LostRun {
-            input: &call.input,
-            key,
-            endpoint: &endpoint,
-            sent_at: started_at,
-            first_event_at: None,
-        };
-        shared.record_lost_run(run).await;
-        return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
+    let start = read_start(call, &head, timing.framing, &mut body).await;
+    let run = LostRun {
+        input: &call.input,
+        key,
+        endpoint: &endpoint,
+        sent_at: started_at,
+        first_event_at: None,
+    };
+    let first_chunk = match start {
+        Start::Event(bytes) => bytes,
+        Start::Empty if progress.sequence.last_id().is_some() => {
+            call.record.add_call(stage, &endpoint.id, "empty");
+            shared.record_empty_run(run).await;
+            return retry_after_empty_run(call, progress, key, &endpoint)
+                .map(|()| Attempt::NotRun(None));
+        }
+        Start::Empty | Start::Broken => {
+            call.record.add_call(stage, &endpoint.id, "broken");
+            shared.record_lost_run(run).await;
+            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
+        }
     };
     let now = shared.clock.now();
     let took = now.saturating_duration_since(started_at);
@@ -611,6 +621,26 @@
     Ok(())
 }
 
+/// Excludes the endpoint of a run that found nothing behind the caller's last event. Where the
+/// event before that is known, the next run checks the end.
+///
+/// # Errors
+///
+/// Returns [`Code::EndpointLost`] if the request may not run again.
+fn retry_after_empty_run<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &mut Progress,
+    key: EndpointKey,
+    endpoint: &Endpoint,
+) -> Result<(), Refusal> {
+    let numbering = call.shared.numberings.get(&call.service, &endpoint.version);
+    progress.sequence.expect(numbering);
+    if !progress.sequence.is_checking() && progress.sequence.begin_check_of_empty_run() {
+        call.shared.metrics.count("stream.end_checked");
+    }
+    retry_after_loss(call, progress, key)
+}
+
 /// Returns whether another endpoint may run or resume the request, or check its end.
 fn is_retry_allowed<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
@@ -636,33 +666,48 @@
         .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
 }
 
-/// Reads a stream until its first event has begun. Returns `None` if the answer is no stream,
-/// or ends or grows too long before that, or if there is no memory for it.
+/// Start of a stream.
+enum Start {
+    /// It has been read until its first event has begun.
+    Event(Bytes),
+    /// Its endpoint states that it ends without an event.
+    Empty,
+    /// The answer is no stream, ends or grows too long before the first event, or there is no
+    /// memory for it.
+    Broken,
+}
+
+/// Reads a stream until its first event has begun.
 async fn read_start<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     head: &response::Parts,
+    framing: Framing,
     body: &mut Incoming,
-) -> Option<Bytes> {
+) -> Start {
     if !exchange::is_stream(head) {
-        return None;
+        return Start::Broken;
     }
     let (mut scanner, mut start) = (Scanner::default(), BytesMut::new());
     let mut memory = call.memory.begin(Purpose::Answer);
     while start.len() <= MAX_EVENT_BYTES {
-        let Chunk::Data(bytes) = next_chunk(body).await else {
-            return None;
+        let bytes = match next_chunk(body).await {
+            Chunk::Data(bytes) => bytes,
+            Chunk::End if framing.states_end() && !scanner.is_inside_event() => {
+                return Start::Empty
+            }
+            Chunk::End | Chunk::Broken => return Start::Broken,
         };
         if !memory.fit(start.len() + bytes.len()) {
             call.report_no_memory("stream.no_memory");
-            return None;
+            return Start::Broken;
         }
         scanner.push(&bytes);
         append(&mut start, &bytes);
         if scanner.has_begun_event() {
-            return Some(start.freeze());
+            return Start::Event(start.freeze());
         }
     }
-    None
+    Start::Broken
 }
 
 /// Result of reading from a body.
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -240,7 +240,7 @@
         remaining_time: call.remaining_time(),
         stage: Stage::Whole,
         reservation_id: None,
-        last_event_id: None,
+        last_event_id: call.record.description.last_event_id.as_deref(),
     };
     progress.may_have_run = true;
     progress.current = Some(key);
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -193,6 +193,19 @@
     /// is known.
     pub(super) async fn record_unstated_end(self: &Arc<Self>, run: LostRun<'_>) {
         self.metrics.count("endpoint.unstated_end");
+        self.probe_end(run).await;
+    }
+
+    /// Records that a run stated its end without an event behind the caller's last one. If the
+    /// endpoint is gone afterwards, the run counts as lost.
+    pub(super) async fn record_empty_run(self: &Arc<Self>, run: LostRun<'_>) {
+        self.metrics.count("endpoint.empty_run");
+        self.probe_end(run).await;
+    }
+
+    /// Asks whether an endpoint has outlived the end of a run, which counts as lost if it has not.
+    /// If the request may have crashed an endpoint before, waits until that is known.
+    async fn probe_end(self: &Arc<Self>, run: LostRun<'_>) {
         let (shared, input, endpoint) = (self.clone(), run.input.clone(), run.endpoint.clone());
         let (key, sent_at, first_event_at) = (run.key, run.sent_at, run.first_event_at);
         let probe = tokio::spawn(async move {
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -13,7 +13,7 @@
 //! is an end that an endpoint states at the deadline that it was sent, as it stops work then, nor
 //! one that it does not outlive.
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 
 use self::numbering::{Finding, Ids, Numbering};
 use self::survival::Watch;
@@ -425,6 +425,45 @@
         self.has_run_event = false;
     }
 
+    /// Begins a run that checks whether the stream ends behind its last event, as a run found
+    /// nothing there. Returns `false`, and leaves the sequence as it is, if the event before the
+    /// last one is unknown.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::numbering::{Ids, Numbering};
+    /// use cranberryridge_policy::answer::{Conclusion, Event, Framing, Place, Proof, Sequence};
+    /// let mut sequence = Sequence::after("5");
+    /// assert!(!sequence.begin_check_of_empty_run());
+    /// let mut numbering = Numbering::default();
+    /// (0..8).for_each(|_| numbering.record(Ids { first: 1, is_regular: true, count: 5 }));
+    /// sequence.expect(numbering);
+    /// assert!(sequence.begin_check_of_empty_run());
+    /// assert_eq!(sequence.asked_id(), Some("4"));
+    /// assert_eq!(sequence.admit(Event { id: Some("5") }), Ok(Place::Repeated));
+    /// let end = sequence.conclude(Framing::Chunks, false);
+    /// assert_eq!(end, Conclusion::Complete(Proof::Repeated));
+    /// ```
+    pub fn begin_check_of_empty_run(&mut self) -> bool {
+        if self.has_unnumbered {
+            return false;
+        }
+        // The caller named the last event, and has those before it from another answer.
+        if self.previous_id.is_none() && self.ids.is_none() {
+            let Some(first) = self.expected_first_id else {
+                return false;
+            };
+            let last = self.last_id().and_then(|id| id.parse::<u64>().ok());
+            let Some(last) = last.filter(|last| *last >= first) else {
+                return false;
+            };
+            self.previous_id = (last > first).then(|| (last - 1).to_compact_string());
+        }
+        self.begin_check();
+        true
+    }
+
     /// Adds the next event of the current run, unless the caller has it.
     ///
     /// # Errors
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -733,6 +733,10 @@
                     return;
                 }
             }
+            if fault == Some(Fault::BreakBehindLast) {
+                // The last event is read before the connection breaks.
+                return tokio::time::sleep(settings.event_interval).await;
+            }
             // A caller that has gone needs no end.
             let _ = sender.send(Piece::End).await;
         });
--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -17,6 +17,8 @@
     /// Breaks the answer off after this many events, in the middle of the next
     /// one.
     Break(u32),
+    /// Breaks a stream off after its last event.
+    BreakBehindLast,
     /// Answers without a length or chunks, and ends with the connection.
     Unframed,
     /// As [`Fault::Unframed`], but ends a stream after this many events, in the
