Refuse requests beside limits at once without a scheduler

Such a host chooses an engine itself, and asked for a permit without waiting, for one engine after the other, each time one might be due; the scheduler's queue took them first, so it polled until the caller's deadline (ten refused permits in `calls`).

If all decode engines that may serve the request have named a limit, a host without an assignment now asks for a permit of any of them, waits up to 0.4 s from the request's arrival in the scheduler's queue as a plain call does, and refuses with the time of the next permit. A stream that has begun waits as long as its caller.

--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -27,6 +27,9 @@
 /// that some was freed.
 const POLLING_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest wait for a permit of a request without a scheduler's assignment, from its arrival.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+
 /// Timeout of a reservation at an endpoint. It covers several round trips
 /// between failure domains.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -237,6 +240,9 @@
         let waited = shared.clock.now().saturating_duration_since(begun_at);
         call.check_version(&progress.excluded, waited)?;
         refuse_if_all_rest(call)?;
+        if let Some(reservation) = acquire_with_permit(call, engine, need, progress).await? {
+            return Ok(reservation);
+        }
         while position.as_ref().is_none_or(Position::is_next) {
             let Some(key) = choose_decoder(call, engine, need, progress) else {
                 break;
@@ -260,6 +266,42 @@
     }
 }
 
+/// Reserves capacity for which all decode endpoints need a permit. A stream that has begun waits for
+/// one as long as its caller. Returns `None` if an endpoint needs none, or refuses.
+///
+/// # Errors
+///
+/// Returns a refusal if no permit is due in time.
+async fn acquire_with_permit<N: Net, C: Clock, D: Dialect>(
+    call: &mut Call<N, C, D>,
+    engine: Engine,
+    need: Need,
+    progress: &Progress,
+) -> Result<Option<Reservation<N, C, D>>, Refusal> {
+    let now = call.shared.clock.now();
+    let scope = call.scope(&progress.excluded);
+    let keys = call
+        .shared
+        .pool()
+        .limited_decoders(now, scope, engine, need);
+    let Some(keys) = keys else {
+        return Ok(None);
+    };
+    let deadline = first_event_deadline(call);
+    let waits_until = if progress.has_begun {
+        deadline
+    } else {
+        deadline.min(call.record.arrival + MAX_PERMIT_WAIT)
+    };
+    let patience = waits_until.saturating_duration_since(now);
+    let permit = schedule::request_permit(call, &keys, patience).await;
+    let permit = permit.map_err(|delay| {
+        call.record.add_call("permit", "all", "refused");
+        Refusal::at_earliest(Code::Full, delay)
+    })?;
+    Ok(reserve(call, engine, need, permit.endpoint, Some(permit)).await)
+}
+
 /// Chooses the endpoint that generates the answer.
 fn choose_decoder<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
--- a/crates/policy/src/gateway/place.rs
+++ b/crates/policy/src/gateway/place.rs
@@ -165,6 +165,32 @@
         self.choose_least(now, scope, fits, rank, random)
     }
 
+    /// Returns the decode endpoints with room for a model request, if all decode endpoints that
+    /// may generate its answer have named a limit. `None` if one of them needs no permit, or none
+    /// has room.
+    pub fn limited_decoders(
+        &self,
+        now: Instant,
+        scope: Scope<'_>,
+        engine: Engine,
+        need: Need,
+    ) -> Option<Vec<EndpointKey>> {
+        let mut keys = self.candidates(now, scope);
+        let state = |key: &EndpointKey| self.get(*key);
+        keys.retain(|key| {
+            state(key).is_some_and(|state| {
+                state.endpoint.phase != Some(Phase::Prefill)
+                    && !state.is_moving(now)
+                    && state.endpoint.has_version(scope.version)
+            })
+        });
+        if keys.iter().any(|key| !self.is_limited(*key)) {
+            return None;
+        }
+        keys.retain(|key| state(key).is_some_and(|state| self.has_room(now, state, engine, need)));
+        (!keys.is_empty()).then_some(keys)
+    }
+
     /// Chooses the endpoint that reads the prompt for a decode endpoint, which takes KV
     /// caches only of its own software version. Returns `None` if no endpoint can.
     pub fn choose_prefiller<R: Rng>(
