Ask engines with a limit for a connection only behind an end

A look behind an end is a request for the engine's report, which no permit covers: an engine that named 10 requests a second got 77 in 4 s, reports among them, where 65 are allowed. Whether reports count against the limit is not stated, so they have to.

At an engine that has named a limit a look asks for a connection, as at a plain service. The new test failed before with 77 and holds; the tests of ends at stops pass.

--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -34,9 +34,10 @@
         }
     }
 
-    /// Asks an endpoint for a connection, and an engine for its start.
+    /// Asks an endpoint for a connection, and an engine for its start. The latter is a request, so
+    /// engines that have named a limit are not asked.
     pub(super) async fn look(&self, key: EndpointKey, endpoint: &Endpoint) -> Sign {
-        if endpoint.phase.is_none() {
+        if endpoint.phase.is_none() || self.pool().is_limited(key) {
             return match self.refuses_connections(endpoint).await {
                 Some(true) => Sign::Refusing,
                 Some(false) => Sign::Serving,
