Pay for the sends behind a prefill that ran the request

What an engine ran in answer to a call to read a prompt is the first run of its request, so the calls behind it are repeats. Found by reading; the budget took the run for a prompt that was read, and let the next call through unpaid.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -432,6 +432,7 @@
         Reading::Handle(handle) => handle,
         Reading::Stream => {
             progress.may_have_run = true;
+            progress.sends.record();
             retry_after_empty_run(call, progress, key, &endpoint)?;
             return Ok(None);
         }
