--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -9,16 +9,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use http::{response, Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use cranberryridge_policy::answer::deadline::Timing;
 use cranberryridge_policy::answer::numbering::Numbering;
-use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
-use cranberryridge_policy::gateway::member::Phase;
+use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::{Need, Prefiller};
 use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
@@ -137,6 +138,8 @@
     current: Option<EndpointKey>,
     /// Number of endpoints that may have run the request.
     run_count: u32,
+    /// Number of endpoints that accepted to read the prompt and did not.
+    lost_prefills: u32,
     /// Sends to endpoints so far.
     sends: Sends,
     /// Endpoints that the request is not sent to again.
@@ -320,6 +323,45 @@
     pool.choose_prefiller(now, scope, engine, need, decode, &mut rand::rng())
 }
 
+/// What became of a request to read a prompt.
+enum Reading {
+    /// The endpoint keeps the KV cache under a handle.
+    Handle(CompactString),
+    /// The endpoint ran the request, as it does if no event is left to generate.
+    Stream,
+    /// The endpoint answered with an error or without a handle.
+    Failed,
+    /// There is no whole answer.
+    Lost,
+    /// The endpoint read nothing.
+    NotRun,
+}
+
+impl Reading {
+    /// Returns what an answer without an error means, `None` if it is not whole.
+    fn of_document<D: Dialect>(dialect: &D, answer: Option<(response::Parts, Chunks)>) -> Self {
+        let Some((head, body)) = answer else {
+            return Self::Lost;
+        };
+        if exchange::is_stream(&head) {
+            return Self::Stream;
+        }
+        let handle = dialect.parse_kv_handle(&body.to_bytes());
+        handle.map_or(Self::Failed, Self::Handle)
+    }
+
+    /// Returns the name in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Handle(_) => "read",
+            Self::Stream => "ran",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+            Self::NotRun => "not run",
+        }
+    }
+}
+
 /// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
 /// if another endpoint should be tried.
 async fn run_prefill<N: Net, C: Clock, D: Dialect>(
@@ -360,7 +402,7 @@
         remaining_time: call.remaining_time(),
         stage: Stage::Prefill,
         reservation_id: None,
-        last_event_id: None,
+        last_event_id: progress.sequence.asked_id(),
     };
     let length = predict_length(call, engine, need);
     let sent = call.send(key, &endpoint, permit, parameters, length);
@@ -373,25 +415,38 @@
             matches!(&outcome, Outcome::Answer(answer) if answer.response.status().is_success());
         progress.sends.record_prefill(is_read);
     }
-    let handle = match outcome {
+    let reading = match outcome {
         Outcome::Answer(answer) if answer.response.status().is_success() => {
             let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Document);
-            answer
-                .await
-                .and_then(|(_, body)| shared.dialect.parse_kv_handle(&body.to_bytes()))
+            Reading::of_document(&shared.dialect, answer.await)
         }
-        _ => None,
+        Outcome::Answer(_) => Reading::Failed,
+        Outcome::Lost => Reading::Lost,
+        Outcome::NotRun | Outcome::NotSent | Outcome::NotPermitted => Reading::NotRun,
     };
     let now = shared.clock.now();
     let took = now.saturating_duration_since(started_at);
-    let Some(handle) = handle else {
-        call.record.add_call("prefill", &endpoint.id, "failed");
-        progress.excluded.push(key);
-        return Ok(None);
+    call.record
+        .add_call("prefill", &endpoint.id, reading.name());
+    let handle = match reading {
+        Reading::Handle(handle) => handle,
+        Reading::Stream => {
+            progress.may_have_run = true;
+            progress.sends.record();
+            retry_after_empty_run(call, progress, key, &endpoint)?;
+            return Ok(None);
+        }
+        Reading::Failed | Reading::Lost => {
+            retry_after_lost_prefill(call, progress, key)?;
+            return Ok(None);
+        }
+        Reading::NotRun => {
+            progress.excluded.push(key);
+            return Ok(None);
+        }
     };
     in_flight.finish_prefill(expected, took);
     reservation.record_remote_prefill(took);
-    call.record.add_call("prefill", &endpoint.id, "read");
     let valid_until = now + engine.cache_ttl;
     let cache = Cache::new(in_flight, endpoint, handle, valid_until);
     Ok(Some(cache))
@@ -488,17 +543,27 @@
     } = *answer;
     let (head, mut body) = response.into_parts();
     call.record.framing = Some(timing.framing);
-    let Some(first_chunk) = read_start(call, &head, &mut body).await else {
-        call.record.add_call(stage, &endpoint.id, "broken");
-        let run = LostRun {
-            input: &call.input,
-            key,
-            endpoint: &endpoint,
-            sent_at: started_at,
-            first_event_at: None,
-        };
-        shared.record_lost_run(run).await;
-        return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
+    let start = read_start(call, &head, timing.framing, &mut body).await;
+    let run = LostRun {
+        input: &call.input,
+        key,
+        endpoint: &endpoint,
+        sent_at: started_at,
+        first_event_at: None,
+    };
+    let first_chunk = match start {
+        Start::Event(bytes) => bytes,
+        Start::Empty if progress.sequence.last_id().is_some() => {
+            call.record.add_call(stage, &endpoint.id, "empty");
+            shared.record_empty_run(run).await;
+            return retry_after_empty_run(call, progress, key, &endpoint)
+                .map(|()| Attempt::NotRun(None));
+        }
+        Start::Empty | Start::Broken => {
+            call.record.add_call(stage, &endpoint.id, "broken");
+            shared.record_lost_run(run).await;
+            return retry_after_loss(call, progress, key).map(|()| Attempt::NotRun(None));
+        }
     };
     let now = shared.clock.now();
     let took = now.saturating_duration_since(started_at);
@@ -538,6 +603,45 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
+/// Excludes an endpoint that did not read the prompt, so that another one may be tried. The
+/// first loss is free, as the first reading is no attempt.
+///
+/// # Errors
+///
+/// Returns [`Code::PrefillFailed`] if the attempts of the route are used up.
+fn retry_after_lost_prefill<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &mut Progress,
+    key: EndpointKey,
+) -> Result<(), Refusal> {
+    progress.excluded.push(key);
+    progress.lost_prefills += 1;
+    if progress.lost_prefills + progress.run_count > call.route.max_attempts {
+        return Err(Refusal::new(Code::PrefillFailed));
+    }
+    Ok(())
+}
+
+/// Excludes the endpoint of a run that found nothing behind the caller's last event. Where the
+/// event before that is known, the next run checks the end.
+///
+/// # Errors
+///
+/// Returns [`Code::EndpointLost`] if the request may not run again.
+fn retry_after_empty_run<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &mut Progress,
+    key: EndpointKey,
+    endpoint: &Endpoint,
+) -> Result<(), Refusal> {
+    let numbering = call.shared.numberings.get(&call.service, &endpoint.version);
+    progress.sequence.expect(numbering);
+    if !progress.sequence.is_checking() && progress.sequence.begin_check_of_empty_run() {
+        call.shared.metrics.count("stream.end_checked");
+    }
+    retry_after_loss(call, progress, key)
+}
+
 /// Returns whether another endpoint may run or resume the request, or check its end.
 fn is_retry_allowed<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
@@ -563,33 +667,48 @@
         .any(|state| state.endpoint.phase != Some(Phase::Prefill) && call.may_use(&state.endpoint))
 }
 
-/// Reads a stream until its first event has begun. Returns `None` if the answer is no stream,
-/// or ends or grows too long before that, or if there is no memory for it.
+/// Start of a stream.
+enum Start {
+    /// It has been read until its first event has begun.
+    Event(Bytes),
+    /// Its endpoint states that it ends without an event.
+    Empty,
+    /// The answer is no stream, ends or grows too long before the first event, or there is no
+    /// memory for it.
+    Broken,
+}
+
+/// Reads a stream until its first event has begun.
 async fn read_start<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
     head: &response::Parts,
+    framing: Framing,
     body: &mut Incoming,
-) -> Option<Bytes> {
+) -> Start {
     if !exchange::is_stream(head) {
-        return None;
+        return Start::Broken;
     }
     let (mut scanner, mut start) = (Scanner::default(), BytesMut::new());
     let mut memory = call.memory.begin(Purpose::Answer);
     while start.len() <= MAX_EVENT_BYTES {
-        let Chunk::Data(bytes) = next_chunk(body).await else {
-            return None;
+        let bytes = match next_chunk(body).await {
+            Chunk::Data(bytes) => bytes,
+            Chunk::End if framing.states_end() && !scanner.is_inside_event() => {
+                return Start::Empty
+            }
+            Chunk::End | Chunk::Broken => return Start::Broken,
         };
         if !memory.fit(start.len() + bytes.len()) {
             call.report_no_memory("stream.no_memory");
-            return None;
+            return Start::Broken;
         }
         scanner.push(&bytes);
         append(&mut start, &bytes);
         if scanner.has_begun_event() {
-            return Some(start.freeze());
+            return Start::Event(start.freeze());
         }
     }
-    None
+    Start::Broken
 }
 
 /// Result of reading from a body.
