Mend what the review of ends behind the last event found

Found by reading, by one who had not seen the work: - A run in answer to a prefill counted only if its answer was whole, and an interrupted or lost one was answered 503 as not run. The head tells now, and such a call may run the request from when it is sent if it names a last event. - A continuation at an engine with a limit was joined without a look at its start, as looks ask such engines for a connection only. It asks with a permit now, and is given up without one. - Failing or refused prefills ended the request; the decode engine reads the prompt now once the attempts are used up, so there is no new result code. Refused permits count as well, so that two limited prefill engines are not asked in turn until the deadline. - A request without a scheduler waits 0.4 s from when it looks for capacity, not from its arrival, and for as long as its caller if it may have run. - A check begun by an empty run is not sent to endpoints that state no ends. - The answer keeps the head of its first run, the empty one.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use http::{response, Method, Response};
+use http::{response, Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -35,7 +35,7 @@
 use crate::body::{Body, Chunks};
 use crate::client::Held;
 use crate::clock::Clock;
-use crate::events::{append, Scanner, MAX_EVENT_BYTES};
+use crate::events::{self, append, Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
 
 use self::cache::Cache;
@@ -138,8 +138,10 @@
     current: Option<EndpointKey>,
     /// Number of endpoints that may have run the request.
     run_count: u32,
-    /// Number of endpoints that accepted to read the prompt and did not.
-    lost_prefills: u32,
+    /// Number of calls to read the prompt that failed, or got no permit.
+    failed_prefills: u32,
+    /// Head of the first run that found nothing behind the caller's last event.
+    empty_head: Option<response::Parts>,
     /// Sends to endpoints so far.
     sends: Sends,
     /// Endpoints that the request is not sent to again.
@@ -246,6 +248,11 @@
     progress: &mut Progress,
     reservation: &mut Reservation<N, C, D>,
 ) -> Result<Prompt<N, C, D>, Refusal> {
+    // The first prefill is no attempt, further ones are. The decode endpoint reads the prompt once
+    // they are used up.
+    if progress.failed_prefills + progress.run_count > call.route.max_attempts {
+        return Ok(Prompt::Local);
+    }
     let prefiller = reservation
         .prefiller
         .or_else(|| choose_prefiller(call, engine, need, progress, reservation.key));
@@ -328,7 +335,7 @@
     /// The endpoint keeps the KV cache under a handle.
     Handle(CompactString),
     /// The endpoint ran the request, as it does if no event is left to generate.
-    Stream,
+    Stream(Box<exchange::Answer>),
     /// The endpoint answered with an error or without a handle.
     Failed,
     /// There is no whole answer.
@@ -340,12 +347,9 @@
 impl Reading {
     /// Returns what an answer without an error means, `None` if it is not whole.
     fn of_document<D: Dialect>(dialect: &D, answer: Option<(response::Parts, Chunks)>) -> Self {
-        let Some((head, body)) = answer else {
+        let Some((_, body)) = answer else {
             return Self::Lost;
         };
-        if exchange::is_stream(&head) {
-            return Self::Stream;
-        }
         let handle = dialect.parse_kv_handle(&body.to_bytes());
         handle.map_or(Self::Failed, Self::Handle)
     }
@@ -354,7 +358,7 @@
     fn name(&self) -> &'static str {
         match self {
             Self::Handle(_) => "read",
-            Self::Stream => "ran",
+            Self::Stream(_) => "ran",
             Self::Failed => "failed",
             Self::Lost => "lost",
             Self::NotRun => "not run",
@@ -362,6 +366,12 @@
     }
 }
 
+/// Returns whether the answer to a call to read a prompt is the stream of a run.
+fn is_stream(answer: &exchange::Answer) -> bool {
+    let response = &answer.response;
+    response.status() == StatusCode::OK && events::is_event_stream(response.headers())
+}
+
 /// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
 /// if another endpoint should be tried.
 async fn run_prefill<N: Net, C: Clock, D: Dialect>(
@@ -376,6 +386,7 @@
     let shared = Arc::clone(&call.shared);
     let given = reservation.prefill_permit.take();
     let Ok(permit) = call.ensure_permit(key, given, MAX_PERMIT_WAIT).await else {
+        progress.failed_prefills += 1;
         return Ok(None);
     };
     let started_at = shared.clock.now();
@@ -405,9 +416,13 @@
         last_event_id: progress.sequence.asked_id(),
     };
     let length = predict_length(call, engine, need);
+    let may_have_run_before = progress.may_have_run;
+    // If nothing is left to generate, the endpoint runs the request.
+    progress.may_have_run |= parameters.last_event_id.is_some();
     let sent = call.send(key, &endpoint, permit, parameters, length);
     let outcome = sent.await;
     if matches!(outcome, Outcome::NotPermitted) {
+        progress.may_have_run = may_have_run_before;
         return Ok(None);
     }
     if !matches!(outcome, Outcome::NotSent) {
@@ -416,6 +431,7 @@
         progress.sends.record_prefill(is_read);
     }
     let reading = match outcome {
+        Outcome::Answer(answer) if is_stream(&answer) => Reading::Stream(answer),
         Outcome::Answer(answer) if answer.response.status().is_success() => {
             let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Document);
             Reading::of_document(&shared.dialect, answer.await)
@@ -430,21 +446,28 @@
         .add_call("prefill", &endpoint.id, reading.name());
     let handle = match reading {
         Reading::Handle(handle) => handle,
-        Reading::Stream => {
+        Reading::Stream(answer) => {
             progress.may_have_run = true;
             progress.sends.record();
-            retry_after_empty_run(call, progress, key, &endpoint)?;
+            let (head, _) = answer.response.into_parts();
+            retry_after_empty_run(call, progress, key, &endpoint, head)?;
             return Ok(None);
         }
+        Reading::Lost if progress.may_have_run && call.route.kind != Kind::ResumableStream => {
+            return Err(Refusal::new(Code::EndpointLost));
+        }
         Reading::Failed | Reading::Lost => {
-            retry_after_lost_prefill(call, progress, key)?;
+            progress.excluded.push(key);
+            progress.failed_prefills += 1;
             return Ok(None);
         }
         Reading::NotRun => {
+            progress.may_have_run = may_have_run_before;
             progress.excluded.push(key);
             return Ok(None);
         }
     };
+    progress.may_have_run = may_have_run_before;
     in_flight.finish_prefill(expected, took);
     reservation.record_remote_prefill(took);
     let valid_until = now + engine.cache_ttl;
@@ -556,7 +579,7 @@
         Start::Empty if progress.sequence.last_id().is_some() => {
             call.record.add_call(stage, &endpoint.id, "empty");
             shared.record_empty_run(run).await;
-            return retry_after_empty_run(call, progress, key, &endpoint)
+            return retry_after_empty_run(call, progress, key, &endpoint, head)
                 .map(|()| Attempt::NotRun(None));
         }
         Start::Empty | Start::Broken => {
@@ -603,27 +626,9 @@
     Err(Refusal::new(Code::EndpointLost))
 }
 
-/// Excludes an endpoint that did not read the prompt, so that another one may be tried. The
-/// first loss is free, as the first reading is no attempt.
-///
-/// # Errors
-///
-/// Returns [`Code::PrefillFailed`] if the attempts of the route are used up.
-fn retry_after_lost_prefill<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
-    progress: &mut Progress,
-    key: EndpointKey,
-) -> Result<(), Refusal> {
-    progress.excluded.push(key);
-    progress.lost_prefills += 1;
-    if progress.lost_prefills + progress.run_count > call.route.max_attempts {
-        return Err(Refusal::new(Code::PrefillFailed));
-    }
-    Ok(())
-}
-
-/// Excludes the endpoint of a run that found nothing behind the caller's last event. Where the
-/// event before that is known, the next run checks the end.
+/// Excludes the endpoint of a run that found nothing behind the caller's last event, or answered a
+/// call to read the prompt. Where the event before the last one is known, the next run checks the
+/// end; an endpoint that is known not to state ends is not asked.
 ///
 /// # Errors
 ///
@@ -633,15 +638,31 @@
     progress: &mut Progress,
     key: EndpointKey,
     endpoint: &Endpoint,
+    head: response::Parts,
 ) -> Result<(), Refusal> {
+    progress.empty_head.get_or_insert(head);
     let numbering = call.shared.numberings.get(&call.service, &endpoint.version);
     progress.sequence.expect(numbering);
     if !progress.sequence.is_checking() && progress.sequence.begin_check_of_empty_run() {
-        call.shared.metrics.count("stream.end_checked");
+        let unable = find_unable(call, progress);
+        progress.excluded.extend(unable);
     }
     retry_after_loss(call, progress, key)
 }
 
+/// Returns the endpoints that are not asked to check an end, without those that have run the
+/// request.
+fn find_unable<N: Net, C: Clock, D: Dialect>(
+    call: &Call<N, C, D>,
+    progress: &Progress,
+) -> Vec<EndpointKey> {
+    let now = call.shared.clock.now();
+    let pool = call.shared.pool();
+    let keys = pool.unable_to_check(now, &call.service);
+    keys.filter(|key| !progress.excluded.contains(key))
+        .collect()
+}
+
 /// Returns whether another endpoint may run or resume the request, or check its end.
 fn is_retry_allowed<N: Net, C: Clock, D: Dialect>(
     call: &Call<N, C, D>,
--- a/crates/lib/src/gateway/generate/join.rs
+++ b/crates/lib/src/gateway/generate/join.rs
@@ -8,7 +8,7 @@
 use cranberryridge_policy::gateway::route::{Engine, Kind};
 use cranberryridge_wire::code::Code;
 
-use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run};
+use super::{is_retry_allowed, next_chunk, retry_after_loss, start_run, MAX_PERMIT_WAIT};
 use super::{Answer, Chunk, Progress, Reservation, Run};
 use crate::clock::Clock;
 use crate::events::{append, Splitter};
@@ -52,6 +52,11 @@
         };
         progress.current = None;
         if fit == Fit::Sound {
+            // An answer keeps the head of its first run.
+            if let Some(head) = progress.empty_head.take().filter(|_| !progress.has_begun) {
+                call.shared.metrics.count("stream.end_checked");
+                run.head = head;
+            }
             return Ok(Answer::Stream(run));
         }
         abandon(call, progress, *run, fit).await?;
@@ -72,17 +77,21 @@
 /// started again under its id. A run that begins a stream matters only if the stream may go on
 /// elsewhere, and a host whose list is fresh need not ask.
 async fn is_at_unlisted_start<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
+    call: &mut Call<N, C, D>,
     run: &Run<N, C, D>,
     is_continuation: bool,
 ) -> bool {
-    let shared = &call.shared;
     let may_go_on = call.route.kind == Kind::ResumableStream;
-    if !is_continuation && (!may_go_on || shared.has_fresh_list()) {
+    if !is_continuation && (!may_go_on || call.shared.has_fresh_list()) {
         return false;
     }
     let Reservation { key, endpoint, .. } = &run.reservation;
-    shared.look(*key, endpoint).await == Sign::Restarted
+    let permit = call.ensure_permit(*key, None, MAX_PERMIT_WAIT).await;
+    if permit.is_err() {
+        // The start cannot be asked for, and another version must not go on with a stream.
+        return is_continuation;
+    }
+    call.shared.look(*key, endpoint).await == Sign::Restarted
 }
 
 /// Gives up a run that must not make up the stream. One that does not go on with it counts as lost.
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -11,10 +11,11 @@
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
-use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::Engine;
 
-use super::{is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Reservation, Run};
+use super::{
+    find_unable, is_retry_allowed, join, next_chunk, Answer, Chunk, Progress, Reservation, Run,
+};
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::events::Splitter;
@@ -193,19 +194,6 @@
     run
 }
 
-/// Returns the endpoints that are not asked to check an end, without those that have run the
-/// request.
-fn find_unable<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
-    progress: &Progress,
-) -> Vec<EndpointKey> {
-    let now = call.shared.clock.now();
-    let pool = call.shared.pool();
-    let keys = pool.unable_to_check(now, &call.service);
-    keys.filter(|key| !progress.excluded.contains(key))
-        .collect()
-}
-
 /// Outcome of relaying one run's stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -27,8 +27,8 @@
 /// that some was freed.
 const POLLING_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest wait for a permit of a request without a scheduler's assignment, from its arrival.
-const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait for a permit of a request without a scheduler's assignment.
+const MAX_UNASSIGNED_WAIT: Duration = Duration::from_millis(400);
 
 /// Timeout of a reservation at an endpoint. It covers several round trips
 /// between failure domains.
@@ -240,7 +240,9 @@
         let waited = shared.clock.now().saturating_duration_since(begun_at);
         call.check_version(&progress.excluded, waited)?;
         refuse_if_all_rest(call)?;
-        if let Some(reservation) = acquire_with_permit(call, engine, need, progress).await? {
+        if let Some(reservation) =
+            acquire_with_permit(call, engine, need, progress, begun_at).await?
+        {
             return Ok(reservation);
         }
         while position.as_ref().is_none_or(Position::is_next) {
@@ -266,8 +268,8 @@
     }
 }
 
-/// Reserves capacity for which all decode endpoints need a permit. A stream that has begun waits for
-/// one as long as its caller. Returns `None` if an endpoint needs none, or refuses.
+/// Reserves capacity for which all decode endpoints need a permit. A request that may have run waits
+/// for one as long as its caller. Returns `None` if an endpoint needs none, or refuses.
 ///
 /// # Errors
 ///
@@ -277,6 +279,7 @@
     engine: Engine,
     need: Need,
     progress: &Progress,
+    begun_at: Instant,
 ) -> Result<Option<Reservation<N, C, D>>, Refusal> {
     let now = call.shared.clock.now();
     let scope = call.scope(&progress.excluded);
@@ -288,10 +291,10 @@
         return Ok(None);
     };
     let deadline = first_event_deadline(call);
-    let waits_until = if progress.has_begun {
+    let waits_until = if progress.may_have_run {
         deadline
     } else {
-        deadline.min(call.record.arrival + MAX_PERMIT_WAIT)
+        deadline.min(begun_at + MAX_UNASSIGNED_WAIT)
     };
     let patience = waits_until.saturating_duration_since(now);
     let permit = schedule::request_permit(call, &keys, patience).await;
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -22,6 +22,8 @@
         connection: &Held<B>,
     ) -> Watch {
         let mut watch = Watch::default();
+        // A report is a request, for which there is no permit.
+        let is_limited = self.pool().is_limited(key);
         loop {
             let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
             let may_be_stopping = is_leaving || connection.is_closed();
@@ -29,20 +31,28 @@
                 return watch;
             };
             tokio::time::sleep(delay).await;
-            let sign = self.look(key, endpoint).await;
+            let sign = if is_limited {
+                self.look_at_listener(endpoint).await
+            } else {
+                self.look(key, endpoint).await
+            };
             watch.record(sign, !connection.is_closed());
         }
     }
 
-    /// Asks an endpoint for a connection, and an engine for its start. The latter is a request, so
-    /// engines that have named a limit are not asked.
+    /// Asks an endpoint for a connection.
+    async fn look_at_listener(&self, endpoint: &Endpoint) -> Sign {
+        match self.refuses_connections(endpoint).await {
+            Some(true) => Sign::Refusing,
+            Some(false) => Sign::Serving,
+            None => Sign::Silent,
+        }
+    }
+
+    /// Asks an endpoint for a connection, and an engine for its start.
     pub(super) async fn look(&self, key: EndpointKey, endpoint: &Endpoint) -> Sign {
-        if endpoint.phase.is_none() || self.pool().is_limited(key) {
-            return match self.refuses_connections(endpoint).await {
-                Some(true) => Sign::Refusing,
-                Some(false) => Sign::Serving,
-                None => Sign::Silent,
-            };
+        if endpoint.phase.is_none() {
+            return self.look_at_listener(endpoint).await;
         }
         let request = self.dialect.report_request(endpoint.address);
         let limit = self.settings.call_timeout;
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -109,8 +109,6 @@
     OriginUnknown = 1116, 503, "origin_unknown";
     /// No endpoint of the route's service has the software version that began the stream.
     VersionGone = 1117, 503, "version_gone";
-    /// The endpoints that were to read the prompt failed, and no attempt is left.
-    PrefillFailed = 1118, 503, "prefill_failed";
     /// The endpoint failed while it ran the request.
     EndpointFailed = 2001, 502, "endpoint_failed";
     /// The request ran past its deadline.
