Ask engines with a limit for no report behind broken runs

An engine that had named 10 requests a second got 77 in 4 s, where 65 are allowed: behind each stream that only its connection ended, and each run that was lost, hosts asked it for its report, which no permit covers. Callers beside it are refused by the engine for that.

Cause: bounded the looks behind ends that chunks state; outlives and the investigation of lost runs ask for the start by themselves. An engine with a limit is now asked for a connection only behind an unstated end. Behind a lost run it counts as unknown whether it has crashed, so the prompt is kept until the list tells, at the price of that wait.

--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -178,7 +178,9 @@
             let Some(lost) = lost.filter(|lost| is_listed && !lost.parts.is_empty()) else {
                 return;
             };
-            if !shared.is_still_running(key, &endpoint).await {
+            // The report is a request, so an engine that has named a limit is not asked.
+            let is_limited = shared.pool().is_limited(key);
+            if is_limited || !shared.is_still_running(key, &endpoint).await {
                 shared.keep_lost_prompt(lost);
             }
         });
@@ -303,11 +305,11 @@
 
     /// Returns whether an endpoint accepts connections after the end of its answer, and is the
     /// start that gave it if it is an engine. If not, it may have crashed in the middle of the
-    /// answer.
+    /// answer. An engine that has named a limit is not asked for its start, as that is a request.
     async fn outlives(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
         let is_up = client::outlives_answer(&self.net, endpoint.address, CONNECT_TIMEOUT).await;
-        let is_up =
-            is_up && (endpoint.phase.is_none() || self.is_still_running(key, endpoint).await);
+        let is_asked = endpoint.phase.is_some() && !self.pool().is_limited(key);
+        let is_up = is_up && (!is_asked || self.is_still_running(key, endpoint).await);
         if !is_up {
             self.metrics.count("endpoint.gone_at_end");
             slog::info!(self.logger, "gateway: endpoint is gone after an answer without a length";
