--- a/crates/standin/src/runner/fault.rs
+++ b/crates/standin/src/runner/fault.rs
@@ -64,6 +64,15 @@
     StopWithProcess(u32),
     /// As [`Fault::StopAtDeadline`], but sends its answer with a length once it stops.
     SizedAtDeadline(u32),
+    /// Preempts a run after this many events: sends nothing for the second number of
+    /// milliseconds, then goes on.
+    Preempt(u32, u64),
+    /// After this many events, sends the last one once more and goes on.
+    Repeat(u32),
+    /// After this many events, sends all events of the run once more and goes on.
+    Reread(u32),
+    /// Ends a stream in order after this many events. The engine serves on.
+    EndEarly(u32),
 }
 
 impl Fault {
