--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -5,7 +5,8 @@
 //! `all`. `DAYS_GATEWAY` is the path of another gateway, `DAYS_SEED` the seed of what is drawn,
 //! and `DAYS_VERBOSE` prints each wrong stream with the events that overlap it. Engines end their
 //! streams in order as they stop; with `DAYS_STOPS` as `drains` only those that drain do, and with
-//! `close` none does. Without `DAYS_SITE`, a short day of this repository is played. Kinds that
+//! `close` none does. `DAYS_VERSIONS` as `mixed` begins the days with two software versions of the
+//! engines. Without `DAYS_SITE`, a short day of this repository is played. Kinds that
 //! are not played are printed.
 //!
 //! Beside the kinds of site files, days may have `lossy` with `how` as `store` or `engines` (links
@@ -154,7 +155,7 @@
         has_links: true,
         has_engine_links: day.events.iter().any(|event| event.kind == "lossy"),
         other_engines: plan.other_engines,
-        versions: Versions::One,
+        versions: Versions::parse(&std::env::var("DAYS_VERSIONS").unwrap_or_default()),
         kept_id_share: Some(plan.kept_id_share),
     };
     let site = Site::start(subnet, deployment, &ledger).await;
@@ -298,6 +299,8 @@
     ledger: &Ledger,
 ) -> usize {
     let mut forms = BTreeMap::<(Form, bool), usize>::new();
+    let closing_at = begun_at + plan.length;
+    let mut wrong_at_closing = 0;
     let [mut whole, mut tried_again, mut joined, mut cut, mut refused, mut followed] = [0; 6];
     for Outcome { stream, ended_at } in outcomes {
         tried_again += usize::from(stream.ends.len() > 1);
@@ -313,6 +316,8 @@
             continue;
         };
         *forms.entry((form, stream.may_resume)).or_default() += 1;
+        let is_open_at_closing = stream.begun_at < closing_at && *ended_at > closing_at;
+        wrong_at_closing += usize::from(is_open_at_closing);
         if std::env::var("DAYS_VERBOSE").is_ok() {
             let overlaps = day.events.iter().filter(|event| {
                 let from = begun_at + event.at;
@@ -339,7 +344,7 @@
     println!(
         "days: {} {}: {} streams, {whole} whole, {tried_again} tried again, \
          {joined} of several runs, {cut} cut, {refused} refused, {wrong} wrong {forms:?}, \
-         {followed} with bytes behind the end",
+         {wrong_at_closing} of them open at the closing, {followed} with bytes behind the end",
         plan.name,
         day.name,
         outcomes.len(),
