gateway: refuse streams of split routes that their callers do not name

A caller that takes a stream up with Last-Event-Id alone names no stream. On a route that several services share, the service was drawn anew, and the version was asked for at that one, so that callers got events of two services.

No host can know which service began such a stream, so it is refused at once as origin_unknown, and `calls` says that it was not named. Streams that callers name go on as before.

--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -302,6 +302,12 @@
             return Ok(());
         }
         self.shared.metrics.count("stream.taken_up");
+        if self.stream.is_none() && self.route.is_split() {
+            // Nobody can tell which of the services began a stream that is not named.
+            self.record.add_call("origin", &self.service, "not named");
+            let retry_after = LOST_ORIGIN_RETRY_AFTER;
+            return Err(Refusal::with_retry_after(Code::OriginUnknown, retry_after));
+        }
         let version = self.find_origin().await?;
         self.record.add_call("origin", &version, "known");
         self.version = Some(version);
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -241,4 +241,33 @@
         }
         None
     }
+
+    /// Returns whether several services share the route's requests.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cranberryridge_policy::gateway::route::{Kind, Route, Target};
+    /// let target = |service: &str, weight| Target { service: service.into(), weight };
+    /// let mut route = Route {
+    ///     name: "quotes".into(),
+    ///     host: "desk.example".into(),
+    ///     path_prefix: "/".into(),
+    ///     kind: Kind::ResumableStream,
+    ///     max_attempts: 2,
+    ///     timeout: Duration::from_secs(14),
+    ///     latency_target: Duration::from_secs(1),
+    ///     max_event_gap: Duration::from_millis(300),
+    ///     priority: 1,
+    ///     targets: vec![target("model", 90), target("other", 0)],
+    /// };
+    /// assert!(!route.is_split());
+    /// route.targets[1].weight = 10;
+    /// assert!(route.is_split());
+    /// ```
+    pub fn is_split(&self) -> bool {
+        let weighted = self.targets.iter().filter(|target| target.weight > 0);
+        weighted.count() > 1
+    }
 }
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -105,7 +105,8 @@
     Settled = 1114, 409, "settled";
     /// The idempotency key was used before with another request.
     KeyMismatch = 1115, 422, "key_mismatch";
-    /// It is not known which software version began the stream; it may only be begun anew.
+    /// It is not known which service or software version began the stream; it may only be begun
+    /// anew.
     OriginUnknown = 1116, 503, "origin_unknown";
     /// No endpoint of the route's service has the software version that began the stream.
     VersionGone = 1117, 503, "version_gone";
