--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::uri::PathAndQuery;
-use http::{header, request, response, HeaderValue, Method, Request, Response, StatusCode};
+use http::{
+    header, request, response, HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
+};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -158,6 +160,13 @@
     pub timing: Timing,
 }
 
+impl Answer {
+    /// Returns whether its body is a stream.
+    pub fn is_stream(&self) -> bool {
+        is_stream(self.response.status(), self.response.headers())
+    }
+}
+
 /// What an answer that is read whole has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -518,7 +527,7 @@
         body.iter().for_each(|chunk| splitter.push(chunk));
         let batch = splitter.take_events(&mut sequence);
         let disorder = batch.and_then(|batch| batch.disorder);
-        if !is_stream(head) || disorder.is_some() {
+        if !is_stream(head.status, &head.headers) || disorder.is_some() {
             if disorder == Some(Disorder::Gap) {
                 self.shared.record_gap(&self.service, version);
             }
@@ -546,9 +555,9 @@
     !is_cut && end.completes_body(body.size() == 0, false)
 }
 
-/// Returns whether the head of an answer is that of a stream.
-pub fn is_stream(head: &response::Parts) -> bool {
-    head.status == StatusCode::OK && events::is_event_stream(&head.headers)
+/// Returns whether an answer with this head is a stream.
+pub fn is_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::OK && events::is_event_stream(headers)
 }
 
 /// Makes a control call to an endpoint. Returns `None` if no answer came within
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -9,8 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use compact_str::CompactString;
-use http::{response, Method, Response, StatusCode};
+use http::{response, Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -21,13 +20,13 @@
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::memory::Purpose;
-use cranberryridge_policy::gateway::place::{Need, Prefiller};
-use cranberryridge_policy::gateway::pool::{EndpointKey, Work};
+use cranberryridge_policy::gateway::place::Need;
+use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::{Engine, Kind};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::{Dialect, Parameters, Stage};
-use super::exchange::{self, Form, InFlight, Outcome};
+use super::exchange::{self, Form, Outcome};
 use super::parts::unless_barred;
 use super::refusal::Refusal;
 use super::serve::Call;
@@ -35,14 +34,16 @@
 use crate::body::{Body, Chunks};
 use crate::client::Held;
 use crate::clock::Clock;
-use crate::events::{self, append, Scanner, MAX_EVENT_BYTES};
+use crate::events::{append, Scanner, MAX_EVENT_BYTES};
 use crate::net::Net;
 
 use self::cache::Cache;
+use self::prefill::{read_prompt, Prompt};
 use self::reservation::Reservation;
 
 mod cache;
 mod join;
+mod prefill;
 mod relay;
 mod reservation;
 
@@ -110,16 +111,6 @@
     Failure(response::Parts, Chunks),
 }
 
-/// Where a prompt has been read.
-enum Prompt<N: Net, C: Clock, D: Dialect> {
-    /// Nowhere: the endpoint failed, and another one should be tried.
-    Unread,
-    /// The decode endpoint will read it.
-    Local,
-    /// A prefill endpoint has read it and keeps its KV cache.
-    Remote(Cache<N, C, D>),
-}
-
 /// Outcome of sending a request to the endpoint that generates the answer.
 enum Attempt<N: Net, C: Clock, D: Dialect> {
     /// The endpoint answered.
@@ -239,45 +230,6 @@
     }
 }
 
-/// Has the prompt read at a prefill endpoint, unless the decode endpoint of the
-/// reservation reads it.
-async fn read_prompt<N: Net, C: Clock, D: Dialect>(
-    call: &mut Call<N, C, D>,
-    engine: Engine,
-    need: Need,
-    progress: &mut Progress,
-    reservation: &mut Reservation<N, C, D>,
-) -> Result<Prompt<N, C, D>, Refusal> {
-    // The first prefill is no attempt, further ones are. The decode endpoint reads the prompt once
-    // they are used up.
-    if progress.failed_prefills + progress.run_count > call.route.max_attempts {
-        return Ok(Prompt::Local);
-    }
-    let prefiller = reservation
-        .prefiller
-        .or_else(|| choose_prefiller(call, engine, need, progress, reservation.key));
-    let Some(prefiller) = prefiller else {
-        return Err(Refusal::new(Code::NoEndpoint));
-    };
-    let Prefiller::Remote {
-        prefill,
-        prefill_time,
-    } = prefiller
-    else {
-        return Ok(Prompt::Local);
-    };
-    let cache = run_prefill(
-        call,
-        engine,
-        need,
-        progress,
-        reservation,
-        prefill,
-        prefill_time,
-    );
-    Ok(cache.await?.map_or(Prompt::Unread, Prompt::Remote))
-}
-
 /// Predicts the duration of the stream from now on. Returns `None` if it has begun, as it is
 /// then resumed even if the host may exit before its end.
 fn predict_length<N: Net, C: Clock, D: Dialect>(
@@ -316,165 +268,6 @@
     call.deadline.min(call.record.arrival + timeout)
 }
 
-/// Chooses the endpoint that reads the prompt.
-fn choose_prefiller<N: Net, C: Clock, D: Dialect>(
-    call: &Call<N, C, D>,
-    engine: Engine,
-    need: Need,
-    progress: &Progress,
-    decode: EndpointKey,
-) -> Option<Prefiller> {
-    let scope = call.scope(&progress.excluded);
-    let now = call.shared.clock.now();
-    let pool = call.shared.pool();
-    pool.choose_prefiller(now, scope, engine, need, decode, &mut rand::rng())
-}
-
-/// What became of a request to read a prompt.
-enum Reading {
-    /// The endpoint keeps the KV cache under a handle.
-    Handle(CompactString),
-    /// The endpoint ran the request, as it does if no event is left to generate.
-    Stream(Box<exchange::Answer>),
-    /// The endpoint answered with an error or without a handle.
-    Failed,
-    /// There is no whole answer.
-    Lost,
-    /// The endpoint read nothing.
-    NotRun,
-}
-
-impl Reading {
-    /// Returns what an answer without an error means, `None` if it is not whole.
-    fn of_document<D: Dialect>(dialect: &D, answer: Option<(response::Parts, Chunks)>) -> Self {
-        let Some((_, body)) = answer else {
-            return Self::Lost;
-        };
-        let handle = dialect.parse_kv_handle(&body.to_bytes());
-        handle.map_or(Self::Failed, Self::Handle)
-    }
-
-    /// Returns the name in logs.
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Handle(_) => "read",
-            Self::Stream(_) => "ran",
-            Self::Failed => "failed",
-            Self::Lost => "lost",
-            Self::NotRun => "not run",
-        }
-    }
-}
-
-/// Returns whether the answer to a call to read a prompt is the stream of a run.
-fn is_stream(answer: &exchange::Answer) -> bool {
-    let response = &answer.response;
-    response.status() == StatusCode::OK && events::is_event_stream(response.headers())
-}
-
-/// Sends the prompt to a prefill endpoint and returns its KV cache, or `None`
-/// if another endpoint should be tried.
-async fn run_prefill<N: Net, C: Clock, D: Dialect>(
-    call: &mut Call<N, C, D>,
-    engine: Engine,
-    need: Need,
-    progress: &mut Progress,
-    reservation: &mut Reservation<N, C, D>,
-    key: EndpointKey,
-    expected: Duration,
-) -> Result<Option<Cache<N, C, D>>, Refusal> {
-    let shared = Arc::clone(&call.shared);
-    let given = reservation.prefill_permit.take();
-    let Ok(permit) = call.ensure_permit(key, given, MAX_PERMIT_WAIT).await else {
-        progress.failed_prefills += 1;
-        return Ok(None);
-    };
-    let started_at = shared.clock.now();
-    let Some(endpoint) = shared.active_endpoint(started_at, key) else {
-        return Ok(None);
-    };
-    if endpoint.version != reservation.endpoint.version {
-        call.record
-            .add_call("prefill", &endpoint.id, "other version");
-        progress.excluded.push(key);
-        return Ok(None);
-    }
-    if !shared.pay_send(started_at, &call.service, &mut progress.sends) {
-        return Err(Refusal::new(Code::RetryBudget));
-    }
-    let work = Work {
-        endpoint: key,
-        prefill_tokens: need.prompt_tokens,
-        kv_tokens: need.prompt_tokens,
-    };
-    let mut in_flight = InFlight::new(&shared, work);
-    let parameters = Parameters {
-        endpoint_id: &endpoint.id,
-        remaining_time: call.remaining_time(),
-        stage: Stage::Prefill,
-        reservation_id: None,
-        last_event_id: progress.sequence.asked_id(),
-    };
-    let length = predict_length(call, engine, need);
-    let may_have_run_before = progress.may_have_run;
-    // If nothing is left to generate, the endpoint runs the request.
-    progress.may_have_run |= parameters.last_event_id.is_some();
-    let sent = call.send(key, &endpoint, permit, parameters, length);
-    let outcome = sent.await;
-    if matches!(outcome, Outcome::NotPermitted) {
-        progress.may_have_run = may_have_run_before;
-        return Ok(None);
-    }
-    if !matches!(outcome, Outcome::NotSent) {
-        let is_read =
-            matches!(&outcome, Outcome::Answer(answer) if answer.response.status().is_success());
-        progress.sends.record_prefill(is_read);
-    }
-    let reading = match outcome {
-        Outcome::Answer(answer) if is_stream(&answer) => Reading::Stream(answer),
-        Outcome::Answer(answer) if answer.response.status().is_success() => {
-            let answer = call.read_answer(key, &endpoint, started_at, answer, Form::Document);
-            Reading::of_document(&shared.dialect, answer.await)
-        }
-        Outcome::Answer(_) => Reading::Failed,
-        Outcome::Lost => Reading::Lost,
-        Outcome::NotRun | Outcome::NotSent | Outcome::NotPermitted => Reading::NotRun,
-    };
-    let now = shared.clock.now();
-    let took = now.saturating_duration_since(started_at);
-    call.record
-        .add_call("prefill", &endpoint.id, reading.name());
-    let handle = match reading {
-        Reading::Handle(handle) => handle,
-        Reading::Stream(answer) => {
-            progress.may_have_run = true;
-            progress.sends.record();
-            let (head, _) = answer.response.into_parts();
-            retry_after_empty_run(call, progress, key, &endpoint, head)?;
-            return Ok(None);
-        }
-        Reading::Lost if progress.may_have_run && call.route.kind != Kind::ResumableStream => {
-            return Err(Refusal::new(Code::EndpointLost));
-        }
-        Reading::Failed | Reading::Lost => {
-            progress.excluded.push(key);
-            progress.failed_prefills += 1;
-            return Ok(None);
-        }
-        Reading::NotRun => {
-            progress.may_have_run = may_have_run_before;
-            progress.excluded.push(key);
-            return Ok(None);
-        }
-    };
-    progress.may_have_run = may_have_run_before;
-    in_flight.finish_prefill(expected, took);
-    reservation.record_remote_prefill(took);
-    let valid_until = now + engine.cache_ttl;
-    let cache = Cache::new(in_flight, endpoint, handle, valid_until);
-    Ok(Some(cache))
-}
-
 /// Sends the request to the endpoint that generates the answer and waits for the
 /// first bytes.
 async fn start_generation<N: Net, C: Clock, D: Dialect>(
@@ -706,7 +499,7 @@
     framing: Framing,
     body: &mut Incoming,
 ) -> Start {
-    if !exchange::is_stream(head) {
+    if !exchange::is_stream(head.status, &head.headers) {
         return Start::Broken;
     }
     let (mut scanner, mut start) = (Scanner::default(), BytesMut::new());
