gateway: wait for a silent endpoint that alone can confirm an end

The silence of an endpoint says nothing of its answer, and is no reason to end that sooner.

Where the request may run again, another endpoint tells sooner, so three looks are enough as before.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -444,7 +444,9 @@
                         &endpoint.version,
                     );
                     if matches!(end, Conclusion::Complete(_)) && timing.framing == Framing::Chunks {
-                        let watch = shared.watch_end(key, endpoint, &connection).await;
+                        let wait_until = self.end_deadline();
+                        let watch = shared.watch_end(key, endpoint, &connection, wait_until);
+                        let watch = watch.await;
                         self.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
@@ -482,7 +484,9 @@
                             is_endpoint_up: true,
                         }
                     } else {
-                        let end = shared.observe_end(timing.framing, key, endpoint, &connection);
+                        let (framing, wait_until) = (timing.framing, self.end_deadline());
+                        let end =
+                            shared.observe_end(framing, key, endpoint, &connection, wait_until);
                         end.await
                     };
                     if is_complete(&head, &body, end) {
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -338,10 +338,11 @@
                     run.reservation.complete();
                     if run.timing.framing == Framing::Chunks {
                         let Reservation { key, endpoint, .. } = &run.reservation;
+                        let wait_until = call.end_deadline();
                         // A caller that has disconnected after the last event needs no end, but
                         // what the run tells of its endpoint counts.
                         let watch = tokio::select! {
-                            watch = shared.watch_end(*key, endpoint, &run.connection) => watch,
+                            watch = shared.watch_end(*key, endpoint, &run.connection, wait_until) => watch,
                             () = exit.as_mut() => return Outcome::Stopped,
                         };
                         call.record.sign = watch.last_sign();
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -23,7 +23,7 @@
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
-use cranberryridge_policy::gateway::route::{Limits, Route};
+use cranberryridge_policy::gateway::route::{Kind, Limits, Route};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
@@ -196,6 +196,20 @@
         last_id.map_or_else(Sequence::default, Sequence::after)
     }
 
+    /// Returns until when a silent endpoint is waited for that alone can tell whether the end of its
+    /// answer is true. `None` if the request may run again elsewhere. The route's timeout does not
+    /// end a stream that has begun.
+    pub fn end_deadline(&self) -> Option<Instant> {
+        match self.route.kind {
+            Kind::Idempotent | Kind::ResumableStream => None,
+            Kind::Single => Some(self.deadline),
+            Kind::Stream => {
+                let timeout = self.record.description.timeout;
+                Some(self.record.arrival + timeout.unwrap_or(self.route.timeout))
+            }
+        }
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -1,6 +1,7 @@
 //! Looks at endpoints after the ends of answers that they stated.
 
 use std::io;
+use std::time::Instant;
 
 use cranberryridge_policy::answer::survival::{Sign, Watch};
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -14,12 +15,14 @@
 
 impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
     /// Looks at an endpoint until it is known whether it has outlived the end of an answer that
-    /// arrived on a connection. Returns what it showed at last.
+    /// arrived on a connection. One that is silent is waited for until a time, or given up after a
+    /// few looks if that is `None`. Returns what it showed at last.
     pub(super) async fn watch_end<B>(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
         connection: &Held<B>,
+        wait_until: Option<Instant>,
     ) -> Watch {
         let mut watch = Watch::default();
         // A report is a request, for which there is no permit.
@@ -27,7 +30,10 @@
         loop {
             let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
             let may_be_stopping = is_leaving || connection.is_closed();
-            let Some(delay) = watch.next_look(may_be_stopping) else {
+            let now = self.clock.now();
+            let patience = wait_until.map(|until| until.saturating_duration_since(now));
+            let patience = patience.unwrap_or_default();
+            let Some(delay) = watch.next_look(may_be_stopping, patience) else {
                 return watch;
             };
             tokio::time::sleep(delay).await;
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -270,17 +270,25 @@
     }
 
     /// Returns how a plain answer with a framing ended that its transport reported as complete.
-    /// Asks the endpoint whether it is up unless a length marked the end.
+    /// Asks the endpoint whether it is up unless a length marked the end; `wait_until` is that of
+    /// [`Shared::watch_end`].
     pub(super) async fn observe_end<B>(
         &self,
         framing: Framing,
         key: EndpointKey,
         endpoint: &Endpoint,
         connection: &Held<B>,
+        wait_until: Option<Instant>,
     ) -> End {
         let is_endpoint_up = match framing {
             Framing::Length => true,
-            Framing::Chunks => self.outlives_chunks(key, endpoint, connection).await,
+            Framing::Chunks => {
+                let watch = self.watch_end(key, endpoint, connection, wait_until).await;
+                if !watch.has_survived() {
+                    self.metrics.count("endpoint.stopped_at_end");
+                }
+                watch.has_survived()
+            }
             Framing::Connection => self.outlives(key, endpoint).await,
         };
         End {
@@ -289,20 +297,6 @@
         }
     }
 
-    /// Returns whether an endpoint outlives an answer that its chunks ended.
-    async fn outlives_chunks<B>(
-        &self,
-        key: EndpointKey,
-        endpoint: &Endpoint,
-        connection: &Held<B>,
-    ) -> bool {
-        let watch = self.watch_end(key, endpoint, connection).await;
-        if !watch.has_survived() {
-            self.metrics.count("endpoint.stopped_at_end");
-        }
-        watch.has_survived()
-    }
-
     /// Returns whether an endpoint accepts connections after the end of its answer, and is the
     /// start that gave it if it is an engine. If not, it may have crashed in the middle of the
     /// answer. An engine that has named a limit is not asked for its start, as that is a request.
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -17,9 +17,13 @@
 /// Time until the next look at an endpoint that did not answer, as its link may lose packets.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Number of looks without an answer after which an endpoint counts as gone.
+/// Number of looks without an answer after which an endpoint counts as gone if another one may
+/// tell what follows.
 const MAX_SILENT_LOOKS: u32 = 3;
 
+/// Time between further looks at an endpoint that alone can tell what follows.
+const PATIENT_DELAY: Duration = Duration::from_millis(400);
+
 /// What an endpoint shows when it is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
@@ -63,10 +67,11 @@
 /// use std::time::Duration;
 /// use cranberryridge_policy::answer::survival::{Sign, Watch};
 /// let mut watch = Watch::default();
-/// let may_be_stopping = false;
-/// assert_eq!(watch.next_look(may_be_stopping), Some(Duration::from_millis(20)));
+/// let (may_be_stopping, patience) = (false, Duration::ZERO);
+/// let delay = watch.next_look(may_be_stopping, patience);
+/// assert_eq!(delay, Some(Duration::from_millis(20)));
 /// watch.record(Sign::Serving, true);
-/// assert_eq!(watch.next_look(may_be_stopping), None);
+/// assert_eq!(watch.next_look(may_be_stopping, patience), None);
 /// assert!(watch.has_survived());
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -79,22 +84,27 @@
 impl Watch {
     /// Returns the time until the next look, or `None` if the looks tell enough. `may_be_stopping`
     /// is whether the endpoint is leaving, or has closed the connection behind its answer.
+    /// `patience` is the time for which a silent endpoint is waited for, zero if another one may
+    /// tell what follows the end.
     ///
     /// # Examples
     ///
     /// ```
+    /// use std::time::Duration;
     /// use cranberryridge_policy::answer::survival::{Sign, Watch};
-    /// let mut watch = Watch::default();
+    /// let (mut watch, patience) = (Watch::default(), Duration::ZERO);
     /// watch.record(Sign::Serving, true);
-    /// assert!(watch.next_look(true).is_some());
+    /// assert!(watch.next_look(true, patience).is_some());
     /// watch.record(Sign::Refusing, false);
-    /// assert!(watch.next_look(true).is_none() && !watch.has_survived());
+    /// assert!(watch.next_look(true, patience).is_none() && !watch.has_survived());
     /// ```
-    pub fn next_look(&self, may_be_stopping: bool) -> Option<Duration> {
+    pub fn next_look(&self, may_be_stopping: bool, patience: Duration) -> Option<Duration> {
         match self.last_sign {
             None => Some(FIRST_LOOK_DELAY),
             Some(Sign::Refusing | Sign::Restarted) => None,
-            Some(Sign::Resetting | Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => None,
+            Some(Sign::Resetting | Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => {
+                (patience > PATIENT_DELAY).then_some(PATIENT_DELAY)
+            }
             Some(Sign::Resetting | Sign::Silent) => Some(RETRY_DELAY),
             Some(Sign::Serving) if may_be_stopping && self.serving_looks < 2 => {
                 Some(LAST_LOOK_DELAY)
--- a/crates/policy/tests/survival.rs
+++ b/crates/policy/tests/survival.rs
@@ -41,13 +41,20 @@
     lossiness: 0.0,
 };
 
-/// Watches an endpoint. Returns the watch and the time that it took.
+/// Watches an endpoint behind an end that others may tell. Returns the watch and the time that it
+/// took.
 fn watch(fate: Fate, random: &mut StdRng) -> (Watch, Duration) {
+    watch_until(Duration::ZERO, fate, random)
+}
+
+/// Watches an endpoint, until a time if it is silent. Returns the watch and the time that it took.
+fn watch_until(deadline: Duration, fate: Fate, random: &mut StdRng) -> (Watch, Duration) {
     let (mut watch, mut now) = (Watch::default(), Duration::ZERO);
     let is_past = |time: Option<Duration>, now| time.is_some_and(|time| time <= now);
     loop {
         let may_be_stopping = fate.is_leaving || is_past(fate.connection_closes, now);
-        let Some(delay) = watch.next_look(may_be_stopping) else {
+        let patience = deadline.saturating_sub(now);
+        let Some(delay) = watch.next_look(may_be_stopping, patience) else {
             return (watch, now);
         };
         now += delay;
@@ -146,3 +153,34 @@
     let (watch, took) = watch(fate, &mut StdRng::seed_from_u64(4));
     assert!(!watch.has_survived() && took <= MAX_DELAY);
 }
+
+// Guards against cuts of whole streams whose engine alone can tell that nothing follows.
+#[test]
+fn an_engine_that_is_silent_is_waited_for_until_the_deadline() {
+    let mut random = StdRng::seed_from_u64(6);
+    let deadline = Duration::from_secs(6);
+    let (mut survived, mut longest) = (0, Duration::ZERO);
+    for _ in 0..PLAYS {
+        let fate = Fate {
+            lossiness: 0.8,
+            ..ALIVE
+        };
+        let (watch, took) = watch_until(deadline, fate, &mut random);
+        survived += usize::from(watch.has_survived());
+        longest = longest.max(took);
+    }
+    // The first three looks and thirteen more are silent with a probability of 0.03.
+    assert!(survived * 100 >= PLAYS * 95, "{survived} of {PLAYS}");
+    assert!(longest <= deadline, "{longest:?}");
+}
+
+#[test]
+fn an_engine_that_is_gone_is_not_waited_for() {
+    let fate = Fate {
+        listener_closes: Some(Duration::ZERO),
+        ..ALIVE
+    };
+    let mut random = StdRng::seed_from_u64(7);
+    let (watch, took) = watch_until(Duration::from_secs(6), fate, &mut random);
+    assert!(!watch.has_survived() && took <= MAX_DELAY);
+}
