Count idle runs before the host of the test is thawed

The signal is sent by a shell, whose end is waited for, so the host may have cleaned up before the runs were counted. They are counted before the signal now; all else is checked as before.

--- a/crates/daemon/tests/hosts.rs
+++ b/crates/daemon/tests/hosts.rs
@@ -143,14 +143,14 @@
     // Requests that arrive in the meantime wait in the sockets of the host.
     start_streams(&mut tasks, &ended, &hosts, "b", 20, 80);
     sleep_until(begun_at + Duration::from_millis(6800)).await;
-    site.signal(0, "CONT");
-    let thawed_at = Instant::now();
     let mut gone = HashSet::new();
     for stream in ended.lock().unwrap().iter() {
         gone.insert(stream.name.clone());
     }
     let is_idle = |run: &Run| run.is_open && gone.contains(&run.stream);
     let before = ledger.runs().iter().filter(|run| is_idle(run)).count();
+    site.signal(0, "CONT");
+    let thawed_at = Instant::now();
     sleep_until(thawed_at + CLEANUP_TIME).await;
     let open = ledger.runs().into_iter().filter(|run| run.is_open);
     let open = open.collect::<Vec<_>>();
