gateway: believe ends of engines that drain and wait for their runs

A trial shows why: an engine that drains refuses connections 1.2 s before its last stream ends, and completes it. So a look that finds a closed listener says nothing of its runs.

A refused connection counts for nothing then, unless the end is near the time that the engine named. An engine that has said nothing is treated as before, so the tests of engines that stop hold unchanged.

Evidence: the_last_stream_of_an_engine_that_drains_is_whole fails without the rule, and a_stream_that_an_engine_ends_at_its_exit_is_not_whole holds the other side.

--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -168,6 +168,10 @@
     pub accepted_orders: u64,
     /// Start time in milliseconds since the Unix epoch, or `None` if it reports none.
     pub started_ms: Option<u64>,
+    /// Whether the engine is draining.
+    pub is_draining: bool,
+    /// Time until the engine exits, or `None` if it names none.
+    pub leaves_in: Option<Duration>,
 }
 
 /// An order that moves an engine to another stage.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -30,6 +30,7 @@
 use super::dialect::{Dialect, Parameters, Stage, Verdict};
 use super::permit::Permit;
 use super::serve::Call;
+use super::survival::Ending;
 use super::suspects::LostRun;
 use super::{held, lock, Shared};
 use crate::body::{Chunks, ReadError};
@@ -422,6 +423,13 @@
             connection,
             timing,
         } = *answer;
+        let ending = Ending {
+            key,
+            endpoint,
+            connection: &connection,
+            wait_until: self.end_deadline(),
+            may_refuse: false,
+        };
         let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, form.max_bytes(), |_| Purpose::Answer).await;
         let expects_stream = form == Form::Stream;
@@ -444,9 +452,7 @@
                         &endpoint.version,
                     );
                     if matches!(end, Conclusion::Complete(_)) && timing.framing == Framing::Chunks {
-                        let wait_until = self.end_deadline();
-                        let watch = shared.watch_end(key, endpoint, &connection, wait_until);
-                        let watch = watch.await;
+                        let watch = shared.watch_end(ending).await;
                         self.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
@@ -484,10 +490,7 @@
                             is_endpoint_up: true,
                         }
                     } else {
-                        let (framing, wait_until) = (timing.framing, self.end_deadline());
-                        let end =
-                            shared.observe_end(framing, key, endpoint, &connection, wait_until);
-                        end.await
+                        shared.observe_end(timing.framing, ending).await
                     };
                     if is_complete(&head, &body, end) {
                         return Some((head, body));
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -21,6 +21,7 @@
 use crate::events::Splitter;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::serve::Call;
+use crate::gateway::survival::Ending;
 use crate::gateway::suspects::LostRun;
 use crate::net::Net;
 use crate::reply::Reply;
@@ -309,6 +310,8 @@
                 return Outcome::Broken;
             }
         }
+        let Reservation { key, endpoint, .. } = &run.reservation;
+        run.departure = shared.departure(*key, endpoint).or(run.departure);
         let waiting_since = shared.clock.moment();
         let next = tokio::select! {
             biased;
@@ -337,12 +340,20 @@
                 if matches!(end, Conclusion::Complete(_)) {
                     run.reservation.complete();
                     if run.timing.framing == Framing::Chunks {
-                        let Reservation { key, endpoint, .. } = &run.reservation;
-                        let wait_until = call.end_deadline();
+                        let now = shared.clock.now();
+                        let departure = run.departure;
+                        let ending = Ending {
+                            key: run.reservation.key,
+                            endpoint: &run.reservation.endpoint,
+                            connection: &run.connection,
+                            wait_until: call.end_deadline(),
+                            may_refuse: departure
+                                .is_some_and(|departure| !departure.may_end_run(now, event_time)),
+                        };
                         // A caller that has disconnected after the last event needs no end, but
                         // what the run tells of its endpoint counts.
                         let watch = tokio::select! {
-                            watch = shared.watch_end(*key, endpoint, &run.connection, wait_until) => watch,
+                            watch = shared.watch_end(ending) => watch,
                             () = exit.as_mut() => return Outcome::Stopped,
                         };
                         call.record.sign = watch.last_sign();
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -1,9 +1,10 @@
 //! Looks at endpoints after the ends of answers that they stated.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Instant;
 
-use cranberryridge_policy::answer::survival::{Sign, Watch};
+use cranberryridge_policy::answer::survival::{Departure, Sign, Watch};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::pool::{EndpointKey, State};
 
@@ -13,27 +14,37 @@
 use crate::clock::Clock;
 use crate::net::Net;
 
+/// End of an answer that its endpoint stated.
+#[derive(Debug)]
+pub(super) struct Ending<'a, B> {
+    /// Key of the endpoint in the pool.
+    pub key: EndpointKey,
+    pub endpoint: &'a Endpoint,
+    /// The connection that the answer arrived on.
+    pub connection: &'a Held<B>,
+    /// Time until which a silent endpoint is waited for. It is given up after a few looks if this
+    /// is `None`.
+    pub wait_until: Option<Instant>,
+    /// Whether the endpoint may refuse connections before it has completed its runs.
+    pub may_refuse: bool,
+}
+
 impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
-    /// Looks at an endpoint until it is known whether it has outlived the end of an answer that
-    /// arrived on a connection. One that is silent is waited for until a time, or given up after a
-    /// few looks if that is `None`. Returns what it showed at last.
-    pub(super) async fn watch_end<B>(
-        &self,
-        key: EndpointKey,
-        endpoint: &Endpoint,
-        connection: &Held<B>,
-        wait_until: Option<Instant>,
-    ) -> Watch {
-        let mut watch = Watch::default();
+    /// Looks at an endpoint until it is known whether it has outlived the end of its answer. Returns
+    /// what it showed at last.
+    pub(super) async fn watch_end<B>(&self, ending: Ending<'_, B>) -> Watch {
+        let Ending { key, endpoint, .. } = ending;
+        let mut watch = Watch::new(ending.may_refuse);
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
         loop {
             let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
-            let may_be_stopping = is_leaving || connection.is_closed();
+            let may_be_stopping = is_leaving || ending.connection.is_closed();
             let now = self.clock.now();
-            let patience = wait_until.map(|until| until.saturating_duration_since(now));
-            let patience = patience.unwrap_or_default();
-            let Some(delay) = watch.next_look(may_be_stopping, patience) else {
+            let patience = ending.wait_until;
+            let patience = patience.map(|until| until.saturating_duration_since(now));
+            let delay = watch.next_look(may_be_stopping, patience.unwrap_or_default());
+            let Some(delay) = delay else {
                 return watch;
             };
             tokio::time::sleep(delay).await;
@@ -42,8 +53,41 @@
             } else {
                 self.look(key, endpoint).await
             };
-            watch.record(sign, !connection.is_closed());
+            watch.record(sign, !ending.connection.is_closed());
+        }
+    }
+
+    /// Returns what an engine says of its exit, if it is leaving. Asks it in the background as long
+    /// as it has not said that it drains.
+    pub(super) fn departure(
+        self: &Arc<Self>,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+    ) -> Option<Departure> {
+        let mut pool = self.pool();
+        let departure = pool.departure(key);
+        if departure.is_none() && pool.begin_departure_question(self.clock.now(), key) {
+            let (shared, endpoint) = (self.clone(), endpoint.clone());
+            tokio::spawn(async move { shared.ask_departure(key, &endpoint).await });
         }
+        departure
+    }
+
+    /// Asks an engine when it exits.
+    async fn ask_departure(&self, key: EndpointKey, endpoint: &Endpoint) {
+        let request = self.dialect.report_request(endpoint.address);
+        let limit = self.settings.call_timeout;
+        let answer = exchange::control(self, key, endpoint.address, request, limit).await;
+        let report = answer.and_then(|answer| self.dialect.parse_report(answer.body()));
+        let report = report.filter(|report| report.started_ms == Some(endpoint.started_ms));
+        let Some(report) = report.filter(|report| report.is_draining) else {
+            return;
+        };
+        let now = self.clock.now();
+        let departure = report
+            .leaves_in
+            .map_or(Departure::AfterRuns, |time| Departure::At(now + time));
+        self.pool().record_departure(key, departure);
     }
 
     /// Asks an endpoint for a connection.
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -20,8 +20,9 @@
 use super::dialect::Dialect;
 use super::exchange::{self, Input, CONNECT_TIMEOUT};
 use super::parts::LostPrompt;
+use super::survival::Ending;
 use super::{lock, Shared};
-use crate::client::{self, Held};
+use crate::client;
 use crate::clock::Clock;
 use crate::net::Net;
 
@@ -270,26 +271,18 @@
     }
 
     /// Returns how a plain answer with a framing ended that its transport reported as complete.
-    /// Asks the endpoint whether it is up unless a length marked the end; `wait_until` is that of
-    /// [`Shared::watch_end`].
-    pub(super) async fn observe_end<B>(
-        &self,
-        framing: Framing,
-        key: EndpointKey,
-        endpoint: &Endpoint,
-        connection: &Held<B>,
-        wait_until: Option<Instant>,
-    ) -> End {
+    /// Asks the endpoint whether it is up unless a length marked the end.
+    pub(super) async fn observe_end<B>(&self, framing: Framing, ending: Ending<'_, B>) -> End {
         let is_endpoint_up = match framing {
             Framing::Length => true,
             Framing::Chunks => {
-                let watch = self.watch_end(key, endpoint, connection, wait_until).await;
+                let watch = self.watch_end(ending).await;
                 if !watch.has_survived() {
                     self.metrics.count("endpoint.stopped_at_end");
                 }
                 watch.has_survived()
             }
-            Framing::Connection => self.outlives(key, endpoint).await,
+            Framing::Connection => self.outlives(ending.key, ending.endpoint).await,
         };
         End {
             framing,
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -4,7 +4,7 @@
 //! not say that nothing follows. An endpoint that serves on behind the end did not state it because
 //! it stopped.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between an end and the first look at its endpoint. The sockets of a process that stops are
 /// closed one after the other, and its listener may be the last.
@@ -24,6 +24,40 @@
 /// Time between further looks at an endpoint that alone can tell what follows.
 const PATIENT_DELAY: Duration = Duration::from_millis(400);
 
+/// Age of what an endpoint says of its exit, at most.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1500);
+
+/// What an endpoint that drains says of its exit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It names no time, as it waits for its runs. Its listener may be closed long before.
+    AfterRuns,
+    /// It exits at this time, whatever it runs.
+    At(Instant),
+}
+
+impl Departure {
+    /// Returns whether an endpoint may end a run now because of its exit. It may stop before an
+    /// event that it cannot complete, which takes `event_time`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::answer::survival::Departure;
+    /// let (now, event_time) = (Instant::now(), Duration::from_millis(300));
+    /// assert!(!Departure::AfterRuns.may_end_run(now, event_time));
+    /// assert!(Departure::At(now).may_end_run(now, event_time));
+    /// assert!(!Departure::At(now + Duration::from_secs(5)).may_end_run(now, event_time));
+    /// ```
+    pub fn may_end_run(self, now: Instant, event_time: Duration) -> bool {
+        match self {
+            Self::AfterRuns => false,
+            Self::At(exit) => now + MAX_REPORT_AGE + event_time >= exit,
+        }
+    }
+}
+
 /// What an endpoint shows when it is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
@@ -76,12 +110,35 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Watch {
+    /// Whether refused connections say nothing, as the endpoint completes its runs behind a closed
+    /// listener.
+    may_refuse: bool,
     last_sign: Option<Sign>,
     serving_looks: u32,
     silent_looks: u32,
 }
 
 impl Watch {
+    /// Begins the looks at an endpoint. `may_refuse` is whether it may refuse connections before it
+    /// has completed its runs ([`Departure`]).
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::{Sign, Watch};
+    /// for may_refuse in [false, true] {
+    ///     let mut watch = Watch::new(may_refuse);
+    ///     watch.record(Sign::Refusing, false);
+    ///     assert_eq!(watch.has_survived(), may_refuse);
+    /// }
+    /// ```
+    pub fn new(may_refuse: bool) -> Self {
+        Self {
+            may_refuse,
+            ..Self::default()
+        }
+    }
+
     /// Returns the time until the next look, or `None` if the looks tell enough. `may_be_stopping`
     /// is whether the endpoint is leaving, or has closed the connection behind its answer.
     /// `patience` is the time for which a silent endpoint is waited for, zero if another one may
@@ -147,6 +204,9 @@
 
     /// Returns whether the endpoint has outlived the end.
     pub fn has_survived(&self) -> bool {
-        self.last_sign == Some(Sign::Serving)
+        match self.last_sign {
+            Some(Sign::Refusing) => self.may_refuse,
+            sign => sign == Some(Sign::Serving),
+        }
     }
 }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -70,6 +70,17 @@
     moved_stage: Arc<Mutex<Option<&'static str>>>,
     /// Whether all KV handles that requests name have lapsed.
     has_lapsed_handles: Arc<AtomicBool>,
+    /// What reports say of the exit of an engine that drains.
+    departure: Arc<Mutex<Option<Departure>>>,
+}
+
+/// When an engine that drains exits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// After its runs.
+    AfterRuns,
+    /// At this time.
+    At(Instant),
 }
 
 /// Settings of an endpoint.
@@ -199,6 +210,7 @@
             restart_count: Arc::default(),
             moved_stage: Arc::default(),
             has_lapsed_handles: Arc::default(),
+            departure: Arc::default(),
         }
     }
 
@@ -249,6 +261,11 @@
         self.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Says in all further reports that the engine drains, and when it exits if that is known.
+    pub fn drain(&self, departure: Departure) {
+        *lock(&self.departure) = Some(departure);
+    }
+
     /// Refuses all further requests and reservations with this value of
     /// `retry-after`, or serves them again if it is `None`.
     pub fn set_rest(&self, retry_after: Option<&str>) {
@@ -429,10 +446,18 @@
             }
             "/-/report" => {
                 let orders = self.order_count();
-                return json(&json!({
+                let mut report = json!({
                     "phase": lock(&self.moved_stage).or(self.settings.phase), "busy": false, "sequence": orders,
                     "born": self.born(),
-                }));
+                });
+                if let Some(departure) = *lock(&self.departure) {
+                    report["state"] = "draining".into();
+                    if let Departure::At(exit) = departure {
+                        let left = exit.saturating_duration_since(Instant::now());
+                        report["leaves_ms"] = (left.as_millis() as u64).into();
+                    }
+                }
+                return json(&report);
             }
             _ => {}
         }
@@ -776,6 +801,9 @@
                     return;
                 }
             }
+            if fault == Some(Fault::StopWithProcess(settings.stream_events)) {
+                crashed.notify_one();
+            }
             if fault == Some(Fault::BreakBehindLast) {
                 // The last event is read before the connection breaks.
                 return tokio::time::sleep(settings.event_interval).await;
