--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -17,6 +17,7 @@
 
 use cranberryridge_policy::gateway::balance::{self, Demand, Moves};
 use cranberryridge_policy::gateway::budget::{self, Budget, Sends};
+use cranberryridge_policy::gateway::departure;
 use cranberryridge_policy::gateway::drain::{Interruption, Length, Stop};
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
@@ -168,6 +169,8 @@
     parts: parts::Registry,
     /// Software versions that began streams.
     origins: Mutex<Registry>,
+    /// What endpoints that leave say of their exit.
+    departures: Mutex<departure::Table>,
     /// How engines number events.
     numberings: numberings::Registry,
     /// Notified when the store lacks a numbering that this host has learned.
@@ -271,6 +274,7 @@
             suspects: Suspects::default(),
             parts: parts::Registry::default(),
             origins: Mutex::default(),
+            departures: Mutex::default(),
             era: watch::Sender::default(),
             hosts,
             demands: watch::Sender::default(),
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -9,7 +9,7 @@
 use cranberryridge_policy::gateway::pool::{EndpointKey, State};
 
 use super::dialect::Dialect;
-use super::{exchange, Shared};
+use super::{exchange, lock, Shared};
 use crate::client::{Error, Held};
 use crate::clock::Clock;
 use crate::net::Net;
@@ -57,16 +57,24 @@
         }
     }
 
-    /// Returns what an engine says of its exit, if it is leaving. Asks it in the background as long
-    /// as it has not said that it drains.
+    /// Returns what an engine says of its exit, if it is leaving or listed no more. Asks it in the
+    /// background as long as it has not said that it drains. One that has named a limit is not
+    /// asked, as a report is a request.
     pub(super) fn departure(
         self: &Arc<Self>,
         key: EndpointKey,
         endpoint: &Endpoint,
     ) -> Option<Departure> {
-        let mut pool = self.pool();
-        let departure = pool.departure(key);
-        if departure.is_none() && pool.begin_departure_question(self.clock.now(), key) {
+        {
+            let pool = self.pool();
+            let is_leaving = pool.get(key).is_none_or(State::is_leaving);
+            if !is_leaving || endpoint.phase.is_none() || pool.is_limited(key) {
+                return None;
+            }
+        }
+        let mut departures = lock(&self.departures);
+        let departure = departures.find(key);
+        if departure.is_none() && departures.begin_question(self.clock.now(), key) {
             let (shared, endpoint) = (self.clone(), endpoint.clone());
             tokio::spawn(async move { shared.ask_departure(key, &endpoint).await });
         }
@@ -87,7 +95,7 @@
         let departure = report
             .leaves_in
             .map_or(Departure::AfterRuns, |time| Departure::At(now + time));
-        self.pool().record_departure(key, departure);
+        lock(&self.departures).record(key, departure);
     }
 
     /// Asks an endpoint for a connection.
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -4,6 +4,7 @@
 pub mod balance;
 pub mod budget;
 pub mod cache;
+pub mod departure;
 pub mod drain;
 pub mod era;
 pub mod limit;
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -13,7 +13,6 @@
 
 use super::member::{Endpoint, Phase};
 use super::route::Engine;
-use crate::answer::survival::Departure;
 
 use self::baseline::{Service, DEFAULT_RUN_TIME, SLOW_WEIGHT};
 use self::state::SLOWDOWN_RANGE;
@@ -124,9 +123,6 @@
 /// Time until an endpoint whose check of an end was useless is asked to check another one.
 const CHECK_RETRY_INTERVAL: Duration = Duration::from_secs(600);
 
-/// Time between two questions to an engine that is leaving, whose reports lag behind.
-const DEPARTURE_QUESTION_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Returns the rest that an endpoint gets when it asks for `seconds`. `None` if
 /// the value is not a time.
 ///
@@ -360,34 +356,6 @@
         }
     }
 
-    /// Returns what an endpoint has said of its exit.
-    pub fn departure(&self, key: EndpointKey) -> Option<Departure> {
-        self.get(key)?.departure
-    }
-
-    /// Records what an endpoint says of its exit.
-    pub fn record_departure(&mut self, key: EndpointKey, departure: Departure) {
-        if let Some(state) = self.states.get_mut(key) {
-            state.departure = Some(departure);
-        }
-    }
-
-    /// Returns whether to ask an engine for its exit now: it is leaving, has not said that it
-    /// drains, was not asked shortly before, and has named no limit, as a report is a request.
-    pub fn begin_departure_question(&mut self, now: Instant, key: EndpointKey) -> bool {
-        let is_limited = self.is_limited(key);
-        let Some(state) = self.states.get_mut(key) else {
-            return false;
-        };
-        let is_due = state.departure_due.is_none_or(|due| due <= now);
-        let is_engine = state.endpoint.phase.is_some();
-        if !is_due || is_limited || !is_engine || !state.is_leaving() {
-            return false;
-        }
-        state.departure_due = Some(now + DEPARTURE_QUESTION_INTERVAL);
-        true
-    }
-
     /// Returns the endpoints of a service that are not asked to check an end, as their last
     /// check was useless.
     ///
--- a/crates/policy/src/gateway/pool/state.rs
+++ b/crates/policy/src/gateway/pool/state.rs
@@ -4,7 +4,6 @@
 
 use super::baseline::Deviation;
 use super::{ServiceKey, Settings};
-use crate::answer::survival::Departure;
 use crate::gateway::limit::Limit;
 use crate::gateway::member::{Endpoint, Phase};
 
@@ -55,10 +54,6 @@
     pub(super) moving: Option<(Phase, Instant)>,
     /// Time from which the endpoint may check ends again. `None` if it may at any time.
     pub(super) check_due: Option<Instant>,
-    /// What the endpoint says of its exit. `None` until it has said that it drains.
-    pub(super) departure: Option<Departure>,
-    /// Time from which it may be asked for that again.
-    pub(super) departure_due: Option<Instant>,
 }
 
 /// Reason why an endpoint did not serve a request.
@@ -99,8 +94,6 @@
             permit_due: None,
             moving: None,
             check_due: None,
-            departure: None,
-            departure_due: None,
         }
     }
 
