gateway: fetch an engine's report in one place

What follows a lost run, the looks at engines that leave and the moves of engines each built, sent and parsed the same request; exchange::fetch_report does it now. A run no longer looks into the pool at each chunk once its engine has said when it exits.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -27,7 +27,7 @@
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure, Work};
 use cranberryridge_wire::id::{Digest, Incarnation};
 
-use super::dialect::{Dialect, Parameters, Stage, Verdict};
+use super::dialect::{Dialect, Parameters, Report, Stage, Verdict};
 use super::permit::Permit;
 use super::serve::Call;
 use super::survival::Ending;
@@ -567,6 +567,17 @@
     status == StatusCode::OK && events::is_event_stream(headers)
 }
 
+/// Asks an engine for its report. Returns `None` if none came in time.
+pub async fn fetch_report<N: Net, C: Clock, D: Dialect>(
+    shared: &Shared<N, C, D>,
+    key: EndpointKey,
+    at: SocketAddr,
+) -> Option<Report> {
+    let request = shared.dialect.report_request(at);
+    let answer = control(shared, key, at, request, shared.settings.call_timeout).await?;
+    shared.dialect.parse_report(answer.body())
+}
+
 /// Makes a control call to an endpoint. Returns `None` if no answer came within
 /// `limit`.
 pub async fn control<N: Net, C: Clock, D: Dialect>(
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -310,8 +310,10 @@
                 return Outcome::Broken;
             }
         }
-        let Reservation { key, endpoint, .. } = &run.reservation;
-        run.departure = shared.departure(*key, endpoint).or(run.departure);
+        if run.departure.is_none() {
+            let Reservation { key, endpoint, .. } = &run.reservation;
+            run.departure = shared.departure(*key, endpoint);
+        }
         let waiting_since = shared.clock.moment();
         let next = tokio::select! {
             biased;
--- a/crates/lib/src/gateway/rebalance.rs
+++ b/crates/lib/src/gateway/rebalance.rs
@@ -163,10 +163,7 @@
     let Some(key) = key else {
         return Outcome::Unavailable;
     };
-    let request = shared.dialect.report_request(at);
-    let report = exchange::control(shared, key, at, request, limit).await;
-    let report = report.and_then(|answer| shared.dialect.parse_report(answer.body()));
-    let Some(report) = report else {
+    let Some(report) = exchange::fetch_report(shared, key, at).await else {
         return Outcome::NoReport;
     };
     if shared.active_endpoint(shared.clock.now(), key).is_none() {
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -83,10 +83,7 @@
 
     /// Asks an engine when it exits.
     async fn ask_departure(&self, key: EndpointKey, endpoint: &Endpoint) {
-        let request = self.dialect.report_request(endpoint.address);
-        let limit = self.settings.call_timeout;
-        let answer = exchange::control(self, key, endpoint.address, request, limit).await;
-        let report = answer.and_then(|answer| self.dialect.parse_report(answer.body()));
+        let report = exchange::fetch_report(self, key, endpoint.address).await;
         let report = report.filter(|report| report.started_ms == Some(endpoint.started_ms));
         let Some(report) = report.filter(|report| report.is_draining) else {
             return;
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -307,10 +307,7 @@
 
     /// Asks an engine when it started. Returns whether it is still the start that is known.
     async fn is_still_running(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
-        let request = self.dialect.report_request(endpoint.address);
-        let limit = self.settings.call_timeout;
-        let answer = exchange::control(self, key, endpoint.address, request, limit).await;
-        let report = answer.and_then(|answer| self.dialect.parse_report(answer.body()));
+        let report = exchange::fetch_report(self, key, endpoint.address).await;
         let started_ms = report.and_then(|report| report.started_ms);
         started_ms == Some(endpoint.started_ms)
     }
--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -11,7 +11,7 @@
 const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for which an endpoint that was asked is remembered, also if it is listed no more.
-const MEMORY: Duration = Duration::from_secs(60);
+const QUESTION_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Endpoints that were asked when they exit.
 ///
@@ -58,7 +58,8 @@
         if !self.endpoints.get(&key).is_none_or(is_due) {
             return false;
         }
-        self.endpoints.retain(|_, question| age(question) < MEMORY);
+        self.endpoints
+            .retain(|_, question| age(question) < QUESTION_LIFETIME);
         let question = Question {
             asked_at: now,
             departure: None,
