gateway: keep keys and quotas of client accounts

Cause: no code read a key, an account or a quota. The key was passed on to endpoints, requests with unknown keys ran, and one account ran 1,766,846 tokens in 8 s where 1,035,267 were allowed.

Change: a request's key names its account, whose name endpoints get in its place; an unknown key is refused with 401. Hosts lend their shares of each quota to one host, the ledger, and draw from it.

--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -159,6 +159,7 @@
 /// Schedules one request from arrival to completion, by the number of engines, a
 /// third of which prefill.
 fn bench_schedule(criterion: &mut Criterion) {
+    use cranberryridge_policy::gateway::account::Urgency;
     use cranberryridge_policy::gateway::{balance, member, place, pool, route, schedule};
     let now = Instant::now();
     let engine = route::Engine {
@@ -198,6 +199,8 @@
                     let ask = schedule::Request {
                         service: "model".into(),
                         domain: "zone-1".into(),
+                        account: "branch".into(),
+                        urgency: Urgency::default(),
                         need: place::Need {
                             prompt_tokens: 3000,
                             output_tokens: 700,
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -25,6 +25,7 @@
 use cranberryridge_policy::gateway::origin::Registry;
 use cranberryridge_policy::gateway::pool::{self, EndpointKey, Failure, Pool};
 use cranberryridge_policy::gateway::queue::Queue;
+use cranberryridge_policy::gateway::quota as quotas;
 use cranberryridge_policy::gateway::roster;
 use cranberryridge_policy::gateway::route::Table;
 use cranberryridge_wire::Map;
@@ -56,6 +57,7 @@
 mod parts;
 mod permit;
 mod plain;
+mod quota;
 mod record;
 mod refusal;
 mod survival;
@@ -114,6 +116,8 @@
     pub pool: pool::Settings,
     /// Parameters of moving engines between stages.
     pub balance: balance::Settings,
+    /// Parameters of the quotas of client accounts.
+    pub quota: quotas::Settings,
 }
 
 impl Default for Settings {
@@ -139,6 +143,7 @@
             roster: roster::Settings::default(),
             pool: pool::Settings::default(),
             balance: balance::Settings::default(),
+            quota: quotas::Settings::default(),
         }
     }
 }
@@ -163,6 +168,8 @@
     pool: Mutex<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<Map<CompactString, Budget>>,
+    /// Units of client accounts' quotas that this host has drawn.
+    quotas: quota::Registry,
     /// Requests that were running when an endpoint crashed.
     suspects: Suspects,
     /// Parts of prompts that were being answered when an endpoint crashed.
@@ -261,6 +268,7 @@
         Arc::new(Self {
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
+            quotas: quota::Registry::new(parts.settings.quota),
             settings: parts.settings,
             net: parts.net,
             clock: parts.clock,
--- a/crates/lib/src/gateway/dialect.rs
+++ b/crates/lib/src/gateway/dialect.rs
@@ -11,6 +11,7 @@
 use http::{request, response, HeaderMap, Request};
 use http_body_util::Full;
 
+use cranberryridge_policy::gateway::account::Key;
 use cranberryridge_policy::gateway::member::Phase;
 use cranberryridge_policy::gateway::pool::Load;
 
@@ -22,6 +23,9 @@
     /// Removes hop-by-hop headers and headers that a caller may not set.
     fn strip_headers(&self, headers: &mut HeaderMap);
 
+    /// Removes the caller's key and names the client account that it belongs to, if any.
+    fn set_account(&self, headers: &mut HeaderMap, account: Option<&str>);
+
     /// Adds the headers for an endpoint with the parameters of an attempt.
     fn add_parameters(&self, headers: &mut HeaderMap, parameters: &Parameters<'_>);
 
@@ -78,12 +82,16 @@
 pub struct Description {
     /// Id that the caller gave this attempt.
     pub attempt_id: CompactString,
+    /// Key of the caller's client account.
+    pub key: Key,
     /// Time that the caller waits, or `None` if not stated.
     pub timeout: Option<Duration>,
     /// Prompt length in tokens, or zero if the request has no prompt.
     pub prompt_tokens: u32,
     /// Maximum length of the answer in tokens.
     pub max_output_tokens: u32,
+    /// Sum of both, as stated.
+    pub total_tokens: TokenCount,
     /// The caller's estimate of the answer's length in tokens.
     pub estimated_output_tokens: Option<u32>,
     /// Ids of the prompt's parts in order, without the last one, which belongs to this
@@ -110,6 +118,18 @@
     }
 }
 
+/// Number of tokens that a request states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TokenCount {
+    /// The request states none.
+    #[default]
+    Missing,
+    /// Prompt tokens and maximum output tokens.
+    Stated(u32),
+    /// The request states something that is no number of tokens.
+    Invalid,
+}
+
 /// Parameters of an attempt at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Parameters<'a> {
@@ -118,6 +138,8 @@
     pub endpoint_id: &'a str,
     /// Time until the caller's deadline.
     pub remaining_time: Duration,
+    /// Rank among the requests at an engine, 0 is the highest. `None` if all are alike.
+    pub priority: Option<u8>,
     /// Stage of the request that the endpoint runs.
     pub stage: Stage<'a>,
     /// Reservation at the endpoint that the request uses.
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
 
 use super::dialect::{Dialect, Parameters, Report, Stage, Verdict};
 use super::permit::Permit;
+use super::quota::Charge;
 use super::serve::Call;
 use super::survival::Ending;
 use super::suspects::LostRun;
@@ -357,6 +358,10 @@
             duration: remaining_time,
         };
         let known_limit = shared.pool().limit(key).version;
+        // An endpoint that only reads the prompt does not run the request.
+        let charge = self.charge.as_ref();
+        let charge = charge.filter(|_| !matches!(parameters.stage, Stage::Prefill));
+        let was_spent = charge.is_some_and(Charge::is_spent);
         let answer = match connected {
             // The process may have been paused until after the deadline.
             Ok(_) if remaining_time.is_zero() => return Outcome::NotSent,
@@ -374,6 +379,9 @@
                     ..parameters
                 };
                 let request = build_request(&shared.dialect, input, body, &parameters);
+                if let Some(charge) = charge {
+                    charge.set_spent(true);
+                }
                 connection.send_and_hold(request).await
             }
             Err(error) => Err(error),
@@ -400,7 +408,11 @@
             }
         };
         let stage = parameters.stage;
-        classify(shared, input, key, known_limit, stage, deadline, answer)
+        let outcome = classify(shared, input, key, known_limit, stage, deadline, answer);
+        if let (Some(charge), Outcome::NotRun) = (charge, &outcome) {
+            charge.set_spent(was_spent);
+        }
+        outcome
     }
 
     /// Reads an answer completely, so that a truncated one is never forwarded as
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -523,6 +523,11 @@
         self.roster.share(now)
     }
 
+    /// Returns whether no other host has removed this one.
+    pub fn is_listed(&self, now: Instant) -> bool {
+        self.roster.is_listed(now)
+    }
+
     /// Returns whether all hosts know of this one.
     pub fn is_known_to_all(&self, now: Instant) -> bool {
         self.roster.is_known_to_all(now)
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -309,6 +309,7 @@
     let parameters = Parameters {
         endpoint_id: &endpoint.id,
         remaining_time: call.remaining_time(),
+        priority: call.engine_priority(),
         stage: cache.as_ref().map_or(Stage::Whole, Cache::stage),
         reservation_id: reservation.id(),
         last_event_id: progress.sequence.asked_id(),
--- a/crates/lib/src/gateway/generate/prefill.rs
+++ b/crates/lib/src/gateway/generate/prefill.rs
@@ -159,6 +159,7 @@
     let parameters = Parameters {
         endpoint_id: &endpoint.id,
         remaining_time: call.remaining_time(),
+        priority: call.engine_priority(),
         stage: Stage::Prefill,
         reservation_id: None,
         last_event_id: progress.sequence.asked_id(),
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -238,6 +238,7 @@
     let parameters = Parameters {
         endpoint_id: &endpoint.id,
         remaining_time: call.remaining_time(),
+        priority: call.engine_priority(),
         stage: Stage::Whole,
         reservation_id: None,
         last_event_id: call.record.description.last_event_id.as_deref(),
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -29,6 +29,8 @@
     pub configuration_version: u64,
     /// Name of the route, or empty if no route or service was found.
     pub route: CompactString,
+    /// Name of the caller's client account, if it has one.
+    pub account: Option<CompactString>,
     /// Name of the service, or empty if none was found.
     pub service: CompactString,
     /// Time at which the request head arrived.
@@ -77,6 +79,7 @@
             protocol: Version::HTTP_11,
             configuration_version: 0,
             route: CompactString::default(),
+            account: None,
             service: CompactString::default(),
             answer_started_at: None,
             description,
@@ -165,6 +168,7 @@
             "caller" => self.caller.map(|caller| caller.to_string()),
             "protocol" => other_protocol.map(|version| format!("{version:?}")),
             "route" => %self.route,
+            "account" => self.account.as_deref(),
             "service" => %self.service,
             "resumes" => self.description.first_attempt_id.as_deref(),
             "version" => %self.version,
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -10,10 +10,12 @@
 use compact_str::CompactString;
 use tokio::sync::mpsc;
 
+use cranberryridge_policy::gateway::account::Urgency;
 use cranberryridge_policy::gateway::limit::Standing;
 use cranberryridge_policy::gateway::permit;
 use cranberryridge_policy::gateway::place::Need;
 use cranberryridge_policy::gateway::pool::Failure;
+use cranberryridge_policy::gateway::quota::{Denial, Ledger};
 use cranberryridge_policy::gateway::schedule::{Answer, Id, Request, Scheduler};
 use cranberryridge_wire::schedule::{self as wire, Down, Kind, Up};
 use cranberryridge_wire::Map;
@@ -34,10 +36,12 @@
 
 pub(super) use self::acquire::request_permit;
 pub(super) use self::ask::request_endpoints;
+pub(super) use self::draw::{draw, Drawing};
 pub(super) use self::locate::{locate, Asked};
 
 mod acquire;
 mod ask;
+mod draw;
 mod link;
 mod locate;
 
@@ -147,6 +151,7 @@
     mut inbox: mpsc::Receiver<Event>,
 ) {
     let mut schedule = Scheduler::new(shared.settings.pool, shared.settings.balance);
+    let mut ledger = Ledger::new(shared.settings.quota);
     let mut links = Map::default();
     let mut listed = shared.current_endpoints.subscribe();
     let mut read = shared.listed_endpoints.subscribe();
@@ -217,7 +222,10 @@
                 told_limits = messages.map(|limit| (limit.endpoint.clone(), limit)).collect();
                 update_permit_shares(shared, &mut schedule);
             }
-            _ = share_timer.tick() => update_permit_shares(shared, &mut schedule),
+            _ = share_timer.tick() => {
+                update_permit_shares(shared, &mut schedule);
+                update_ledger(shared, &mut ledger);
+            }
             // What a slow subscriber misses is told to hosts that link later.
             Ok(suspect) = suspects.recv() => send_to_all(&mut links, &Down::Suspect(suspect)),
             Ok(evidence) = evidence.recv() => {
@@ -225,7 +233,7 @@
             }
             event = inbox.recv() => {
                 let Some(event) = event else { return };
-                arrived = handle_event(shared, &mut schedule, &mut links, event);
+                arrived = handle_event(shared, &mut schedule, &mut ledger, &mut links, event);
             }
             _ = demand_timer.tick() => {
                 let demands = schedule.demands(shared.clock.now());
@@ -245,6 +253,7 @@
 fn handle_event<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     schedule: &mut Scheduler,
+    ledger: &mut Ledger,
     links: &mut Map<u64, Peer>,
     event: Event,
 ) -> Option<Id> {
@@ -264,6 +273,8 @@
         Event::Closed(link) => {
             links.remove(&link);
             schedule.remove_link(link);
+            ledger.remove_lender(link);
+            update_ledger(shared, ledger);
             return None;
         }
         Event::Message(link, message) => (link, message),
@@ -336,6 +347,12 @@
         Up::Locate(question) => {
             send(links, link, Down::Located(shared.locate_origin(&question)));
         }
+        Up::Lend => ledger.add_lender(now, link),
+        Up::Reclaim => {
+            ledger.remove_lender(link);
+            update_ledger(shared, ledger);
+        }
+        Up::Draw(request) => send(links, link, draw_units(shared, ledger, request)),
         Up::Acquire(request) => {
             let number = request.number;
             if !schedule.has_endpoints(&request.service) {
@@ -363,6 +380,49 @@
     None
 }
 
+/// Recomputes the part of the quotas that is lent to this host.
+fn update_ledger<N, C: Clock, D>(shared: &Shared<N, C, D>, ledger: &mut Ledger) {
+    let now = shared.clock.now();
+    let (hosts, is_listed) = {
+        let hosts = lock(&shared.hosts);
+        (hosts.count(), hosts.is_listed(now))
+    };
+    let before = ledger.share();
+    ledger.update(now, hosts, is_listed);
+    let share = ledger.share();
+    if share != before {
+        ledger.retain(shared.table.load().accounts());
+        slog::info!(shared.logger, "quota: share changed"; "share" => share, "before" => before,
+            "hosts" => hosts);
+    }
+}
+
+/// Answers a host's request for units of an account's quota.
+fn draw_units<N, C: Clock, D>(
+    shared: &Shared<N, C, D>,
+    ledger: &mut Ledger,
+    request: wire::Draw,
+) -> Down {
+    let (number, name) = (request.number, request.account.as_str());
+    let table = shared.table.load();
+    let quota = table.accounts().get(name).and_then(|account| account.quota);
+    // The host's configuration is another one.
+    let Some(quota) = quota else {
+        return Down::Unknown(number);
+    };
+    shared.metrics.count("quota.drawn");
+    let now = shared.clock.now();
+    match ledger.draw(now, name, quota, request.needed, request.wanted) {
+        Ok(units) => Down::Drawn(wire::Drawn { number, units }),
+        Err(Denial::NotLent) => Down::Unknown(number),
+        Err(Denial::Exhausted(wait)) => {
+            shared.metrics.count("quota.exhausted");
+            let wait = wait.into();
+            Down::Refusal(wire::Refusal { number, wait })
+        }
+    }
+}
+
 /// Marks the endpoints that are shutting down.
 fn mark_leaving<N, C: Clock, D>(shared: &Shared<N, C, D>, schedule: &mut Scheduler) {
     let now = shared.clock.now();
@@ -500,6 +560,11 @@
     Request {
         service: ask.service,
         domain: ask.domain,
+        account: ask.account,
+        urgency: Urgency {
+            priority: ask.priority,
+            route_priority: ask.route_priority,
+        },
         need: Need {
             prompt_tokens: ask.prompt,
             output_tokens: ask.output,
--- a/crates/lib/src/gateway/schedule/ask.rs
+++ b/crates/lib/src/gateway/schedule/ask.rs
@@ -149,7 +149,8 @@
                     | Down::Evidence(_)
                     | Down::Limit(_)
                     | Down::Permit(_)
-                    | Down::Located(_),
+                    | Down::Located(_)
+                    | Down::Drawn(_),
                 )
                 | None,
             ) => {
@@ -178,10 +179,14 @@
     let excluded = excluded.iter().filter_map(|key| pool.get(*key));
     let excluded = excluded.map(|state| state.endpoint.id.clone());
     let declining = pool.declining(now, &call.service);
+    let urgency = call.urgency();
     wire::Ask {
         number,
         service: call.service.clone(),
         domain: call.shared.settings.domain.clone(),
+        account: call.record.account.clone().unwrap_or_default(),
+        priority: urgency.priority,
+        route_priority: urgency.route_priority,
         prompt: need.prompt_tokens,
         output: need.output_tokens,
         pause: need.max_event_gap.into(),
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -28,6 +28,9 @@
 /// Key in a link's services that stands for what hosts tell each other of crashes.
 const CRASH_SERVICE: &str = "/crashes";
 
+/// Key in a link's services that stands for the quotas of client accounts.
+pub(super) const QUOTA_SERVICE: &str = "/quotas";
+
 /// Interval at which the host that reads the platform is chosen again.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -101,7 +104,7 @@
     let now = shared.clock.now();
     let hosts = match service {
         SNAPSHOT_SERVICE => lock(&shared.hosts).readers(&shared.settings.domain),
-        CRASH_SERVICE => lock(&shared.hosts).hubs(),
+        CRASH_SERVICE | QUOTA_SERVICE => lock(&shared.hosts).hubs(),
         _ => lock(&shared.hosts).schedulers(service),
     };
     let is_own = matches!(service, SNAPSHOT_SERVICE | CRASH_SERVICE);
@@ -126,6 +129,9 @@
             shared.news.send_replace(Snapshot::default());
             // If the link is lost, `follow` sends the message again.
             let _ = link.sender.try_send(Up::Follow);
+        } else if is_new && service == QUOTA_SERVICE {
+            // The same.
+            let _ = link.sender.try_send(Up::Lend);
         } else if is_new {
             shared.links.restore_leases(&link, service);
         }
@@ -134,11 +140,19 @@
     None
 }
 
+impl<N: Net, C: Clock, D: Send + Sync + 'static> Shared<N, C, D> {
+    /// Returns whether the ledger of quotas can be asked.
+    pub(in crate::gateway) fn has_ledger(self: &Arc<Self>) -> bool {
+        active_link(self, QUOTA_SERVICE).is_some()
+    }
+}
+
 /// Follows the snapshot of the host that reads the platform. The host that reads for a
 /// failure domain keeps a link to those of the others, over which hosts tell each other of
 /// crashes. Runs until the process ends.
 pub async fn follow<N: Net, C: Clock, D: Send + Sync + 'static>(shared: Arc<Shared<N, C, D>>) {
     let mut previous = None;
+    let mut ledger = None;
     loop {
         let link = active_link(&shared, SNAPSHOT_SERVICE);
         let address = link.map(|link| link.address);
@@ -148,6 +162,17 @@
             }
             previous = address;
         }
+        if shared.table.load().accounts().has_quotas() {
+            let link = active_link(&shared, QUOTA_SERVICE);
+            let address = link.map(|link| link.address);
+            // A link that is only unresponsive may still be that of the ledger.
+            if address.is_some() && address != ledger {
+                if let Some(ledger) = ledger {
+                    shared.links.reclaim(ledger);
+                }
+                ledger = address;
+            }
+        }
         let readers = lock(&shared.hosts).readers(&shared.settings.domain);
         if readers.first() == Some(&shared.settings.scheduler) {
             active_link(&shared, CRASH_SERVICE);
@@ -222,6 +247,14 @@
         }
     }
 
+    /// Takes this host's share of all quotas back from a ledger.
+    fn reclaim(&self, address: SocketAddr) {
+        if let Some(link) = lock(&self.by_address).get(&address) {
+            lock(&link.state).services.remove(QUOTA_SERVICE);
+            link.send(Up::Reclaim);
+        }
+    }
+
     /// Sends a message to the current scheduler of a service and to earlier
     /// ones.
     pub(super) fn send(&self, service: &str, message: &Up) {
@@ -491,6 +524,7 @@
             Down::Grant(ref grant) => grant.number,
             Down::Refusal(ref refusal) => refusal.number,
             Down::Located(ref located) => located.number,
+            Down::Drawn(ref drawn) => drawn.number,
         };
         // A request that no longer waits has already reported its end.
         if let Some(waiting) = state.waiting.get(&number) {
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -18,21 +18,23 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use cranberryridge_policy::answer::Sequence;
+use cranberryridge_policy::gateway::account::{Account, Urgency};
 use cranberryridge_policy::gateway::drain::{Length, Stop};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
-use cranberryridge_policy::gateway::route::{Kind, Limits, Route};
+use cranberryridge_policy::gateway::route::{Kind, Limits, Route, UnknownKey};
 use cranberryridge_wire::code::Code;
 
 use super::dialect::Dialect;
 use super::exchange::{Input, Kept};
 use super::origin::stream_digest;
 use super::parts::digest_parts;
+use super::quota::Charge;
 use super::record::Record;
 use super::refusal::Refusal;
-use super::{generate, held, plain, Shared};
+use super::{generate, held, plain, quota, Shared};
 use crate::body::{Body, Chunks, ReadError};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -83,6 +85,8 @@
     /// The request as sent to endpoints.
     pub input: Arc<Input>,
     pub route: Route,
+    /// Client account of the caller, or `None` if the request needs none.
+    pub account: Option<Arc<Account>>,
     /// Service chosen from the route's targets.
     pub service: CompactString,
     /// Digest by which hosts know the stream ([`stream_digest`]).
@@ -94,11 +98,25 @@
     pub deadline: Instant,
     /// The service's use of the memory for bodies.
     pub memory: held::Share,
+    /// What was charged to the account's quota, or `None` if it has none.
+    pub charge: Option<Charge<N, C, D>>,
     /// Memory of the state of this request, until it is over.
     pub _state: held::Allocation,
 }
 
 impl<N, C: Clock, D> Call<N, C, D> {
+    /// Returns the rank of the request among others.
+    pub fn urgency(&self) -> Urgency {
+        Urgency::new(self.account.as_deref(), self.route.priority)
+    }
+
+    /// Returns the rank of the request at an engine, or `None` if those of its service are
+    /// alike.
+    pub fn engine_priority(&self) -> Option<u8> {
+        let has_ranks = self.shared.table.load().has_ranks(&self.service);
+        has_ranks.then(|| self.urgency().priority)
+    }
+
     /// Counts and logs that there is no memory left for the service.
     pub fn report_no_memory(&self, counter: &str) {
         report_no_memory(&self.shared, &self.record, &self.memory, counter);
@@ -449,8 +467,8 @@
     );
     record.caller = caller;
     record.protocol = head.version;
-    let route = match find_route(&shared, &head, &mut record) {
-        Ok(route) => route,
+    let (route, account) = match find_route(&shared, &head, &mut record) {
+        Ok(found) => found,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
     let now = record.arrival;
@@ -471,8 +489,15 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
+    let charging = quota::charge(&shared, account.as_ref(), record.description.total_tokens);
+    let charged = shared.run_until(deadline, charging).await;
+    let charged = charged.unwrap_or_else(|cause| Err(Refusal::interrupted(cause, false)));
+    let charge = match charged {
+        Ok(charge) => charge,
+        Err(refusal) => return refuse(&shared, &mut record, refusal),
+    };
     shared.earn_retry(now, &service);
-    let input = prepare_input(&shared, head, body, &record, deadline);
+    let input = prepare_input(&shared, head, body, &record, deadline, account.as_deref());
     shared.record_arrival(&service, &input);
     if let Err(time) = shared.admit(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
@@ -485,11 +510,13 @@
         shared: shared.clone(),
         record,
         route,
+        account,
         service,
         stream,
         version: None,
         deadline,
         memory,
+        charge,
         _state: state,
     };
     let restricted = shared.run_until(deadline, call.restrict_version()).await;
@@ -517,12 +544,12 @@
     refuse(&shared, &mut call.record, refusal)
 }
 
-/// Finds a request's route and chooses a service from its targets.
+/// Finds a request's route and client account, and chooses a service from the route's targets.
 fn find_route<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     head: &http::request::Parts,
     record: &mut Record<C>,
-) -> Result<Route, Refusal> {
+) -> Result<(Route, Option<Arc<Account>>), Refusal> {
     let table = shared.table.load();
     record.configuration_version = table.version();
     if table.version() == 0 {
@@ -534,10 +561,13 @@
     let host = host.split(':').next().unwrap_or_default();
     let route = table.find(host, head.uri.path());
     let route = route.ok_or(Refusal::new(Code::NoService))?.clone();
+    record.route = route.name.clone();
+    let account = table.authenticate(&route, record.description.key);
+    let account = account.map_err(|UnknownKey| Refusal::new(Code::UnknownKey))?;
+    record.account = account.as_ref().map(|account| account.name.clone());
     let service = shared.choose_service(&route, &record.description);
     record.service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
-    record.route = route.name.clone();
-    Ok(route)
+    Ok((route, account))
 }
 
 /// Counts and logs that there is no memory left for a service.
@@ -574,8 +604,13 @@
     body: Chunks,
     record: &Record<C>,
     deadline: Instant,
+    account: Option<&Account>,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
+    if shared.table.load().accounts().is_configured() {
+        let name = account.map(|account| account.name.as_str());
+        shared.dialect.set_account(&mut head.headers, name);
+    }
     Input {
         head,
         body: Mutex::new(Kept::Needed(body)),
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Decisions of the gateway, which connects to endpoints directly, without
 //! sidecars.
 
+pub mod account;
 pub mod balance;
 pub mod budget;
 pub mod cache;
@@ -16,6 +17,7 @@
 pub mod place;
 pub mod pool;
 pub mod queue;
+pub mod quota;
 pub mod roster;
 pub mod route;
 pub mod schedule;
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Returns whether no host has removed this one, as its last announcement is too recent.
+    pub fn is_listed(&self, now: Instant) -> bool {
+        self.announced
+            .is_some_and(|(_, last)| now < last + self.share_ttl())
+    }
+
     /// Returns whether all hosts know of this one: they have read its first announcement,
     /// and do not yet miss the last one.
     pub fn is_known_to_all(&self, now: Instant) -> bool {
--- a/crates/policy/src/gateway/route.rs
+++ b/crates/policy/src/gateway/route.rs
@@ -1,11 +1,14 @@
 //! Active configuration and routing of requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use rand::{Rng, RngExt};
 
-use cranberryridge_wire::Map;
+use cranberryridge_wire::{Map, Set};
+
+use super::account::{Account, Directory, Key, Urgency};
 
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default)]
@@ -18,6 +21,8 @@
     pub services: Vec<Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Client accounts, or `None` if requests need no key.
+    pub accounts: Option<Vec<Account>>,
 }
 
 /// A route for requests with a given host and path prefix.
@@ -43,6 +48,8 @@
     pub max_attempts: u32,
     /// Rank of the route's requests, 0 is the highest.
     pub priority: u8,
+    /// Whether requests need no key of a client account.
+    pub is_open: bool,
     /// Services that share the route's requests, with their weights.
     pub targets: Vec<Target>,
 }
@@ -147,11 +154,16 @@
     routes: Map<CompactString, Map<CompactString, usize>>,
     /// Indices of services, by name.
     services: Map<CompactString, usize>,
+    /// Client accounts.
+    accounts: Directory,
+    /// Services whose requests differ in urgency.
+    ranked_services: Set<CompactString>,
 }
 
 impl Table {
     /// Indexes a configuration.
-    pub fn new(configuration: Configuration) -> Self {
+    pub fn new(mut configuration: Configuration) -> Self {
+        let accounts = Directory::new(configuration.accounts.take());
         let mut routes = Map::<CompactString, Map<CompactString, usize>>::default();
         for (index, route) in configuration.routes.iter().enumerate() {
             let hosts = routes.entry(route.host.clone()).or_default();
@@ -161,6 +173,8 @@
         let services = names.map(|(index, service)| (service.name.clone(), index));
         Self {
             services: services.collect(),
+            ranked_services: find_ranked_services(&configuration.routes, &accounts),
+            accounts,
             routes,
             configuration,
         }
@@ -184,6 +198,34 @@
         found.next().map(|index| &self.configuration.routes[*index])
     }
 
+    /// Returns the client accounts.
+    pub fn accounts(&self) -> &Directory {
+        &self.accounts
+    }
+
+    /// Returns the account of a request with a key on a route, `None` if the request needs and
+    /// names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownKey`] if the request needs a key and names none that is known.
+    pub fn authenticate(
+        &self,
+        route: &Route,
+        key: Key,
+    ) -> Result<Option<Arc<Account>>, UnknownKey> {
+        let account = self.accounts.find(key);
+        if account.is_none() && self.accounts.is_configured() && !route.is_open {
+            return Err(UnknownKey);
+        }
+        Ok(account.cloned())
+    }
+
+    /// Returns whether requests for a service differ in urgency.
+    pub fn has_ranks(&self, service: &str) -> bool {
+        self.ranked_services.contains(service)
+    }
+
     /// Returns the services to which routes of streams were moved since an earlier
     /// configuration, with repetitions. A caller may take up a stream there that another
     /// service began. A change of weights counts as well.
@@ -224,6 +266,30 @@
     }
 }
 
+/// The request names no key that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKey;
+
+/// Returns the services to which requests of several urgencies are routed.
+fn find_ranked_services(routes: &[Route], accounts: &Directory) -> Set<CompactString> {
+    let mut urgencies = Map::<&CompactString, Set<Urgency>>::default();
+    for route in routes {
+        let of_accounts = accounts.iter().map(|account| Some(&**account));
+        let of_others = (!accounts.is_configured() || route.is_open).then_some(None);
+        let of_route = of_accounts.chain(of_others);
+        let of_route = of_route.map(|account| Urgency::new(account, route.priority));
+        let of_route = of_route.collect::<Set<_>>();
+        for target in &route.targets {
+            urgencies
+                .entry(&target.service)
+                .or_default()
+                .extend(&of_route);
+        }
+    }
+    let ranked = urgencies.into_iter().filter(|(_, ranks)| ranks.len() > 1);
+    ranked.map(|(service, _)| service.clone()).collect()
+}
+
 impl Route {
     /// Picks a service at random by weight. Returns the first if all weights
     /// are zero, and `None` if there are no services.
@@ -260,6 +326,7 @@
     ///     latency_target: Duration::from_secs(1),
     ///     max_event_gap: Duration::from_millis(300),
     ///     priority: 1,
+    ///     is_open: false,
     ///     targets: vec![target("model", 90), target("other", 0)],
     /// };
     /// assert!(!route.is_split());
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -16,6 +16,7 @@
 
 use cranberryridge_wire::Map;
 
+use super::account::Urgency;
 use super::balance::{self, Demand, Meter};
 use super::limit::Limit;
 use super::member::{Endpoint, Phase};
@@ -42,6 +43,10 @@
     pub service: CompactString,
     /// Failure domain of the requesting host.
     pub domain: CompactString,
+    /// Name of the caller's client account, or empty if it has none.
+    pub account: CompactString,
+    /// Rank among other requests.
+    pub urgency: Urgency,
     /// Tokens and event gap that determine the load of the request.
     pub need: Need,
     /// Time by which the first event must arrive to be on time.
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -55,6 +55,7 @@
         max_event_gap: SECOND,
         max_attempts: 1,
         priority: 0,
+        is_open: false,
         targets: vec![],
     };
     let table = Table::new(Configuration {
@@ -95,6 +96,7 @@
         max_event_gap: SECOND,
         max_attempts: 1,
         priority: 0,
+        is_open: false,
         targets: vec![target("new", 10), target("old", 90)],
     };
     let mut random = StdRng::seed_from_u64(1);
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -20,6 +20,7 @@
         max_event_gap: Duration::from_millis(300),
         max_attempts: 2,
         priority: 1,
+        is_open: false,
         targets: targets.collect(),
     }
 }
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -9,6 +9,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use compact_str::CompactString;
+
+use cranberryridge_policy::gateway::account::Urgency;
 use cranberryridge_policy::gateway::balance;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_policy::gateway::place::{Need, Scope};
@@ -35,6 +38,8 @@
     Request {
         service: "model".into(),
         domain: "a".into(),
+        account: CompactString::default(),
+        urgency: Urgency::default(),
         need: NEED,
         first_event_target: now + SECOND,
         first_event_deadline: now + 4 * SECOND,
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -79,6 +79,8 @@
     PromptTooLong = 1006, 400, "prompt_too_long";
     /// The idempotency key is neither one that was issued nor one that begins with a log position.
     BadKey = 1007, 400, "bad_key";
+    /// The request names no key of a client account.
+    UnknownKey = 1009, 401, "unknown_key";
     /// The client account is at its limit of concurrent requests.
     ClientLimit = 1101, 429, "client_limit";
     /// The target can no longer be met and the service refuses late requests.
@@ -110,6 +112,8 @@
     OriginUnknown = 1116, 503, "origin_unknown";
     /// No endpoint of the route's service has the software version that began the stream.
     VersionGone = 1117, 503, "version_gone";
+    /// The client account has used up its quota.
+    Quota = 1118, 429, "quota";
     /// The endpoint failed while it ran the request.
     EndpointFailed = 2001, 502, "endpoint_failed";
     /// The request ran past its deadline.
