policy: serve urgent requests first, and share room between accounts by need

Cause: urgency did not decide under load.

Change: the scheduler's queue and its refusals go by urgency, then by how far an account is ahead of others (virtual clocks), then by size. The least urgent late requests get a tenth of the room.

--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -201,6 +201,7 @@
                         domain: "zone-1".into(),
                         account: "branch".into(),
                         urgency: Urgency::default(),
+                        excess: 0,
                         need: place::Need {
                             prompt_tokens: 3000,
                             output_tokens: 700,
--- a/crates/lib/src/gateway/generate/reservation.rs
+++ b/crates/lib/src/gateway/generate/reservation.rs
@@ -401,6 +401,8 @@
         }
         let entry = Entry {
             size: need.size(),
+            urgency: call.urgency(),
+            excess: 0,
             first_event_target: call.record.arrival + call.route.latency_target,
             first_event_deadline: first_event_deadline(call),
         };
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -322,9 +322,16 @@
                 return None;
             };
             let is_retry = ask.again;
-            let request = to_request(now, ask);
+            let mut request = to_request(now, ask);
             if !is_retry {
-                schedule.record_arrival(now, &service, engine, request.need);
+                let name = request.account.as_str();
+                let sold = table
+                    .accounts()
+                    .get(name)
+                    .and_then(|account| account.sold_tokens());
+                let account = (!name.is_empty()).then_some((name, sold));
+                request.excess =
+                    schedule.record_arrival(now, &service, engine, request.need, account);
             }
             schedule.enqueue(now, id(number), request, engine);
             shared.metrics.count("scheduler.asked");
@@ -565,6 +572,7 @@
             priority: ask.priority,
             route_priority: ask.route_priority,
         },
+        excess: 0,
         need: Need {
             prompt_tokens: ask.prompt,
             output_tokens: ask.output,
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod departure;
 pub mod drain;
 pub mod era;
+pub mod fairness;
 pub mod limit;
 pub mod member;
 pub mod memory;
--- a/crates/policy/src/gateway/account.rs
+++ b/crates/policy/src/gateway/account.rs
@@ -20,6 +20,22 @@
     pub quota: Option<Quota>,
 }
 
+impl Account {
+    /// Returns the tokens per second that the account was sold, or `None` if it has no quota in
+    /// tokens.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::gateway::account::Account;
+    /// assert_eq!(Account::default().sold_tokens(), None);
+    /// ```
+    pub fn sold_tokens(&self) -> Option<f64> {
+        let quota = self.quota?;
+        matches!(quota.unit, Unit::Tokens { .. }).then_some(quota.rate)
+    }
+}
+
 /// Limit of an account's work at all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quota {
--- a/crates/policy/src/gateway/schedule.rs
+++ b/crates/policy/src/gateway/schedule.rs
@@ -8,6 +8,7 @@
 //! reservations are authoritative, and a host that cannot reach its scheduler
 //! chooses by itself.
 
+use std::collections::BTreeMap;
 use std::iter;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
 
 use super::account::Urgency;
 use super::balance::{self, Demand, Meter};
+use super::fairness;
 use super::limit::Limit;
 use super::member::{Endpoint, Phase};
 use super::permit;
@@ -47,6 +49,8 @@
     pub account: CompactString,
     /// Rank among other requests.
     pub urgency: Urgency,
+    /// Rank of the account, as [`Scheduler::record_arrival`] returned it.
+    pub excess: u32,
     /// Tokens and event gap that determine the load of the request.
     pub need: Need,
     /// Time by which the first event must arrive to be on time.
@@ -130,8 +134,12 @@
     /// Order of the requests.
     queue: Queue,
     requests: Map<Ticket, (Id, Request)>,
-    /// Recently arrived work. `None` before the first request.
-    arrivals: Option<Arrivals>,
+    /// Recently arrived work, by urgency.
+    arrivals: BTreeMap<Urgency, Arrivals>,
+    /// Work that recently got room, by urgency.
+    granted: BTreeMap<Urgency, Arrivals>,
+    /// Order of the client accounts.
+    accounts: fairness::Clock,
 }
 
 /// Queued requests of one service that need a software version.
@@ -143,6 +151,26 @@
     work: f64,
 }
 
+impl Backlog {
+    /// Returns the work per second that arrives and goes before a request that can be on time.
+    fn overtaking_rate(&self, now: Instant, entry: Entry) -> f64 {
+        let more_urgent = self.arrivals.range(..entry.urgency);
+        let more_urgent = more_urgent.map(|(_, arrivals)| arrivals.total_rate(now));
+        let equal = self.arrivals.get(&entry.urgency);
+        let equal = equal.map_or(0.0, |arrivals| {
+            if entry.excess > 0 {
+                arrivals.total_rate(now)
+            } else {
+                arrivals.rate_below(now, entry.size)
+            }
+        });
+        more_urgent.sum::<f64>() + equal
+    }
+}
+
+/// Part of the room that the least urgent requests get while others wait.
+const MIN_GRANTED_SHARE: f64 = 0.1;
+
 /// Number of requests behind one that may not use all endpoints that are
 /// considered in its place. Bounds the time of a decision.
 const MAX_PASSED_OVER: usize = 8;
@@ -187,8 +215,8 @@
     pub fn enqueue(&mut self, now: Instant, id: Id, request: Request, engine: Engine) {
         self.finish(id, None);
         let backlog = self.backlogs.entry(request.service.clone()).or_default();
-        let arrivals = &mut backlog.arrivals;
-        let arrivals = arrivals.get_or_insert_with(|| Arrivals::new(now));
+        let arrivals = backlog.arrivals.entry(request.urgency);
+        let arrivals = arrivals.or_insert_with(|| Arrivals::new(now));
         let token_time = self.pool.capacity(now, &request.service, None, engine).1;
         arrivals.add(
             now,
@@ -199,22 +227,31 @@
             first_event_target: request.first_event_target,
             first_event_deadline: request.first_event_deadline,
             size: request.need.size(),
+            urgency: request.urgency,
+            excess: request.excess,
         });
         self.tickets.insert(id, (request.service.clone(), ticket));
         backlog.requests.insert(ticket, (id, request));
     }
 
-    /// Counts a new request in the demand of its service.
+    /// Counts a new request in the demand of its service and of its client account, given the
+    /// tokens per second that the account was sold. Returns the rank of the account.
     pub fn record_arrival(
         &mut self,
         now: Instant,
         service: &CompactString,
         engine: Engine,
         need: Need,
-    ) {
+        account: Option<(&str, Option<f64>)>,
+    ) -> u32 {
         let meter = self.meters.entry(service.clone());
         let meter = meter.or_insert_with(|| Meter::new(self.balance, now));
         meter.add(now, &self.pool, engine, need);
+        let Some((name, sold)) = account else {
+            return 0;
+        };
+        let backlog = self.backlogs.entry(service.clone()).or_default();
+        backlog.accounts.charge(now, name, sold, need.kv_tokens())
     }
 
     /// Returns the offered load by service.
@@ -293,8 +330,10 @@
         engine: Engine,
         random: &mut R,
     ) -> Option<(Id, Answer)> {
+        self.prefer_starved(now, service);
         let backlog = self.backlogs.get(service)?;
         if let Some((id, grant, lease)) = self.find_servable(now, backlog, engine, random) {
+            self.record_granted(now, id);
             self.dequeue(id);
             let share = self.permit_share(service);
             for work in iter::once(lease.decode).chain(lease.prefill) {
@@ -309,6 +348,42 @@
         Some((id, Answer::Refusal(saturation)))
     }
 
+    /// Lets the least urgent requests go first while they are late and have got less than their
+    /// least part of the room.
+    fn prefer_starved(&mut self, now: Instant, service: &str) {
+        let Some(backlog) = self.backlogs.get_mut(service) else {
+            return;
+        };
+        let last = backlog.queue.last_late_urgency(now, FIRST_EVENT_LEAD_TIME);
+        let preferred = last.filter(|urgency| {
+            let total = backlog
+                .granted
+                .values()
+                .map(|granted| granted.total_rate(now));
+            let own = backlog.granted.get(urgency);
+            let own = own.map_or(0.0, |granted| granted.total_rate(now));
+            own < MIN_GRANTED_SHARE * total.sum::<f64>()
+        });
+        backlog.queue.set_preferred(preferred);
+    }
+
+    /// Counts a queued request as one that gets room.
+    fn record_granted(&mut self, now: Instant, id: Id) {
+        let Some((service, ticket)) = self.tickets.get(&id) else {
+            return;
+        };
+        let Some(backlog) = self.backlogs.get_mut(service) else {
+            return;
+        };
+        let Some((_, request)) = backlog.requests.get(ticket) else {
+            return;
+        };
+        let granted = backlog.granted.entry(request.urgency);
+        let granted = granted.or_insert_with(|| Arrivals::new(now));
+        let tokens = request.need.kv_tokens();
+        granted.add(now, request.need.size(), f64::from(tokens));
+    }
+
     /// Finds the first request that gets endpoints now. A request that must
     /// avoid some endpoints, or needs a software version, does not hold up those behind it.
     fn find_servable<R: Rng>(
@@ -371,8 +446,8 @@
         engine: Engine,
     ) -> Option<(Id, Saturation)> {
         let (capacity, token_time) = self.pool.capacity(now, service, None, engine);
-        let arrivals = backlog.arrivals.as_ref();
-        let total_rate = arrivals.map_or(0.0, |arrivals| arrivals.total_rate(now));
+        let total_rates = backlog.arrivals.values();
+        let total_rate = total_rates.map(|rates| rates.total_rate(now)).sum::<f64>();
         let decoders = || self.pool.active_decoders(now, service);
         let share = self.permit_share(service);
         let permit_rate = self.pool.permit_rate(decoders());
@@ -383,11 +458,10 @@
         let ordered = backlog.queue.ordered(now, FIRST_EVENT_LEAD_TIME);
         for (ticket, entry) in ordered {
             let (id, request) = backlog.requests.get(&ticket)?;
-            let overtaking_rate = match arrivals {
-                Some(arrivals) if !entry.is_late(now, FIRST_EVENT_LEAD_TIME) => {
-                    arrivals.rate_below(now, entry.size)
-                }
-                _ => total_rate,
+            let overtaking_rate = if entry.is_late(now, FIRST_EVENT_LEAD_TIME) {
+                total_rate
+            } else {
+                backlog.overtaking_rate(now, entry)
             };
             // A caller that returns after a refusal is not refused again because
             // of smaller requests that may overtake it.
--- a/crates/policy/tests/gateway.rs
+++ b/crates/policy/tests/gateway.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
+use cranberryridge_policy::gateway::account::Urgency;
 use cranberryridge_policy::gateway::budget::{self, Budget};
 use cranberryridge_policy::gateway::cache::Cache;
 use cranberryridge_policy::gateway::member::{Endpoint, List, Phase, RELIST_GRACE_PERIOD};
@@ -348,6 +349,8 @@
         first_event_target: now + SECOND * target,
         first_event_deadline: now + SECOND * deadline,
         size: 1,
+        urgency: Urgency::default(),
+        excess: 0,
     };
     let late = queue.push(entry(0, 4));
     let later = queue.push(entry(0, 3));
@@ -396,6 +399,8 @@
                 first_event_target: begin + SECOND,
                 first_event_deadline: begin + 4 * SECOND,
                 size: sizes(answer),
+                urgency: Urgency::default(),
+                excess: 0,
             });
             (ticket, answer)
         })
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -40,6 +40,7 @@
         domain: "a".into(),
         account: CompactString::default(),
         urgency: Urgency::default(),
+        excess: 0,
         need: NEED,
         first_event_target: now + SECOND,
         first_event_deadline: now + 4 * SECOND,
