gateway: pass on only final answers of HTTP

Cause: status 600 and 999, a 101 that nobody asked for, and a 204 with a body were passed on.

Change: such an answer counts as one of nobody, so its request may have run.

--- a/crates/daemon/tests/host/mod.rs
+++ b/crates/daemon/tests/host/mod.rs
@@ -26,6 +26,24 @@
 /// Third octets of the tests' addresses.
 static NEXT_SUBNET: AtomicUsize = AtomicUsize::new(1);
 
+/// Limits of a gateway's process.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory in megabytes.
+    pub memory_mb: usize,
+    /// Number of descriptors, 200 of which are for files.
+    pub descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: MEMORY_MB,
+            descriptors: 4100,
+        }
+    }
+}
+
 /// A gateway process, with stand-ins for store and endpoints.
 pub struct Site {
     /// Third octet of all addresses.
@@ -48,11 +66,16 @@
 impl Site {
     /// Starts the store and the gateway.
     pub async fn start() -> Self {
+        Self::start_limited(Limits::default()).await
+    }
+
+    /// Starts the store and a gateway with limits. `GATEWAY` is the path of another gateway.
+    pub async fn start_limited(limits: Limits) -> Self {
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::SeqCst) as u8;
         let store = Store::default();
         let servers = vec![store.serve(&Tcp, address(subnet, 1)).await.unwrap()];
         store.put("keyed.op", "config", Some(&configuration()));
-        let gateway = start_gateway(subnet);
+        let gateway = start_gateway(subnet, limits);
         Self {
             subnet,
             store,
@@ -122,21 +145,27 @@
     })
 }
 
-fn start_gateway(subnet: u8) -> Child {
+fn start_gateway(subnet: u8, limits: Limits) -> Child {
+    let Limits {
+        memory_mb,
+        descriptors,
+    } = limits;
     let at = address(subnet, 2);
     let ip = at.ip();
     let text = format!(
         "nodeName = \"front-1\"\nzone = \"a\"\nheartbeatMs = 1200\n\
          ip = \"{ip}\"\nportRange = [7003, 7010]\n\
          [listen]\nfront = \"{at}\"\nready = \"{ip}:7002\"\n\
-         [limits]\nmemoryMb = {MEMORY_MB}\ncpuShare = 0.2\ncores = 1\n[contractParams]\n\
+         [limits]\nmemoryMb = {memory_mb}\nmaxFds = {descriptors}\ncpuShare = 0.2\ncores = 1\n[contractParams]\n\
          [platform]\naddress = \"{}\"\n",
         address(subnet, 1)
     );
     let name = format!("memory-{}-{subnet}.toml", std::process::id());
     let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::write(&settings, text).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_cranberryridge-gateway"))
+    let program = std::env::var("GATEWAY");
+    let program = program.unwrap_or(env!("CARGO_BIN_EXE_cranberryridge-gateway").into());
+    Command::new(program)
         .env("CRANBERRYRIDGE_BOOT", &settings)
         .stdout(Stdio::null())
         .stderr(Stdio::null())
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -287,7 +287,11 @@
     let head_at = shared.clock.moment();
     let now = head_at.now;
     let (head, body) = answer.into_parts();
-    let verdict = shared.dialect.classify(&head, &input.attempt_id, stage);
+    let verdict = if is_final_answer(&head) {
+        shared.dialect.classify(&head, &input.attempt_id, stage)
+    } else {
+        Verdict::Foreign
+    };
     // Another endpoint answered a misdirected request.
     if verdict != Verdict::Misdirected {
         let is_own = verdict != Verdict::Foreign;
@@ -567,6 +571,16 @@
     }
 }
 
+/// Returns whether a head is that of a final answer of HTTP. The parser accepts any status of three
+/// digits, takes an upgrade that was not asked for as final, and a 204 with a body.
+fn is_final_answer(head: &response::Parts) -> bool {
+    let length = head.headers.get(header::CONTENT_LENGTH);
+    let has_body = head.headers.contains_key(header::TRANSFER_ENCODING)
+        || length.is_some_and(|length| length.as_bytes() != b"0");
+    let is_empty = head.status == StatusCode::NO_CONTENT;
+    (200..600).contains(&head.status.as_u16()) && !(is_empty && has_body)
+}
+
 /// Returns whether an answer is complete from which no stream is expected.
 fn is_complete(head: &response::Parts, body: &Chunks, end: End) -> bool {
     let is_event_stream = events::is_event_stream(&head.headers);
