gateway: bound callers' connections, and draw fewer quota units in advance

Cause: connections without a whole request were counted nowhere, nor were descriptors. And hosts drew units in advance that ran out before the next request, so accounts were refused at about 0.6 of their quota.

Change: connections are admitted against memory and descriptors, and one that stopped half-way, is idle, or does not read gives way. Units are drawn in advance only if four requests are expected while they are valid.

--- a/crates/daemon/tests/host/mod.rs
+++ b/crates/daemon/tests/host/mod.rs
@@ -69,7 +69,7 @@
         Self::start_limited(Limits::default()).await
     }
 
-    /// Starts the store and a gateway with limits. `GATEWAY` is the path of another gateway.
+    /// Starts the store and a gateway with limits. `HOST_GATEWAY` is the path of another gateway.
     pub async fn start_limited(limits: Limits) -> Self {
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::SeqCst) as u8;
         let store = Store::default();
@@ -163,7 +163,7 @@
     let name = format!("memory-{}-{subnet}.toml", std::process::id());
     let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::write(&settings, text).unwrap();
-    let program = std::env::var("GATEWAY");
+    let program = std::env::var("HOST_GATEWAY");
     let program = program.unwrap_or(env!("CARGO_BIN_EXE_cranberryridge-gateway").into());
     Command::new(program)
         .env("CRANBERRYRIDGE_BOOT", &settings)
--- a/crates/daemon/tests/hostile.rs
+++ b/crates/daemon/tests/hostile.rs
@@ -1,7 +1,7 @@
 //! Crowds of callers that misbehave, at a gateway process with low limits.
 //!
 //! The platform kills a process that exceeds its memory, and a process without descriptors serves
-//! nobody. `GATEWAY` is the path of another gateway, such as an older one.
+//! nobody. `HOST_GATEWAY` is the path of another gateway, such as an older one.
 
 mod host;
 
@@ -151,7 +151,10 @@
             }
         }
         Form::SlowRead => {
-            stream.write_all(format!("{get}\r\n").as_bytes()).await.ok()?;
+            stream
+                .write_all(format!("{get}\r\n").as_bytes())
+                .await
+                .ok()?;
         }
         Form::HalfHead => {
             stream.write_all(post.as_bytes()).await.ok()?;
@@ -343,7 +346,9 @@
             peak.kilobytes <= LIMITS.memory_mb * 1024 && peak.descriptors <= LIMITS.descriptors
         });
         if !is_bounded || !is_served || !is_ready {
-            failures.push(format!("{door:?}: {peak:?}, served {is_served}, ready {is_ready}"));
+            failures.push(format!(
+                "{door:?}: {peak:?}, served {is_served}, ready {is_ready}"
+            ));
         }
     }
     assert!(failures.is_empty(), "{form:?}: {failures:#?}");
--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -88,6 +88,8 @@
     /// Maximum total size of held bodies and of the state of requests that are being served,
     /// in bytes.
     pub max_open_bytes: usize,
+    /// Maximum number of open connections of callers.
+    pub max_connections: usize,
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
     pub list_interval: Duration,
@@ -133,6 +135,7 @@
             cores: 1.0,
             max_held_bytes: 32 * 1024 * 1024,
             max_open_bytes: 64 * 1024 * 1024,
+            max_connections: 4096,
             list_interval: Duration::from_millis(800),
             configuration_poll_timeout: Duration::from_millis(1500),
             endpoint_ttl: Duration::from_millis(2400),
@@ -231,6 +234,8 @@
     open: Arc<held::Account>,
     /// Open connections of callers.
     connections: Tally,
+    /// What these do, and which are closed for others.
+    admission: Arc<serve::admission::Registry>,
 }
 
 /// Components from which [`Shared::new`] builds a gateway.
@@ -265,7 +270,9 @@
         let names = [Some("requests"), Some("answers")];
         let held = account(parts.settings.max_held_bytes, names);
         let open = account(parts.settings.max_open_bytes, [None, Some("exchanges")]);
+        let admission = serve::admission::Registry::new(parts.settings.max_connections);
         Arc::new(Self {
+            admission,
             pool: Mutex::new(Pool::new(parts.settings.pool)),
             moves: Mutex::new(Moves::new(parts.settings.balance)),
             quotas: quota::Registry::new(parts.settings.quota),
--- a/crates/lib/src/gateway/quota.rs
+++ b/crates/lib/src/gateway/quota.rs
@@ -13,7 +13,7 @@
 
 use super::dialect::TokenCount;
 use super::refusal::Refusal;
-use super::schedule::{draw, Drawing};
+use super::schedule::{draw, Drawing, LINK_POLL_INTERVAL};
 use super::{lock, Shared};
 use crate::clock::Clock;
 use crate::net::Net;
@@ -21,7 +21,12 @@
 /// Difference between the advances of both clocks from which the process counts as suspended.
 const MIN_SUSPENSION: Duration = Duration::from_millis(50);
 
+/// Time for which a host that has just started waits for its first link to a ledger, as it may use
+/// nothing by itself yet. Covers opening a link between failure domains.
+const FIRST_LINK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// What this host may still charge to quotas.
+
 #[derive(Debug)]
 pub struct Registry {
     state: Mutex<State>,
@@ -34,6 +39,8 @@
     last_used: Option<Moment>,
     /// Version of the configuration whose accounts are kept.
     configuration_version: u64,
+    /// Whether a ledger has answered since the start.
+    was_linked: bool,
 }
 
 impl Registry {
@@ -44,6 +51,7 @@
                 wallet: Wallet::new(settings),
                 last_used: None,
                 configuration_version: 0,
+                was_linked: false,
             }),
         }
     }
@@ -161,6 +169,10 @@
     C: Clock,
     D: Send + Sync + 'static,
 {
+    if !lock(&shared.quotas.state).was_linked {
+        // On a timeout, the request is charged to this host's own share.
+        let _ = tokio::time::timeout(FIRST_LINK_TIMEOUT, wait_for_ledger(shared)).await;
+    }
     let requested_at = shared.clock.now();
     let share = lock(&shared.hosts).share(requested_at);
     let standing = if shared.has_ledger() {
@@ -198,6 +210,7 @@
     let drawing = draw(shared, account, needed, wanted).await;
     let now = shared.clock.now();
     let mut state = lock(&shared.quotas.state);
+    state.was_linked |= !matches!(drawing, Drawing::Unavailable);
     let wallet = &mut state.wallet;
     match drawing {
         Drawing::Given(given) => {
@@ -218,6 +231,18 @@
     }
 }
 
+/// Waits until the ledger can be asked.
+async fn wait_for_ledger<N, C, D>(shared: &Arc<Shared<N, C, D>>)
+where
+    N: Net,
+    C: Clock,
+    D: Send + Sync + 'static,
+{
+    while !shared.has_ledger() {
+        tokio::time::sleep(LINK_POLL_INTERVAL).await;
+    }
+}
+
 /// Draws units for the next requests of an account.
 async fn prefetch_units<N, C, D>(
     shared: Arc<Shared<N, C, D>>,
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -42,7 +42,7 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
 /// Interval at which a request that may wait looks for links that are being opened.
-pub(super) const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(in crate::gateway) const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which an unused link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -21,7 +21,7 @@
 use cranberryridge_policy::gateway::account::{Account, Urgency};
 use cranberryridge_policy::gateway::drain::{Length, Stop};
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::memory::Purpose;
+use cranberryridge_policy::gateway::memory::{Purpose, MAX_SMALL_BYTES};
 use cranberryridge_policy::gateway::place::Scope;
 use cranberryridge_policy::gateway::pool::{EndpointKey, Failure};
 use cranberryridge_policy::gateway::route::{Kind, Limits, Route, UnknownKey};
@@ -42,8 +42,10 @@
 use crate::net::{Listen, Net};
 
 use self::activity::{Activity, TrackedStream};
+use self::admission::{Connection, Registry};
 
 mod activity;
+pub(super) mod admission;
 
 /// Pause after a failed accept. The usual cause is that the process has run out
 /// of file descriptors.
@@ -59,6 +61,18 @@
 /// its caller and to an endpoint, with the buffers of both, and its tasks.
 const EXCHANGE_BYTES: usize = 64 * 1024;
 
+/// Maximum number of connections on which readiness is probed. A load balancer uses a few.
+const MAX_PROBE_CONNECTIONS: usize = 32;
+
+/// Maximum number of connections on which metrics are scraped.
+const MAX_SCRAPE_CONNECTIONS: usize = 16;
+
+/// Maximum number of connections that are closed for the memory of one request.
+const MAX_EVICTIONS: usize = 16;
+
+/// Time in which a connection that is closed releases its memory.
+const EVICTION_TIME: Duration = Duration::from_millis(2);
+
 /// Timeout of the head of a probe or scrape, also of an idle connection's next one.
 const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -247,9 +261,12 @@
             () = close.as_mut() => return,
         };
         match accepted {
-            Ok(stream) => {
-                tokio::spawn(serve_connection(shared.clone(), stream));
-            }
+            Ok(stream) => match shared.admission.admit(shared.clock.now()) {
+                Some(connection) => {
+                    tokio::spawn(serve_connection(shared.clone(), stream, connection));
+                }
+                None => shared.metrics.count("connection.refused"),
+            },
             Err(error) => {
                 slog::warn!(shared.logger, "gateway: cannot accept connection"; "error" => %error);
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -263,24 +280,38 @@
     shared: Arc<Shared<N, C, D>>,
     listener: P,
 ) {
-    serve_sync(listener, move |request| answer_probe(&shared, request)).await;
+    let clock = shared.clock.clone();
+    let connections = Registry::new(MAX_PROBE_CONNECTIONS);
+    let answer = move |request| answer_probe(&shared, request);
+    serve_sync(listener, clock, connections, answer).await;
 }
 
 /// Answers scrapes of the metrics. Runs until the process ends.
-pub async fn answer_scrapes<P: Listen<Stream = S>, S>(metrics: Metrics, listener: P)
-where
+pub async fn answer_scrapes<C: Clock, P: Listen<Stream = S>, S>(
+    metrics: Metrics,
+    clock: C,
+    listener: P,
+) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    serve_sync(listener, move |request| match request.uri().path() {
+    let answer = move |request: Request<Incoming>| match request.uri().path() {
         METRICS_PATH => Response::new(Body::full(metrics.exposition())),
         _ => empty_response(StatusCode::NOT_FOUND),
-    })
+    };
+    serve_sync(
+        listener,
+        clock,
+        Registry::new(MAX_SCRAPE_CONNECTIONS),
+        answer,
+    )
     .await;
 }
 
-/// Serves requests with a handler that does not wait.
-async fn serve_sync<P, S, H>(mut listener: P, handler: H)
+/// Serves requests with a handler that does not wait. The connection that has been idle or busy for
+/// longest is closed for one that does not fit.
+async fn serve_sync<P, S, C, H>(mut listener: P, clock: C, connections: Arc<Registry>, handler: H)
 where
+    C: Clock,
     P: Listen<Stream = S>,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     H: Fn(Request<Incoming>) -> Response<Body> + Clone + Send + 'static,
@@ -290,6 +321,9 @@
             tokio::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
+        let Some(connection) = connections.admit(clock.now()) else {
+            continue;
+        };
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let response = handler(request);
@@ -300,8 +334,13 @@
             .header_read_timeout(PROBE_HEAD_TIMEOUT)
             .max_buf_size(MIN_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
-        // Errors of such a connection matter only to its peer.
-        tokio::spawn(async move { served.await.unwrap_or_default() });
+        tokio::spawn(async move {
+            tokio::select! {
+                // Errors of such a connection matter only to its peer.
+                _ = served => {}
+                () = connection.evicted() => {}
+            }
+        });
     }
 }
 
@@ -370,20 +409,24 @@
 async fn serve_connection<N: Net, C: Clock, D: Dialect>(
     shared: Arc<Shared<N, C, D>>,
     stream: N::Stream,
+    connection: Connection,
 ) {
     let _guard = shared.connections.enter();
     let caller = shared.net.peer(&stream);
     let limits = shared.table.load().limits();
-    let activity = Activity::new(shared.clock.now());
+    let connection = Arc::new(connection);
+    let activity = Activity::new(shared.clock.now(), connection.clone());
     let closing = Closing::default();
     let service = service_fn(|request| {
-        let (shared, guard) = (shared.clone(), activity.begin_request());
+        let (shared, activity) = (shared.clone(), activity.clone());
+        let guard = activity.begin_request(shared.clock.now());
         let (closing, version) = (closing.clone(), Caller::of(&request));
-        async move {
-            let response = answer(shared.clone(), caller, request).await;
+        // An idle connection does not hold the memory of a request's state.
+        Box::pin(async move {
+            let response = answer(shared.clone(), caller, request, &activity).await;
             let response = response.map(|body| guard.track(body, shared.clock.clone()));
             Ok::<_, Infallible>(closing.watch(version, response))
-        }
+        })
     });
     let stream = closing::Stream::new(stream, shared.net.clone(), closing.clone());
     let stream = TrackedStream::new(stream, activity.clone(), shared.clock.clone());
@@ -394,7 +437,12 @@
     let mut close = pin!(wait_for_close(shared.clone()));
     let mut closing = false;
     let mut timer = pin!(tokio::time::sleep(limits.idle_timeout));
+    let mut evicted = pin!(connection.evicted());
     let ended = poll_fn(|cx| {
+        if evicted.as_mut().poll(cx).is_ready() {
+            shared.metrics.count("connection.closed_for_another");
+            return Poll::Ready(None);
+        }
         if let Poll::Ready(ended) = served.as_mut().poll(cx) {
             return Poll::Ready(Some(ended));
         }
@@ -443,8 +491,9 @@
     shared: Arc<Shared<N, C, D>>,
     caller: Option<IpAddr>,
     request: Request<Incoming>,
+    activity: &Activity,
 ) -> Response<Body> {
-    let mut response = respond(shared.clone(), caller, request).await;
+    let mut response = respond(shared.clone(), caller, request, activity).await;
     if *shared.draining.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -457,6 +506,7 @@
     shared: Arc<Shared<N, C, D>>,
     caller: Option<IpAddr>,
     request: Request<Incoming>,
+    activity: &Activity,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
     let mut record = Record::new(
@@ -476,6 +526,9 @@
     let deadline = now + timeout.min(route.timeout);
     let service = record.service.clone();
     let memory = shared.open.share(&service);
+    shared
+        .make_room(&memory, EXCHANGE_BYTES, Purpose::Exchange)
+        .await;
     let Some(state) = memory.reserve(EXCHANGE_BYTES, Purpose::Exchange) else {
         report_no_memory(&shared, &record, &memory, "request.no_memory");
         let mut response = refuse(&shared, &mut record, Refusal::new(Code::Full));
@@ -485,10 +538,16 @@
         return response;
     };
     let memory = shared.held.share(&service);
+    let length = http_body::Body::size_hint(&body).exact();
+    let length = length.map_or(MAX_SMALL_BYTES, |length| length as usize);
+    shared
+        .make_room(&memory, length, Purpose::of_request(length))
+        .await;
     let body = match read_body(&shared, body, deadline, &record, &memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
+    activity.end_body(shared.clock.now());
     let charging = quota::charge(&shared, account.as_ref(), record.description.total_tokens);
     let charged = shared.run_until(deadline, charging).await;
     let charged = charged.unwrap_or_else(|cause| Err(Refusal::interrupted(cause, false)));
@@ -544,6 +603,21 @@
     refuse(&shared, &mut call.record, refusal)
 }
 
+impl<N, C: Clock, D> Shared<N, C, D> {
+    /// Closes connections of callers that do not send the rest of a request, or do not read an
+    /// answer, until there is room for bytes, or no such connection.
+    pub(super) async fn make_room(&self, memory: &held::Share, bytes: usize, purpose: Purpose) {
+        for _ in 0..MAX_EVICTIONS {
+            let has_room = memory.reserve(bytes, purpose).is_some();
+            if has_room || !self.admission.evict_for_memory(self.clock.now()) {
+                return;
+            }
+            self.metrics.count("connection.evicted");
+            tokio::time::sleep(EVICTION_TIME).await;
+        }
+    }
+}
+
 /// Finds a request's route and client account, and chooses a service from the route's targets.
 fn find_route<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
--- a/crates/lib/src/gateway/serve/activity.rs
+++ b/crates/lib/src/gateway/serve/activity.rs
@@ -13,11 +13,14 @@
 use http_body::{Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use cranberryridge_policy::gateway::admission::Stage;
 use cranberryridge_policy::gateway::route::Limits;
 
 use crate::body::{Aborted, Body};
 use crate::clock::Clock;
 
+use super::admission::Connection;
+
 /// Activity of a connection. Clones share their state.
 #[derive(Clone, Debug)]
 pub struct Activity {
@@ -34,15 +37,20 @@
     /// Time at which an incomplete request head began to arrive, or `None` if no
     /// head is arriving.
     head_started_at: Option<Instant>,
+    /// Time since which an answer cannot be written, or `None` if none waits.
+    stalled_since: Option<Instant>,
+    connection: Arc<Connection>,
 }
 
 impl Activity {
     /// Creates the state of a connection that opens at `now`.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(now: Instant, connection: Arc<Connection>) -> Self {
         let state = State {
             active_requests: 0,
             idle_since: now,
             head_started_at: None,
+            stalled_since: None,
+            connection,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -51,10 +59,11 @@
 
     /// Records that a request head is complete. The request is active until the
     /// guard is dropped.
-    pub fn begin_request(&self) -> RequestGuard {
+    pub fn begin_request(&self, now: Instant) -> RequestGuard {
         self.with_state(|state| {
             state.active_requests += 1;
             state.head_started_at = None;
+            state.connection.set_stage(now, Stage::Receiving);
         });
         RequestGuard {
             activity: self.clone(),
@@ -62,16 +71,24 @@
         }
     }
 
-    /// Returns whether a request is being answered.
+    /// Records that the body of a request is complete.
+    pub fn end_body(&self, now: Instant) {
+        self.with_state(|state| state.connection.set_stage(now, Stage::Serving));
+    }
+
+    /// Returns whether a request is being answered by a caller that reads.
     pub fn is_busy(&self) -> bool {
-        self.with_state(|state| state.active_requests > 0)
+        self.with_state(|state| state.active_requests > 0 && state.stalled_since.is_none())
     }
 
     /// Returns the time at which the idle or header timeout expires. While a
-    /// request is active, that is one idle timeout after `now`.
+    /// request is active, that is one idle timeout after `now`, or after the caller stopped to
+    /// read.
     pub fn deadline(&self, limits: Limits, now: Instant) -> Instant {
         self.with_state(|state| match state.head_started_at {
-            _ if state.active_requests > 0 => now + limits.idle_timeout,
+            _ if state.active_requests > 0 => {
+                state.stalled_since.unwrap_or(now) + limits.idle_timeout
+            }
             Some(started_at) => started_at + limits.head_timeout,
             None => state.idle_since + limits.idle_timeout,
         })
@@ -80,12 +97,26 @@
     /// Records that bytes were received.
     fn record_read(&self, now: Instant) {
         self.with_state(|state| {
-            if state.active_requests == 0 {
-                state.head_started_at.get_or_insert(now);
+            if state.active_requests == 0 && state.head_started_at.is_none() {
+                state.head_started_at = Some(now);
+                state.connection.set_stage(now, Stage::Receiving);
             }
         });
     }
 
+    /// Records whether an answer cannot be written, as the caller does not read.
+    fn record_stall(&self, now: Instant, is_stalled: bool) {
+        self.with_state(|state| {
+            let stage = match (is_stalled, state.active_requests) {
+                (true, _) => Stage::Stalled,
+                (false, 0) => Stage::Idle,
+                (false, _) => Stage::Serving,
+            };
+            state.stalled_since = is_stalled.then_some(now);
+            state.connection.set_stage(now, stage);
+        });
+    }
+
     /// Calls a function with the locked state.
     fn with_state<R>(&self, work: impl FnOnce(&mut State) -> R) -> R {
         work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
@@ -119,6 +150,9 @@
             state.active_requests = state.active_requests.saturating_sub(1);
             if let Some(ended_at) = ended_at {
                 state.idle_since = ended_at;
+                if state.active_requests == 0 && state.stalled_since.is_none() {
+                    state.connection.set_stage(ended_at, Stage::Idle);
+                }
             }
         });
     }
@@ -158,12 +192,14 @@
     }
 }
 
-/// A stream whose reads are recorded.
+/// A stream whose reads and stalled writes are recorded.
 #[derive(Debug)]
 pub struct TrackedStream<S, C> {
     stream: S,
     activity: Activity,
     clock: C,
+    /// Whether the last write had to wait.
+    is_stalled: bool,
 }
 
 impl<S, C> TrackedStream<S, C> {
@@ -173,10 +209,23 @@
             stream,
             activity,
             clock,
+            is_stalled: false,
         }
     }
 }
 
+impl<S, C: Clock> TrackedStream<S, C> {
+    /// Records the result of a write, and returns it.
+    fn record_write<T>(&mut self, polled: Poll<T>) -> Poll<T> {
+        let is_stalled = polled.is_pending();
+        if is_stalled != self.is_stalled {
+            self.is_stalled = is_stalled;
+            self.activity.record_stall(self.clock.now(), is_stalled);
+        }
+        polled
+    }
+}
+
 impl<S: AsyncRead + Unpin, C: Clock> AsyncRead for TrackedStream<S, C> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -193,13 +242,15 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin, C: Unpin> AsyncWrite for TrackedStream<S, C> {
+impl<S: AsyncWrite + Unpin, C: Clock> AsyncWrite for TrackedStream<S, C> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.record_write(polled)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -215,7 +266,9 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bytes)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write_vectored(cx, bytes);
+        this.record_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/policy/src/gateway.rs
+++ b/crates/policy/src/gateway.rs
@@ -2,6 +2,7 @@
 //! sidecars.
 
 pub mod account;
+pub mod admission;
 pub mod balance;
 pub mod budget;
 pub mod cache;
--- a/crates/policy/src/gateway/quota.rs
+++ b/crates/policy/src/gateway/quota.rs
@@ -328,6 +328,8 @@
     grants: VecDeque<(u32, Instant)>,
     /// Units asked for.
     demand: Meter,
+    /// Requests that asked for them.
+    requests: Meter,
     /// Units drawn.
     drawn: Meter,
     /// Units that this host may use by itself while the ledger cannot be asked, and the time at
@@ -370,6 +372,9 @@
     }
 }
 
+/// Number of requests expected within a validity from which units are drawn in advance.
+const MIN_EXPECTED_REQUESTS: f64 = 4.0;
+
 /// Maximum number of grants of an account that are kept apart. Further ones are lost.
 const MAX_GRANTS: usize = 256;
 
@@ -378,6 +383,7 @@
         Self {
             grants: VecDeque::new(),
             demand: Meter::new(now),
+            requests: Meter::new(now),
             drawn: Meter::new(now),
             own: None,
             is_prefetching: false,
@@ -436,6 +442,7 @@
         let settings = self.settings;
         let entry = self.entry(now, account);
         entry.demand.add(now, cost);
+        entry.requests.add(now, 1);
         let valid = entry.valid_units(now);
         if valid >= cost {
             entry.take(cost);
@@ -549,8 +556,12 @@
 }
 
 impl Allowance {
-    /// Returns the units that are expected to be asked for while drawn ones are valid.
+    /// Returns the units that are expected to be asked for while drawn ones are valid. None if few
+    /// requests are expected, as what is not used in time is lost to the account.
     fn expected(&self, now: Instant, validity: Duration) -> u32 {
+        if self.requests.rate(now) * validity.as_secs_f64() < MIN_EXPECTED_REQUESTS {
+            return 0;
+        }
         // The conversion saturates.
         (self.demand.rate(now) * validity.as_secs_f64() / 2.0) as u32
     }
