--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -425,6 +425,9 @@
         Err(Denial::NotLent) => Down::Unknown(number),
         Err(Denial::Exhausted(wait)) => {
             shared.metrics.count("quota.exhausted");
+            slog::debug!(shared.logger, "quota: used up"; "account" => name,
+                "needed" => request.needed, "wait_ms" => wait.as_millis() as u64,
+                "rate" => quota.rate, "burst" => quota.burst, "share" => ledger.share());
             let wait = wait.into();
             Down::Refusal(wire::Refusal { number, wait })
         }
