gateway: let all hosts agree on the ledger while hosts restart

Change: a stopping host keeps its rank as ledger, a link that is being opened does not hide the next one, a new ledger has an eighth of the margin at once, and fresh hosts wait for it.

--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use rand::RngExt;
 
 use cranberryridge_policy::gateway::era::Era;
@@ -15,6 +16,7 @@
 use cranberryridge_policy::gateway::roster::{self, Roster};
 use cranberryridge_policy::gateway::route::{Configuration, Table};
 use cranberryridge_policy::subset::{self, Member};
+use cranberryridge_wire::Map;
 
 use super::snapshot::{self, Snapshot};
 use super::store::{Answer, Error, Host, Page, Record, Store, Topic};
@@ -473,7 +475,7 @@
                     _ => {}
                 }
             }
-            hosts.roster.finish_reading(now);
+            hosts.finish_reading(now);
             shared.pool().set_host_count(hosts.count());
         }
         // On a timeout, the host announces itself again.
@@ -494,6 +496,8 @@
 #[derive(Debug)]
 pub struct Hosts {
     roster: Roster<Host>,
+    /// Last known addresses of the hosts' schedulers, also of hosts that are stopping.
+    addresses: Map<CompactString, SocketAddr>,
 }
 
 impl Hosts {
@@ -501,11 +505,15 @@
     pub fn new(settings: roster::Settings) -> Self {
         Self {
             roster: Roster::new(settings),
+            addresses: Map::default(),
         }
     }
 
     /// Records an announcement, from an older copy of the store if `is_restored`.
     fn record(&mut self, now: Instant, host: Host, is_restored: bool) {
+        if let Some(address) = host.scheduler {
+            self.addresses.insert(host.name.clone(), address);
+        }
         if is_restored {
             self.roster.record_restored(now, host.name.clone(), host);
         } else {
@@ -513,6 +521,13 @@
         }
     }
 
+    /// Records that all announcements have been read.
+    fn finish_reading(&mut self, now: Instant) {
+        self.roster.finish_reading(now);
+        let roster = &self.roster;
+        self.addresses.retain(|name, _| roster.get(name).is_some());
+    }
+
     /// Returns the number of known hosts.
     pub fn count(&self) -> usize {
         self.roster.count()
@@ -563,6 +578,17 @@
         self.choose("", SCHEDULER_CANDIDATES, |_| true)
     }
 
+    /// Returns the addresses of the host that keeps the quotas and its substitutes, in order of
+    /// preference. A stopping host keeps its rank, as hosts learn of stops and starts one after the
+    /// other, and would lend to several hosts meanwhile. A link tells sooner whether it is there.
+    pub fn ledgers(&self) -> Vec<SocketAddr> {
+        let address = |host: &Host| {
+            let last = self.addresses.get(&host.name).copied();
+            host.scheduler.or(last)
+        };
+        self.choose_at("", SCHEDULER_CANDIDATES, |_| true, address)
+    }
+
     /// Returns the addresses of the `count` preferred hosts for a key, in order of
     /// preference. Candidates with too few cores ([`MAX_CORES_RATIO`]) are left
     /// out.
@@ -571,6 +597,17 @@
         key: &str,
         count: usize,
         is_candidate: impl Fn(&Host) -> bool,
+    ) -> Vec<SocketAddr> {
+        self.choose_at(key, count, is_candidate, |host| host.scheduler)
+    }
+
+    /// Returns the same of the hosts' addresses that `address` returns.
+    fn choose_at(
+        &self,
+        key: &str,
+        count: usize,
+        is_candidate: impl Fn(&Host) -> bool,
+        address: impl Fn(&Host) -> Option<SocketAddr>,
     ) -> Vec<SocketAddr> {
         let hosts = || {
             let hosts = self.roster.iter().map(|(_, host)| host);
@@ -578,7 +615,7 @@
         };
         let max_cores = hosts().map(|host| host.cores).fold(0.0, f64::max);
         let large = hosts().filter(|host| host.cores * MAX_CORES_RATIO >= max_cores);
-        let members = large.filter_map(|host| Some((host.name.as_str(), host.scheduler?)));
+        let members = large.filter_map(|host| Some((host.name.as_str(), address(host)?)));
         let members = members.map(|key| Member { key, domain: "" });
         let members = members.collect::<Vec<_>>();
         let chosen = subset::choose(key, "", &members, count);
--- a/crates/lib/src/gateway/quota.rs
+++ b/crates/lib/src/gateway/quota.rs
@@ -13,7 +13,7 @@
 
 use super::dialect::TokenCount;
 use super::refusal::Refusal;
-use super::schedule::{draw, Drawing, LINK_POLL_INTERVAL};
+use super::schedule::{draw, Drawing};
 use super::{lock, Shared};
 use crate::clock::Clock;
 use crate::net::Net;
@@ -21,9 +21,12 @@
 /// Difference between the advances of both clocks from which the process counts as suspended.
 const MIN_SUSPENSION: Duration = Duration::from_millis(50);
 
-/// Time for which a host that has just started waits for its first link to a ledger, as it may use
-/// nothing by itself yet. Covers opening a link between failure domains.
-const FIRST_LINK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the requests at a host that has just started wait for a ledger, as the host may
+/// use nothing by itself yet. Covers opening a link, and the time until the host counts there.
+const FIRST_LINK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which these requests look for a ledger.
+const FIRST_LINK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What this host may still charge to quotas.
 
@@ -57,6 +60,13 @@
     }
 }
 
+impl Registry {
+    /// Returns whether no ledger has answered since the start.
+    fn is_fresh(&self) -> bool {
+        !lock(&self.state).was_linked
+    }
+}
+
 impl State {
     /// Drops the units that were drawn before the host was suspended, as the clock by which they
     /// expire stood still.
@@ -138,7 +148,15 @@
     };
     let units = quota.cost(tokens);
     let name = &account.name;
-    let taken = take_units(shared, name, quota, units).await;
+    let begun_at = shared.clock.now();
+    let mut taken = take_units(shared, name, quota, units).await;
+    while taken.is_err() && shared.quotas.is_fresh() {
+        if shared.clock.now() >= begun_at + FIRST_LINK_TIMEOUT {
+            break;
+        }
+        tokio::time::sleep(FIRST_LINK_POLL_INTERVAL).await;
+        taken = take_units(shared, name, quota, units).await;
+    }
     if let Err(wait) = taken {
         shared.metrics.count("quota.refused");
         return Err(Refusal::at_earliest(Code::Quota, wait));
@@ -169,10 +187,6 @@
     C: Clock,
     D: Send + Sync + 'static,
 {
-    if !lock(&shared.quotas.state).was_linked {
-        // On a timeout, the request is charged to this host's own share.
-        let _ = tokio::time::timeout(FIRST_LINK_TIMEOUT, wait_for_ledger(shared)).await;
-    }
     let requested_at = shared.clock.now();
     let share = lock(&shared.hosts).share(requested_at);
     let standing = if shared.has_ledger() {
@@ -231,18 +245,6 @@
     }
 }
 
-/// Waits until the ledger can be asked.
-async fn wait_for_ledger<N, C, D>(shared: &Arc<Shared<N, C, D>>)
-where
-    N: Net,
-    C: Clock,
-    D: Send + Sync + 'static,
-{
-    while !shared.has_ledger() {
-        tokio::time::sleep(LINK_POLL_INTERVAL).await;
-    }
-}
-
 /// Draws units for the next requests of an account.
 async fn prefetch_units<N, C, D>(
     shared: Arc<Shared<N, C, D>>,
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -37,7 +37,6 @@
 pub(super) use self::acquire::request_permit;
 pub(super) use self::ask::request_endpoints;
 pub(super) use self::draw::{draw, Drawing};
-pub(super) use self::link::LINK_POLL_INTERVAL;
 pub(super) use self::locate::{locate, Asked};
 
 mod acquire;
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -42,7 +42,7 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
 /// Interval at which a request that may wait looks for links that are being opened.
-pub(in crate::gateway) const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(super) const LINK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which an unused link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -104,7 +104,8 @@
     let now = shared.clock.now();
     let hosts = match service {
         SNAPSHOT_SERVICE => lock(&shared.hosts).readers(&shared.settings.domain),
-        CRASH_SERVICE | QUOTA_SERVICE => lock(&shared.hosts).hubs(),
+        CRASH_SERVICE => lock(&shared.hosts).hubs(),
+        QUOTA_SERVICE => lock(&shared.hosts).ledgers(),
         _ => lock(&shared.hosts).schedulers(service),
     };
     let is_own = matches!(service, SNAPSHOT_SERVICE | CRASH_SERVICE);
@@ -119,6 +120,8 @@
         }
         match state.phase {
             Phase::Down => continue,
+            // A link to a host that is gone is opened again and again.
+            Phase::Opening if service == QUOTA_SERVICE => continue,
             Phase::Opening => return None,
             Phase::Up => {}
         }
--- a/crates/policy/src/gateway/quota.rs
+++ b/crates/policy/src/gateway/quota.rs
@@ -49,6 +49,10 @@
 /// they may be given back. The rest is for hosts that change their ledger.
 const MARGIN_DIVISOR: f64 = 4.0;
 
+/// Divisor of the margin that gives the time whose units a new ledger has at once, as accounts
+/// within their quotas would be refused with an empty bucket.
+const FIRST_FILL_DIVISOR: f64 = 8.0;
+
 /// Bounds of the validity of drawn units.
 const VALIDITY_RANGE: (Duration, Duration) =
     (Duration::from_millis(20), Duration::from_millis(500));
@@ -56,6 +60,10 @@
 /// Upper bound of the age at which units may be given back.
 const MAX_RETURN_AGE: Duration = Duration::from_secs(2);
 
+/// Time after which a caller is told to return that is refused as this host reaches no ledger and
+/// has no share of its own. Covers opening a link, and the time until the host counts there.
+const NO_LEDGER_DELAY: Duration = Duration::from_secs(1);
+
 /// Longest time after which a refused caller is told to return.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(5);
 
@@ -89,6 +97,11 @@
         Duration::from_secs_f64(seconds.min(MAX_RETURN_AGE.as_secs_f64()))
     }
 
+    /// Returns the units that a new ledger has at once.
+    fn first_fill(&self, quota: Quota) -> f64 {
+        quota.rate * self.margin(quota) / FIRST_FILL_DIVISOR
+    }
+
     /// Returns the largest number of units that may be used in a window.
     pub fn bound(&self, quota: Quota) -> f64 {
         let allowed = quota.rate * self.window.as_secs_f64() + quota.burst;
@@ -228,10 +241,11 @@
         }
         let (rate, burst) = (quota.rate * self.share, quota.burst * self.share);
         let funded = self.funded;
+        let first_fill = self.settings.first_fill(quota) * self.share;
         let entry = match self.entries.get_mut(account) {
             Some(entry) => entry,
             None => self.entries.entry(account.into()).or_insert(Entry {
-                level: 0.0,
+                level: first_fill,
                 funded: 0.0,
                 next_return: now,
             }),
@@ -599,7 +613,7 @@
         let wait = if rate > 0.0 {
             Duration::from_secs_f64((missing / rate).min(MAX_RETURN_DELAY.as_secs_f64()))
         } else {
-            settings.lending_delay
+            NO_LEDGER_DELAY
         };
         Decision::Refused(wait)
     }
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -121,6 +121,11 @@
         self.hosts.len()
     }
 
+    /// Returns the record of a host, or `None` if it is not known.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.hosts.get(name).map(|(_, host)| host)
+    }
+
     /// Returns the records of the known hosts with their names, in order of the
     /// names.
     pub fn iter(&self) -> impl Iterator<Item = (&CompactString, &T)> {
