net: bound what a caller's connection has received and not read

Cause: bytes that were received and not read count as the process's memory, and each connection could have hundreds of kilobytes.

Change: the listeners for callers and probes have a small receive buffer.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -88,8 +88,9 @@
 /// Serves callers, probes and metrics until a signal drains the gateway. Returns
 /// whether the drain completed without aborting anything.
 async fn serve_traffic(shared: Arc<Gateway>, logger: Logger, file: String) -> Result<bool> {
-    let caller_listener = Tcp.bind(shared.settings.callers).await?;
-    let probe_listener = Tcp.bind(shared.settings.probes).await?;
+    let unread = serve::MAX_UNREAD_BYTES;
+    let caller_listener = Tcp.bind_bounded(shared.settings.callers, unread).await?;
+    let probe_listener = Tcp.bind_bounded(shared.settings.probes, unread).await?;
     tokio::spawn(serve::accept_callers(shared.clone(), caller_listener));
     tokio::spawn(serve::answer_probes(shared.clone(), probe_listener));
     match Tcp.bind(shared.settings.metrics).await {
--- a/crates/daemon/tests/hostile.rs
+++ b/crates/daemon/tests/hostile.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
@@ -293,7 +293,8 @@
 /// Returns whether the readiness probe answers 200.
 async fn is_ready(probe: SocketAddr) -> bool {
     let request = Request::get("/-/readiness").body(Full::<Bytes>::default());
-    let answer = Client::new(Tcp, probe).send(request.unwrap());
+    let client = Client::new(Tcp, probe);
+    let answer = client.send(request.unwrap());
     let answer = tokio::time::timeout(Duration::from_secs(15), answer).await;
     matches!(answer, Ok(Ok(answer)) if answer.status() == 200)
 }
--- a/crates/lib/src/net.rs
+++ b/crates/lib/src/net.rs
@@ -31,6 +31,17 @@
     /// Listens at an address.
     fn bind(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>> + Send;
 
+    /// Listens at an address for callers that may send more than is read. The system keeps about
+    /// `unread_bytes` of each connection that were received and not read. Networks without such a
+    /// limit ignore it.
+    fn bind_bounded(
+        &self,
+        address: SocketAddr,
+        _unread_bytes: u32,
+    ) -> impl Future<Output = io::Result<Self::Listener>> + Send {
+        self.bind(address)
+    }
+
     /// Returns the IP address of the other end of a connection, or `None` if the network
     /// has no addresses or the connection is closed.
     fn peer(&self, _stream: &Self::Stream) -> Option<IpAddr> {
@@ -75,16 +86,14 @@
     }
 
     async fn bind(&self, address: SocketAddr) -> io::Result<Listener> {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        // Connections that were closed a moment ago do not keep a restart from listening.
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        let listener = socket.listen(MAX_WAITING_CONNECTIONS)?;
-        let address = listener.local_addr()?;
-        Ok(Listener { listener, address })
+        listen(open_socket(address)?, address)
+    }
+
+    async fn bind_bounded(&self, address: SocketAddr, unread_bytes: u32) -> io::Result<Listener> {
+        let socket = open_socket(address)?;
+        // Connections inherit it. The kernel reserves twice as much, for what it adds to the bytes.
+        socket.set_recv_buffer_size(unread_bytes)?;
+        listen(socket, address)
     }
 
     fn peer(&self, stream: &TcpStream) -> Option<IpAddr> {
@@ -99,6 +108,24 @@
     }
 }
 
+/// Creates a socket for the family of an address.
+fn open_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+}
+
+/// Binds a socket and listens.
+fn listen(socket: TcpSocket, address: SocketAddr) -> io::Result<Listener> {
+    // Connections that were closed a moment ago do not keep a restart from listening.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(MAX_WAITING_CONNECTIONS)?;
+    let address = listener.local_addr()?;
+    Ok(Listener { listener, address })
+}
+
 /// A TCP listener with its bound address.
 #[derive(Debug)]
 pub struct Listener {
