--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -54,9 +54,9 @@
 /// Path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// Bytes that a caller's connection may have received and not read. A caller that sends more waits
-/// until they are read.
-pub const MAX_UNREAD_BYTES: u32 = 16 * 1024;
+/// Bytes that a caller's connection may have received and not read, also before it is accepted. A
+/// caller that sends more waits until they are read.
+pub const MAX_UNREAD_BYTES: u32 = 8 * 1024;
 
 /// Smallest buffer size that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -268,8 +268,6 @@
             Ok(stream) => match shared.admission.admit(shared.clock.now()) {
                 Some(connection) => {
                     tokio::spawn(serve_connection(shared.clone(), stream, connection));
-                    // Lets one that was closed for it release its memory before the next.
-                    tokio::task::yield_now().await;
                 }
                 None => shared.metrics.count("connection.refused"),
             },
