--- a/crates/bench/benches/cost.rs
+++ b/crates/bench/benches/cost.rs
@@ -225,8 +225,57 @@
     }
 }
 
+/// Finds the account of a key, charges its quota at the ledger, and ranks it among others, at 10,000
+/// accounts of two keys.
+fn bench_accounts(criterion: &mut Criterion) {
+    use cranberryridge_policy::gateway::account::{Account, Directory, Key, Quota, Unit};
+    use cranberryridge_policy::gateway::fairness::Clock;
+    use cranberryridge_policy::gateway::quota::{Ledger, Settings, Standing, Wallet};
+    use cranberryridge_wire::id::Digest;
+
+    const ACCOUNTS: usize = 10_000;
+    let quota = Quota {
+        rate: 1e9,
+        burst: 1e9,
+        unit: Unit::Tokens { unstated: 200 },
+    };
+    let key = |account: usize, number: usize| format!("key-{account}-{number}");
+    let accounts = (0..ACCOUNTS).map(|account| Account {
+        name: format!("account-{account}").into(),
+        keys: [0, 1]
+            .map(|number| Digest::of(&[key(account, number).as_bytes()]))
+            .to_vec(),
+        priority: None,
+        quota: Some(quota),
+    });
+    let directory = Directory::new(Some(accounts.collect()));
+    let begin = Instant::now();
+    let mut ledger = Ledger::new(Settings::default());
+    let mut wallet = Wallet::new(Settings::default());
+    let mut clock = Clock::default();
+    ledger.add_lender(begin, 1);
+    ledger.update(begin + Duration::from_secs(1), 1, true);
+    let mut request = 0;
+    criterion.bench_function("account/key, quota and rank, 10,000 accounts", |bencher| {
+        bencher.iter(|| {
+            request += 1;
+            // 35,000 requests a second.
+            let now = begin + Duration::from_secs(2) + Duration::from_micros(28) * request;
+            let text = key(request as usize * 7 % ACCOUNTS, 1);
+            let account = directory.find(Key::from_values([text.as_bytes()]));
+            let name = account.unwrap().name.as_str();
+            wallet.record_demand(now, name, 3000);
+            wallet.charge(now, name, quota, 3000, Standing::Linked);
+            let units = ledger.draw(now, name, quota, 3000, 3000).unwrap();
+            wallet.receive(now, now, name, quota, units, 3000);
+            clock.charge(now, name, Some(quota.rate), 3000)
+        });
+    });
+}
+
 criterion_group!(
     costs,
+    bench_accounts,
     bench_admission,
     bench_queue,
     bench_placement,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -97,7 +97,7 @@
         Ok(scrape_listener) => {
             tokio::spawn(serve::answer_scrapes(
                 shared.metrics.clone(),
-                shared.clock.clone(),
+                shared.clock,
                 scrape_listener,
             ));
         }
--- a/crates/lib/src/gateway/held.rs
+++ b/crates/lib/src/gateway/held.rs
@@ -265,7 +265,7 @@
     }
 
     /// Returns whether there is room for bytes, and only the service holds more than its share.
-    fn is_exceeded(&self, bytes: usize, purpose: Purpose) -> bool {
+    pub fn is_exceeded(&self, bytes: usize, purpose: Purpose) -> bool {
         let account = &self.account;
         let total = account.total.bytes.load(Ordering::Relaxed);
         account.bound.allows(account.held_bytes(), bytes, purpose)
--- a/crates/lib/src/gateway/quota.rs
+++ b/crates/lib/src/gateway/quota.rs
@@ -29,7 +29,6 @@
 const FIRST_LINK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What this host may still charge to quotas.
-
 #[derive(Debug)]
 pub struct Registry {
     state: Mutex<State>,
@@ -58,9 +57,7 @@
             }),
         }
     }
-}
 
-impl Registry {
     /// Returns whether no ledger has answered since the start.
     fn is_fresh(&self) -> bool {
         !lock(&self.state).was_linked
@@ -149,6 +146,9 @@
     let units = quota.cost(tokens);
     let name = &account.name;
     let begun_at = shared.clock.now();
+    lock(&shared.quotas.state)
+        .wallet
+        .record_demand(begun_at, name, units);
     let mut taken = take_units(shared, name, quota, units).await;
     while taken.is_err() && shared.quotas.is_fresh() {
         if shared.clock.now() >= begun_at + FIRST_LINK_TIMEOUT {
@@ -232,7 +232,7 @@
             is_valid.then_some(()).ok_or(Duration::ZERO)
         }
         Drawing::Exhausted(wait) => {
-            wallet.record_answer();
+            wallet.record_answer(account);
             Err(wait)
         }
         Drawing::Unavailable => {
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -152,6 +152,8 @@
 ) {
     let mut schedule = Scheduler::new(shared.settings.pool, shared.settings.balance);
     let mut ledger = Ledger::new(shared.settings.quota);
+    // Version of the configuration whose accounts the ledger keeps.
+    let mut ledger_version = 0;
     let mut links = Map::default();
     let mut listed = shared.current_endpoints.subscribe();
     let mut read = shared.listed_endpoints.subscribe();
@@ -225,6 +227,11 @@
             _ = share_timer.tick() => {
                 update_permit_shares(shared, &mut schedule);
                 update_ledger(shared, &mut ledger);
+                let table = shared.table.load();
+                if ledger_version != table.version() {
+                    ledger_version = table.version();
+                    ledger.retain(table.accounts());
+                }
             }
             // What a slow subscriber misses is told to hosts that link later.
             Ok(suspect) = suspects.recv() => send_to_all(&mut links, &Down::Suspect(suspect)),
@@ -398,7 +405,6 @@
     ledger.update(now, hosts, is_listed);
     let share = ledger.share();
     if share != before {
-        ledger.retain(shared.table.load().accounts());
         slog::info!(shared.logger, "quota: share changed"; "share" => share, "before" => before,
             "hosts" => hosts);
     }
--- a/crates/lib/src/gateway/schedule/draw.rs
+++ b/crates/lib/src/gateway/schedule/draw.rs
@@ -46,9 +46,7 @@
         wanted,
     };
     let _waiting = Waiting { shared, number };
-    if link.sender.try_send(Up::Draw(request)).is_err() {
-        return Drawing::Unavailable;
-    }
+    link.send(Up::Draw(request));
     match tokio::time::timeout(ACKNOWLEDGE_TIMEOUT, replies.recv()).await {
         Ok(Some(Down::Drawn(drawn))) => Drawing::Given(drawn.units),
         Ok(Some(Down::Refusal(refusal))) => Drawing::Exhausted(refusal.wait.into()),
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -133,8 +133,7 @@
             // If the link is lost, `follow` sends the message again.
             let _ = link.sender.try_send(Up::Follow);
         } else if is_new && service == QUOTA_SERVICE {
-            // The same.
-            let _ = link.sender.try_send(Up::Lend);
+            link.send(Up::Lend);
         } else if is_new {
             shared.links.restore_leases(&link, service);
         }
@@ -155,7 +154,6 @@
 /// crashes. Runs until the process ends.
 pub async fn follow<N: Net, C: Clock, D: Send + Sync + 'static>(shared: Arc<Shared<N, C, D>>) {
     let mut previous = None;
-    let mut ledger = None;
     loop {
         let link = active_link(&shared, SNAPSHOT_SERVICE);
         let address = link.map(|link| link.address);
@@ -169,11 +167,8 @@
             let link = active_link(&shared, QUOTA_SERVICE);
             let address = link.map(|link| link.address);
             // A link that is only unresponsive may still be that of the ledger.
-            if address.is_some() && address != ledger {
-                if let Some(ledger) = ledger {
-                    shared.links.reclaim(ledger);
-                }
-                ledger = address;
+            if let Some(address) = address {
+                shared.links.reclaim_from_others(address);
             }
         }
         let readers = lock(&shared.hosts).readers(&shared.settings.domain);
@@ -250,11 +245,13 @@
         }
     }
 
-    /// Takes this host's share of all quotas back from a ledger.
-    fn reclaim(&self, address: SocketAddr) {
-        if let Some(link) = lock(&self.by_address).get(&address) {
-            lock(&link.state).services.remove(QUOTA_SERVICE);
-            link.send(Up::Reclaim);
+    /// Takes this host's share of all quotas back from all hosts but the ledger.
+    fn reclaim_from_others(&self, ledger: SocketAddr) {
+        let by_address = lock(&self.by_address);
+        for link in by_address.values().filter(|link| link.address != ledger) {
+            if lock(&link.state).services.remove(QUOTA_SERVICE) {
+                link.send(Up::Reclaim);
+            }
         }
     }
 
@@ -379,7 +376,7 @@
 impl Link {
     /// Sends a message, or opens the connection anew if the queue is full. A lost message
     /// would leave the scheduler's accounting wrong for as long as the connection lasts.
-    fn send(&self, message: Up) {
+    pub(super) fn send(&self, message: Up) {
         if self.sender.try_send(message).is_err() {
             self.reset.notify_one();
         }
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -311,8 +311,8 @@
     .await;
 }
 
-/// Serves requests with a handler that does not wait. The connection that has been idle or busy for
-/// longest is closed for one that does not fit.
+/// Serves requests with a handler that does not wait. The oldest connection is closed for one that
+/// does not fit.
 async fn serve_sync<P, S, C, H>(mut listener: P, clock: C, connections: Arc<Registry>, handler: H)
 where
     C: Clock,
@@ -521,10 +521,15 @@
     );
     record.caller = caller;
     record.protocol = head.version;
-    let (route, account) = match find_route(&shared, &head, &mut record) {
+    let found = match find_route(&shared, &head, &mut record) {
         Ok(found) => found,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
+    let Destination {
+        route,
+        account,
+        has_accounts,
+    } = found;
     let now = record.arrival;
     let timeout = record.description.timeout.unwrap_or(route.timeout);
     let deadline = now + timeout.min(route.timeout);
@@ -542,11 +547,6 @@
         return response;
     };
     let memory = shared.held.share(&service);
-    let length = http_body::Body::size_hint(&body).exact();
-    let length = length.map_or(MAX_SMALL_BYTES, |length| length as usize);
-    shared
-        .make_room(&memory, length, Purpose::of_request(length))
-        .await;
     let body = match read_body(&shared, body, deadline, &record, &memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&shared, &mut record, refusal),
@@ -560,7 +560,15 @@
         Err(refusal) => return refuse(&shared, &mut record, refusal),
     };
     shared.earn_retry(now, &service);
-    let input = prepare_input(&shared, head, body, &record, deadline, account.as_deref());
+    let input = prepare_input(
+        &shared,
+        head,
+        body,
+        &record,
+        deadline,
+        has_accounts,
+        account.as_deref(),
+    );
     shared.record_arrival(&service, &input);
     if let Err(time) = shared.admit(&input) {
         let refusal = Refusal::at_earliest(Code::Barred, time);
@@ -608,12 +616,14 @@
 }
 
 impl<N, C: Clock, D> Shared<N, C, D> {
-    /// Closes connections of callers that do not send the rest of a request, or do not read an
-    /// answer, until there is room for bytes, or no such connection.
+    /// Closes connections of callers that do not send the rest of a body, or do not read an answer,
+    /// until there is room for bytes, or no such connection.
     pub(super) async fn make_room(&self, memory: &held::Share, bytes: usize, purpose: Purpose) {
         for _ in 0..MAX_EVICTIONS {
             let has_room = memory.reserve(bytes, purpose).is_some();
-            if has_room || !self.admission.evict_for_memory(self.clock.now()) {
+            // Closing others gives a service no more than its share.
+            let is_hopeless = memory.is_exceeded(bytes, purpose);
+            if has_room || is_hopeless || !self.admission.evict_for_memory(self.clock.now()) {
                 return;
             }
             self.metrics.count("connection.evicted");
@@ -622,12 +632,21 @@
     }
 }
 
+/// What one version of the configuration says of a request.
+struct Destination {
+    route: Route,
+    /// Client account of the caller, or `None` if the request needs none.
+    account: Option<Arc<Account>>,
+    /// Whether the deployment has client accounts.
+    has_accounts: bool,
+}
+
 /// Finds a request's route and client account, and chooses a service from the route's targets.
 fn find_route<N, C: Clock, D>(
     shared: &Shared<N, C, D>,
     head: &http::request::Parts,
     record: &mut Record<C>,
-) -> Result<(Route, Option<Arc<Account>>), Refusal> {
+) -> Result<Destination, Refusal> {
     let table = shared.table.load();
     record.configuration_version = table.version();
     if table.version() == 0 {
@@ -645,7 +664,11 @@
     record.account = account.as_ref().map(|account| account.name.clone());
     let service = shared.choose_service(&route, &record.description);
     record.service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
-    Ok((route, account))
+    Ok(Destination {
+        route,
+        account,
+        has_accounts: table.accounts().is_configured(),
+    })
 }
 
 /// Counts and logs that there is no memory left for a service.
@@ -682,10 +705,11 @@
     body: Chunks,
     record: &Record<C>,
     deadline: Instant,
+    has_accounts: bool,
     account: Option<&Account>,
 ) -> Input {
     shared.dialect.strip_headers(&mut head.headers);
-    if shared.table.load().accounts().is_configured() {
+    if has_accounts {
         let name = account.map(|account| account.name.as_str());
         shared.dialect.set_account(&mut head.headers, name);
     }
@@ -715,6 +739,15 @@
     memory: &held::Share,
 ) -> Result<Chunks, Refusal> {
     let limit = shared.table.load().limits().max_body_bytes;
+    let size = http_body::Body::size_hint(&body);
+    if size.lower() > limit as u64 {
+        return Err(Refusal::new(Code::BodyTooLarge));
+    }
+    let expected = size
+        .exact()
+        .map_or(MAX_SMALL_BYTES, |length| length as usize);
+    let purpose = Purpose::of_request(expected);
+    shared.make_room(memory, expected, purpose).await;
     let read = held::read(memory, body, limit, Purpose::of_request);
     let read = shared.run_until(deadline, read).await;
     let read = read.map_err(|interruption| Refusal::interrupted(interruption, false))?;
--- a/crates/lib/src/gateway/serve/activity.rs
+++ b/crates/lib/src/gateway/serve/activity.rs
@@ -37,11 +37,32 @@
     /// Time at which an incomplete request head began to arrive, or `None` if no
     /// head is arriving.
     head_started_at: Option<Instant>,
-    /// Time since which an answer cannot be written, or `None` if none waits.
-    stalled_since: Option<Instant>,
+    /// Whether the body of the last request may still be arriving.
+    is_receiving: bool,
+    /// Whether an answer cannot be written, as the caller does not read.
+    is_stalled: bool,
     connection: Arc<Connection>,
 }
 
+impl State {
+    /// Tells the table of connections what this one does. An answer that waits to be written goes
+    /// before a request that arrives behind it.
+    fn update_stage(&self, now: Instant) {
+        let stage = if self.is_stalled {
+            Stage::Stalled
+        } else if self.is_receiving {
+            Stage::Body
+        } else if self.active_requests > 0 {
+            Stage::Serving
+        } else if self.head_started_at.is_some() {
+            Stage::Head
+        } else {
+            Stage::Idle
+        };
+        self.connection.set_stage(now, stage);
+    }
+}
+
 impl Activity {
     /// Creates the state of a connection that opens at `now`.
     pub fn new(now: Instant, connection: Arc<Connection>) -> Self {
@@ -49,7 +70,8 @@
             active_requests: 0,
             idle_since: now,
             head_started_at: None,
-            stalled_since: None,
+            is_receiving: false,
+            is_stalled: false,
             connection,
         };
         Self {
@@ -63,7 +85,8 @@
         self.with_state(|state| {
             state.active_requests += 1;
             state.head_started_at = None;
-            state.connection.set_stage(now, Stage::Receiving);
+            state.is_receiving = true;
+            state.update_stage(now);
         });
         RequestGuard {
             activity: self.clone(),
@@ -73,22 +96,22 @@
 
     /// Records that the body of a request is complete.
     pub fn end_body(&self, now: Instant) {
-        self.with_state(|state| state.connection.set_stage(now, Stage::Serving));
+        self.with_state(|state| {
+            state.is_receiving = false;
+            state.update_stage(now);
+        });
     }
 
-    /// Returns whether a request is being answered by a caller that reads.
+    /// Returns whether a request is being answered.
     pub fn is_busy(&self) -> bool {
-        self.with_state(|state| state.active_requests > 0 && state.stalled_since.is_none())
+        self.with_state(|state| state.active_requests > 0)
     }
 
     /// Returns the time at which the idle or header timeout expires. While a
-    /// request is active, that is one idle timeout after `now`, or after the caller stopped to
-    /// read.
+    /// request is active, that is one idle timeout after `now`.
     pub fn deadline(&self, limits: Limits, now: Instant) -> Instant {
         self.with_state(|state| match state.head_started_at {
-            _ if state.active_requests > 0 => {
-                state.stalled_since.unwrap_or(now) + limits.idle_timeout
-            }
+            _ if state.active_requests > 0 => now + limits.idle_timeout,
             Some(started_at) => started_at + limits.head_timeout,
             None => state.idle_since + limits.idle_timeout,
         })
@@ -99,7 +122,7 @@
         self.with_state(|state| {
             if state.active_requests == 0 && state.head_started_at.is_none() {
                 state.head_started_at = Some(now);
-                state.connection.set_stage(now, Stage::Receiving);
+                state.update_stage(now);
             }
         });
     }
@@ -107,13 +130,8 @@
     /// Records whether an answer cannot be written, as the caller does not read.
     fn record_stall(&self, now: Instant, is_stalled: bool) {
         self.with_state(|state| {
-            let stage = match (is_stalled, state.active_requests) {
-                (true, _) => Stage::Stalled,
-                (false, 0) => Stage::Idle,
-                (false, _) => Stage::Serving,
-            };
-            state.stalled_since = is_stalled.then_some(now);
-            state.connection.set_stage(now, stage);
+            state.is_stalled = is_stalled;
+            state.update_stage(now);
         });
     }
 
@@ -150,9 +168,8 @@
             state.active_requests = state.active_requests.saturating_sub(1);
             if let Some(ended_at) = ended_at {
                 state.idle_since = ended_at;
-                if state.active_requests == 0 && state.stalled_since.is_none() {
-                    state.connection.set_stage(ended_at, Stage::Idle);
-                }
+                state.is_receiving &= state.active_requests > 0;
+                state.update_stage(ended_at);
             }
         });
     }
--- a/crates/policy/src/gateway/account.rs
+++ b/crates/policy/src/gateway/account.rs
@@ -163,6 +163,19 @@
     BadQuota(CompactString),
 }
 
+/// Returns whether a number may be a rate or burst of a quota.
+///
+/// # Examples
+///
+/// ```
+/// use cranberryridge_policy::gateway::account::is_amount;
+/// assert!(is_amount(0.0) && is_amount(1e9));
+/// assert!(!is_amount(-1.0) && !is_amount(1e300) && !is_amount(f64::NAN));
+/// ```
+pub fn is_amount(units: f64) -> bool {
+    (0.0..=MAX_UNITS).contains(&units)
+}
+
 /// Checks a list of accounts.
 ///
 /// # Errors
@@ -187,7 +200,7 @@
         }
         let amounts = account.quota.map(|quota| [quota.rate, quota.burst]);
         let mut amounts = amounts.into_iter().flatten();
-        if !amounts.all(|amount| (0.0..=MAX_UNITS).contains(&amount)) {
+        if !amounts.all(is_amount) {
             return Err(Error::BadQuota(name.clone()));
         }
     }
--- a/crates/policy/src/gateway/admission.rs
+++ b/crates/policy/src/gateway/admission.rs
@@ -1,6 +1,6 @@
 //! Decides which connections of callers a host keeps.
 //!
-//! Answers crowds of callers that open connections and then send nothing, a part of a request, or
+//! Guards against crowds of callers that open connections and then send nothing, a part of a request, or
 //! read no answer. A host that has no descriptors or no memory left serves nobody, so one of these
 //! connections is closed for each that comes beyond the bound. A caller whose request is complete
 //! is not closed for it, unless it does not read its answer.
@@ -18,8 +18,10 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
-    /// A request is arriving.
-    Receiving,
+    /// The head of a request is arriving.
+    Head,
+    /// The body of a request is arriving.
+    Body,
     /// No request has begun to arrive.
     Idle,
     /// An answer cannot be written, as the caller does not read.
@@ -32,9 +34,8 @@
 /// loss of a packet and its repetition.
 const MIN_STALL: Duration = Duration::from_secs(1);
 
-/// Time for which a request may arrive while there is too little memory. Covers a request of usual
-/// size.
-const MIN_RECEIVING_TIME: Duration = Duration::from_millis(250);
+/// Time for which a body may arrive while there is too little memory. Covers one of usual size.
+const MIN_BODY_TIME: Duration = Duration::from_millis(250);
 
 /// The open connections of callers.
 ///
@@ -87,10 +88,11 @@
             None
         } else {
             let longest = |stage, time| self.longest_in(stage, now, time);
-            let victim = longest(Stage::Receiving, Duration::ZERO);
+            let arriving = [Stage::Head, Stage::Body].map(|stage| longest(stage, Duration::ZERO));
+            let victim = arriving.into_iter().flatten().min();
             let victim = victim.or_else(|| longest(Stage::Idle, Duration::ZERO));
             let victim = victim.or_else(|| longest(Stage::Stalled, MIN_STALL));
-            Some(self.remove(victim?)?)
+            Some(self.remove(victim?.1)?)
         };
         let key = self.connections.insert((Stage::Idle, now));
         self.insert(Stage::Idle, now, key);
@@ -100,9 +102,9 @@
     /// Removes the connection that has to be closed for memory that another request needs. Returns
     /// `None` if none may be closed.
     pub fn evict_for_memory(&mut self, now: Instant) -> Option<Key> {
-        let receiving = self.longest_in(Stage::Receiving, now, MIN_RECEIVING_TIME);
-        let victim = receiving.or_else(|| self.longest_in(Stage::Stalled, now, MIN_STALL));
-        self.remove(victim?)
+        let body = self.longest_in(Stage::Body, now, MIN_BODY_TIME);
+        let victim = body.or_else(|| self.longest_in(Stage::Stalled, now, MIN_STALL));
+        self.remove(victim?.1)
     }
 
     /// Records what a connection does since a time. Has no effect on a removed one.
@@ -136,9 +138,10 @@
         }
     }
 
-    /// Returns the connection that has been in a stage for longest, if that is at least `time`.
-    fn longest_in(&self, stage: Stage, now: Instant, time: Duration) -> Option<Key> {
+    /// Returns the connection that has been in a stage for longest, if that is at least `time`, and
+    /// since when.
+    fn longest_in(&self, stage: Stage, now: Instant, time: Duration) -> Option<(Instant, Key)> {
         let (since, key) = self.order.get(&stage)?.first()?;
-        (now >= *since + time).then_some(*key)
+        (now >= *since + time).then_some((*since, *key))
     }
 }
--- a/crates/policy/src/gateway/fairness.rs
+++ b/crates/policy/src/gateway/fairness.rs
@@ -1,10 +1,11 @@
 //! Order of client accounts that compete for room.
 //!
-//! Answers the surge of one account, which takes the room of all others if requests are served by
-//! size alone. Each account has a virtual clock (Zhang's *VirtualClock*), which its requests
+//! Guards against the surge of one account, which takes the room of all others if requests are
+//! served by size alone. Each account has a virtual clock (Zhang's *VirtualClock*), which its requests
 //! advance by their size, relative to what the account was sold or usually asks for. The common
 //! virtual time advances by what all accounts ask for. Requests of an account that is ahead of it
-//! wait behind those of others. A surge of all accounts puts none ahead.
+//! wait behind those of others. A surge of all accounts puts none ahead, and a lead fades, as
+//! requests come at random.
 
 use std::time::{Duration, Instant};
 
@@ -46,8 +47,9 @@
 /// Clock of one account.
 #[derive(Clone, Copy, Debug)]
 struct Account {
-    /// Virtual time up to which the account has asked.
+    /// Virtual time up to which the account has asked, at `updated_at`.
     finish: f64,
+    updated_at: Instant,
     /// Tokens per second that it was sold, or `None` if it has no quota.
     sold: Option<f64>,
     /// Tokens per second that it asks for now.
@@ -86,6 +88,10 @@
 /// not held against it for longer than a surge.
 const MAX_LEAD: f64 = 4.0;
 
+/// Time constant with which a lead fades. Shorter than a surge, longer than the gaps between an
+/// account's requests.
+const LEAD_TIME: Duration = Duration::from_secs(2);
+
 /// Virtual time by which requests of one rank may be ahead of each other.
 const RANK_SPAN: f64 = 0.5;
 
@@ -136,6 +142,7 @@
             Some(account) => account,
             None => self.accounts.entry(name.into()).or_insert(Account {
                 finish: virtual_time,
+                updated_at: now,
                 sold,
                 recent: Average::new(now),
                 usual: Average::new(now),
@@ -145,7 +152,11 @@
         account.sold = sold;
         account.recent.add(now, tokens, RECENT_TIME);
         account.usual.add(now, tokens, USUAL_TIME);
-        let start = account.finish.max(virtual_time);
+        let age = now.saturating_duration_since(account.updated_at);
+        let fading = (-age.as_secs_f64() / LEAD_TIME.as_secs_f64()).exp();
+        let lead = (account.finish - virtual_time).max(0.0) * fading;
+        let start = virtual_time + lead;
+        account.updated_at = now;
         let length = tokens / account.need(now);
         account.finish = (start + length).min(virtual_time + MAX_LEAD.max(length));
         let allowed = MIN_LEAD.max(MAX_LEAD_REQUESTS * length).min(MAX_LEAD / 2.0);
--- a/crates/policy/src/gateway/queue.rs
+++ b/crates/policy/src/gateway/queue.rs
@@ -1,6 +1,6 @@
 //! Orders the requests that wait for room.
 //!
-//! Requests that can still be on time go first, the most urgent ones at first. Among equally
+//! Requests that can still be on time go first, the most urgent of them first. Among equally
 //! urgent ones, those of accounts that ask for more than others wait. Among the rest, the smallest
 //! goes first, since in a burst the room of one large request serves several small ones. Late
 //! requests follow in the same order, but by their deadlines instead of their sizes.
--- a/crates/policy/src/gateway/quota.rs
+++ b/crates/policy/src/gateway/quota.rs
@@ -1,6 +1,6 @@
 //! Quotas of client accounts, which all hosts keep together.
 //!
-//! Answers an account whose callers ask for more than it was sold, at any hosts. Each host has an
+//! Handles accounts whose callers ask for more than they were sold, at any hosts. Each host has an
 //! equal share of every quota and lends it to one host, the ledger, as an account's callers may
 //! all meet one host. The ledger keeps a token bucket for each account at the part of the rate that
 //! was lent to it, so two ledgers together give no more than the rate. Hosts draw from it for what
@@ -331,8 +331,6 @@
 pub struct Wallet {
     settings: Settings,
     entries: Map<CompactString, Allowance>,
-    /// Time since which the ledger cannot be asked, `None` while it can.
-    alone_since: Option<Instant>,
 }
 
 /// Units of one account at one host.
@@ -349,6 +347,8 @@
     /// Units that this host may use by itself while the ledger cannot be asked, and the time at
     /// which they were computed. `None` before that.
     own: Option<(f64, Instant)>,
+    /// Time since which the ledger gives nothing, `None` while it answers.
+    alone_since: Option<Instant>,
     /// Whether units are being drawn in advance.
     is_prefetching: bool,
 }
@@ -400,6 +400,7 @@
             requests: Meter::new(now),
             drawn: Meter::new(now),
             own: None,
+            alone_since: None,
             is_prefetching: false,
         }
     }
@@ -411,7 +412,7 @@
         units.fold(0, u32::saturating_add)
     }
 
-    /// Removes valid units, those that expire first at first.
+    /// Removes valid units, earliest expiry first.
     fn take(&mut self, mut units: u32) {
         while let Some((first, _)) = self.grants.front_mut() {
             let taken = units.min(*first);
@@ -439,10 +440,16 @@
         Self {
             settings,
             entries: Map::default(),
-            alone_since: None,
         }
     }
 
+    /// Records that a request asks for units of an account's quota. Called once for each request.
+    pub fn record_demand(&mut self, now: Instant, account: &str, units: u32) {
+        let entry = self.entry(now, account);
+        entry.demand.add(now, units);
+        entry.requests.add(now, 1);
+    }
+
     /// Decides on a request that costs some units of an account's quota, and takes them if there
     /// are enough.
     pub fn charge(
@@ -455,8 +462,6 @@
     ) -> Decision {
         let settings = self.settings;
         let entry = self.entry(now, account);
-        entry.demand.add(now, cost);
-        entry.requests.add(now, 1);
         let valid = entry.valid_units(now);
         if valid >= cost {
             entry.take(cost);
@@ -490,14 +495,16 @@
         share: f64,
     ) -> Decision {
         let settings = self.settings;
-        let since = *self.alone_since.get_or_insert(now);
         let entry = self.entry(now, account);
+        let since = *entry.alone_since.get_or_insert(now);
         entry.charge_alone(now, quota, cost, share, since, settings)
     }
 
-    /// Records that the ledger has answered.
-    pub fn record_answer(&mut self) {
-        self.alone_since = None;
+    /// Records that the ledger has answered a request for an account's units.
+    pub fn record_answer(&mut self, account: &str) {
+        if let Some(entry) = self.entries.get_mut(account) {
+            entry.alone_since = None;
+        }
     }
 
     /// Adds the units that the ledger gave in answer to a request of `requested_at`, and takes
@@ -511,7 +518,7 @@
         units: u32,
         needed: u32,
     ) -> bool {
-        self.record_answer();
+        self.record_answer(account);
         let until = requested_at + self.settings.validity(quota);
         let entry = self.entry(now, account);
         entry.drawn.add(now, units);
@@ -599,8 +606,12 @@
         let rate = bridging_rate.max(quota.rate * share);
         let ahead = bridging_rate * settings.validity(quota).as_secs_f64();
         let burst = (quota.burst * share).max(ahead);
-        let own = self.own.filter(|(_, filled_at)| *filled_at >= since);
-        let (level, filled_at) = own.unwrap_or((ahead, since));
+        let (level, filled_at) = match self.own {
+            Some((level, filled_at)) if filled_at >= since => (level, filled_at),
+            // What is given ahead is given once in a window, however often the ledger is lost.
+            Some((level, filled_at)) if now < filled_at + settings.window => (level, since),
+            _ => (ahead, since),
+        };
         let elapsed = now.saturating_duration_since(filled_at);
         let level = (level + rate * elapsed.as_secs_f64()).min(burst);
         let cost = f64::from(cost);
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -23,8 +23,8 @@
     let keys = fill(&mut table, begin, 4);
     let now = begin + STEP * 10;
     table.set_stage(now, keys[0], Stage::Serving);
-    table.set_stage(now, keys[2], Stage::Receiving);
-    table.set_stage(now + STEP, keys[3], Stage::Receiving);
+    table.set_stage(now, keys[2], Stage::Head);
+    table.set_stage(now + STEP, keys[3], Stage::Body);
     let mut evicted = Vec::new();
     let mut admitted = Vec::new();
     for step in 2..5 {
@@ -58,14 +58,15 @@
 }
 
 // Guards against idle connections that are closed for memory which they do not take, and against
-// requests that are cut off while they arrive at a usual pace.
+// bodies that are cut off while they arrive at a usual pace.
 #[test]
-fn memory_is_taken_from_requests_that_arrive_slowly() {
+fn memory_is_taken_from_bodies_that_arrive_slowly() {
     let (mut table, begin) = (Table::new(8), Instant::now());
     let keys = fill(&mut table, begin, 3);
     assert_eq!(table.evict_for_memory(begin + Duration::from_secs(9)), None);
     let now = begin + Duration::from_secs(9);
-    table.set_stage(now, keys[1], Stage::Receiving);
+    table.set_stage(begin, keys[2], Stage::Head);
+    table.set_stage(now, keys[1], Stage::Body);
     assert_eq!(
         table.evict_for_memory(now + Duration::from_millis(200)),
         None
@@ -83,7 +84,7 @@
     let key = fill(&mut table, begin, 1)[0];
     let (other, evicted) = table.admit(begin + STEP).unwrap();
     assert_eq!(evicted, Some(key));
-    table.set_stage(begin + STEP, key, Stage::Receiving);
+    table.set_stage(begin + STEP, key, Stage::Head);
     assert_eq!(table.remove(key), None);
     let (_, evicted) = table.admit(begin + STEP * 2).unwrap();
     assert_eq!(evicted, Some(other));
--- a/crates/policy/tests/fairness.rs
+++ b/crates/policy/tests/fairness.rs
@@ -10,6 +10,7 @@
 
 use cranberryridge_policy::gateway::account::Urgency;
 use cranberryridge_policy::gateway::balance;
+use cranberryridge_policy::gateway::fairness::Clock;
 use cranberryridge_policy::gateway::place::Need;
 use cranberryridge_policy::gateway::pool;
 use cranberryridge_policy::gateway::schedule::{Answer, Id, Request, Scheduler};
@@ -324,3 +325,33 @@
     let worst = worth.fold(1.0, f64::min);
     assert!(worst >= mean - 0.15, "{worst} of {mean}");
 }
+
+// Guards against accounts that are taken for surging as their requests come at random, so that
+// small requests no longer go first.
+#[test]
+fn few_requests_are_in_excess_in_calm() {
+    let begin = Instant::now();
+    for seed in SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut clock = Clock::default();
+        let sizes = (1..=16)
+            .map(|rank| 1.0 / f64::from(rank))
+            .collect::<Vec<_>>();
+        let total = sizes.iter().sum::<f64>();
+        let (mut asked, mut excess) = (0, 0);
+        for step in 0..12_000 {
+            let now = begin + STEP * step;
+            for (account, size) in sizes.iter().enumerate() {
+                let per_second = 43.0 * size / total;
+                if random.random_bool(per_second * STEP.as_secs_f64()) {
+                    let sold = per_second * 3069.0 / 0.55;
+                    let tokens = random.random_range(1069..5069);
+                    asked += 1;
+                    let rank = clock.charge(now, &account.to_string(), Some(sold), tokens);
+                    excess += u32::from(rank > 0);
+                }
+            }
+        }
+        assert!(excess * 10 < asked, "{excess} of {asked} in excess");
+    }
+}
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -156,7 +156,10 @@
             }
         }
         let elapsed = now - self.begin;
-        if elapsed.as_millis() % UPDATE_INTERVAL.as_millis() == 0 {
+        if elapsed
+            .as_millis()
+            .is_multiple_of(UPDATE_INTERVAL.as_millis())
+        {
             for host in self.hosts.iter_mut().filter(|host| host.is_running()) {
                 host.ledger.update(now, HOSTS, true);
             }
@@ -213,6 +216,7 @@
             None => Standing::Alone { share },
         };
         let wallet = &mut self.hosts[host].wallet;
+        wallet.record_demand(now, NAME, cost);
         let runs = match wallet.charge(now, NAME, quota, cost, standing) {
             Decision::Granted { prefetch } => {
                 if prefetch > 0 {
@@ -233,7 +237,7 @@
                     Ok(units) => wallet.receive(now, now, NAME, quota, units, needed),
                     Err(Denial::Exhausted(wait)) => {
                         assert!(wait > Duration::ZERO);
-                        wallet.record_answer();
+                        wallet.record_answer(NAME);
                         false
                     }
                     Err(Denial::NotLent) => {
@@ -435,3 +439,45 @@
     let late = now + settings().return_age(quota);
     assert!(!wallet.give_back(late, NAME, quota, 5000, now));
 }
+
+// Guards against an account that the ledger does not know, and that is refused for as long as the
+// ledger answers for another one.
+#[test]
+fn an_account_unknown_to_the_ledger_uses_the_share_of_the_host() {
+    let (quota, begin) = (tokens(36_000.0, 36_000.0), Instant::now());
+    let mut wallet = Wallet::new(settings());
+    let mut used = 0;
+    for step in 0..1000 {
+        let now = begin + STEP * step;
+        assert!(wallet.receive(now, now, "other", quota, 200, 200));
+        let decision = wallet.charge_alone(now, NAME, quota, 200, 0.1);
+        used += if decision == (Decision::Granted { prefetch: 0 }) {
+            200
+        } else {
+            0
+        };
+    }
+    // 20 s at a tenth of the rate.
+    assert!((68_000..76_000).contains(&used), "{used} used");
+}
+
+// Guards against a ledger that is slow now and then, and each time lets all hosts use units ahead.
+#[test]
+fn a_ledger_that_misses_answers_does_not_raise_a_quota() {
+    let (quota, begin) = (tokens(36_000.0, 36_000.0), Instant::now());
+    let mut wallet = Wallet::new(settings());
+    let (mut drawn, mut alone) = (0.0, 0.0);
+    for step in 0..400 {
+        let now = begin + STEP * step;
+        if step % 10 > 0 {
+            wallet.receive(now, now, NAME, quota, 720, 720);
+            drawn += 720.0;
+        } else if !matches!(
+            wallet.charge_alone(now, NAME, quota, 720, 0.0),
+            Decision::Refused(_)
+        ) {
+            alone += 720.0;
+        }
+    }
+    assert!(alone <= 0.15 * drawn, "{alone} beside {drawn} drawn");
+}
