--- a/crates/policy/src/gateway/fairness.rs
+++ b/crates/policy/src/gateway/fairness.rs
@@ -27,9 +27,8 @@
 ///     for _ in 0..7 {
 ///         clock.charge(now, "surging", Some(1000.0), 1000);
 ///     }
+///     assert!(clock.charge(now, "surging", Some(1000.0), 1000) > 0);
 /// }
-/// let now = now + Duration::from_secs(10);
-/// assert!(clock.charge(now, "surging", Some(1000.0), 1000) > 0);
 /// ```
 #[derive(Debug, Default)]
 pub struct Clock {
