policy: look up an account's quota in one place

Cause: the ledger, the wallet and the scheduler each found the quota of an account by its name anew.

Change: Directory::quota, which all three call. Behaviour stays as it is.

Result: formatter and clippy of policy, lib, platform and daemon pass, and the tests of quotas in policy.

--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -418,9 +418,8 @@
 ) -> Down {
     let (number, name) = (request.number, request.account.as_str());
     let table = shared.table.load();
-    let quota = table.accounts().get(name).and_then(|account| account.quota);
     // The host's configuration is another one.
-    let Some(quota) = quota else {
+    let Some(quota) = table.accounts().quota(name) else {
         return Down::Unknown(number);
     };
     shared.metrics.count("quota.drawn");
--- a/crates/policy/src/gateway/account.rs
+++ b/crates/policy/src/gateway/account.rs
@@ -269,6 +269,11 @@
         self.by_name.get(name)
     }
 
+    /// Returns the quota of an account, `None` if it has none or is not known.
+    pub fn quota(&self, name: &str) -> Option<Quota> {
+        self.get(name)?.quota
+    }
+
     /// Returns all accounts.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/crates/policy/src/gateway/quota.rs
+++ b/crates/policy/src/gateway/quota.rs
@@ -272,12 +272,8 @@
 
     /// Forgets the accounts that are no longer configured or have no quota.
     pub fn retain(&mut self, accounts: &Directory) {
-        let has_quota = |name: &str| {
-            accounts
-                .get(name)
-                .is_some_and(|account| account.quota.is_some())
-        };
-        self.entries.retain(|name, _| has_quota(name));
+        self.entries
+            .retain(|name, _| accounts.quota(name).is_some());
     }
 }
 
@@ -562,12 +558,8 @@
 
     /// Forgets the accounts that are no longer configured or have no quota.
     pub fn retain(&mut self, accounts: &Directory) {
-        let has_quota = |name: &str| {
-            accounts
-                .get(name)
-                .is_some_and(|account| account.quota.is_some())
-        };
-        self.entries.retain(|name, _| has_quota(name));
+        self.entries
+            .retain(|name, _| accounts.quota(name).is_some());
     }
 
     fn entry(&mut self, now: Instant, account: &str) -> &mut Allowance {
