net: block the way between two hosts of the in-memory network

Cause: a cut of the in-memory network ended the connections of the moment, and the next one worked, so no test played a host that stays cut off.

Change: ways between chosen hosts stay blocked, one way or both, until they are healed; what was sent meanwhile arrives late, as from a buffer, or is lost.

Result: crates/lib/tests/memory.rs plays both.

--- a/crates/lib/src/net/memory.rs
+++ b/crates/lib/src/net/memory.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::{mpsc, Notify};
 
-use cranberryridge_wire::Map;
+use cranberryridge_wire::{Map, Set};
 
 use super::{Listen, Net};
 
@@ -58,6 +58,10 @@
     pipes: Vec<Weak<Pipe>>,
     /// Number of entries in `pipes` at which closed ones are removed.
     cleanup_threshold: usize,
+    /// Pairs of hosts of which the second receives nothing from the first.
+    blocked: Set<(IpAddr, IpAddr)>,
+    /// Notified when a pair is removed from `blocked`.
+    unblocked: Arc<Notify>,
 }
 
 /// A host, from its first use until it is killed. After that, the address belongs to a new
@@ -168,6 +172,68 @@
         between.inspect(|pipe| pipe.reset()).count()
     }
 
+    /// Holds back everything that one host sends to another, on current and new connections.
+    /// Connections between the two are not opened, whichever of them asks.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    /// # runtime.block_on(async {
+    /// use std::time::Duration;
+    /// use cranberryridge::net::{memory::Memory, Listen, Net};
+    /// use tokio::time::timeout;
+    /// let net = Memory::default();
+    /// let address: std::net::SocketAddr = "10.0.0.1:80".parse().unwrap();
+    /// let (caller, called) = ("10.0.0.2".parse().unwrap(), address.ip());
+    /// let _listener = net.for_host(called).bind(address).await.unwrap();
+    /// let own = net.for_host(caller);
+    /// net.block(called, caller);
+    /// let connect = timeout(Duration::from_millis(10), own.connect(address));
+    /// assert!(connect.await.is_err());
+    /// net.unblock(called, caller);
+    /// own.connect(address).await.unwrap();
+    /// # });
+    /// ```
+    pub fn block(&self, from: IpAddr, to: IpAddr) {
+        let mut network = self.lock();
+        network.blocked.insert((from, to));
+        let pipes = network.open_pipes();
+        drop(network);
+        pipes
+            .iter()
+            .for_each(|pipe| pipe.set_blocked(from, to, true));
+    }
+
+    /// Delivers what was held back between two hosts, and lets new connections open.
+    pub fn unblock(&self, from: IpAddr, to: IpAddr) {
+        let mut network = self.lock();
+        network.blocked.remove(&(from, to));
+        let (pipes, unblocked) = (network.open_pipes(), network.unblocked.clone());
+        drop(network);
+        pipes
+            .iter()
+            .for_each(|pipe| pipe.set_blocked(from, to, false));
+        unblocked.notify_waiters();
+    }
+
+    /// Waits until two hosts can open connections.
+    async fn wait_until_unblocked(&self, remote: IpAddr) {
+        let own = self.host.address;
+        loop {
+            let unblocked = self.lock().unblocked.clone();
+            let notified = unblocked.notified();
+            let is_blocked = {
+                let blocked = &self.lock().blocked;
+                blocked.contains(&(own, remote)) || blocked.contains(&(remote, own))
+            };
+            if !is_blocked {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// Sets the latency of everything that a host sends or receives.
     pub fn delay(&self, address: IpAddr, delay: Duration) {
         let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
@@ -214,6 +280,7 @@
 
     async fn connect(&self, address: SocketAddr) -> io::Result<Stream> {
         self.host.wait_until_thawed().await;
+        self.wait_until_unblocked(address.ip()).await;
         self.host.check_alive()?;
         let mut network = self.lock();
         let listener = network.listeners.get(&address).cloned();
--- a/crates/lib/src/net/memory/pipe.rs
+++ b/crates/lib/src/net/memory/pipe.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -43,6 +43,8 @@
     hosts: [Arc<Host>; 2],
     /// [`OPEN`], [`SILENT`], [`RESET`] or [`CUT`].
     state: AtomicU8,
+    /// Whether what is sent to an end is held back, by that end.
+    blocked: [AtomicBool; 2],
     /// Tasks that wait to read, by end.
     readers: [AtomicWaker; 2],
     /// Tasks that wait to write, by end.
@@ -69,6 +71,18 @@
         self.wake();
     }
 
+    /// Sets whether what one host sends to another is held back, if the connection is between
+    /// them.
+    pub fn set_blocked(&self, from: IpAddr, to: IpAddr, is_blocked: bool) {
+        for end in 0..2 {
+            let [sender, receiver] = [&self.hosts[1 - end], &self.hosts[end]];
+            if (sender.address, receiver.address) == (from, to) {
+                self.blocked[end].store(is_blocked, Ordering::Relaxed);
+            }
+        }
+        self.wake();
+    }
+
     /// Wakes all tasks that wait to read or write.
     pub fn wake(&self) {
         self.readers.iter().for_each(AtomicWaker::wake);
@@ -123,6 +137,7 @@
     let pipe = Arc::new(Pipe {
         hosts: [from, to],
         state: AtomicU8::new(OPEN),
+        blocked: Default::default(),
         readers: Default::default(),
         writers: Default::default(),
     });
@@ -156,6 +171,11 @@
         self.pipe.hosts[self.end].frozen.load(Ordering::Relaxed)
     }
 
+    /// Returns whether what one of the ends sends is held back.
+    fn is_blocked(&self, receiver: usize) -> bool {
+        self.pipe.blocked[receiver].load(Ordering::Relaxed)
+    }
+
     fn state(&self) -> u8 {
         self.pipe.state.load(Ordering::Relaxed)
     }
@@ -231,7 +251,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.pipe.readers[self.end].register(cx.waker());
-        if self.is_frozen() {
+        // A reset or the end of the stream is held back as well.
+        if self.is_frozen() || self.is_blocked(self.end) {
             return Poll::Pending;
         }
         let before = buffer.filled().len();
@@ -261,11 +282,17 @@
         if self.is_frozen() {
             return Poll::Pending;
         }
+        let is_blocked = self.is_blocked(self.end) || self.is_blocked(1 - self.end);
         match self.state() {
+            // A host that is cut off does not learn that the other one has closed.
+            RESET if is_blocked => Poll::Ready(Ok(bytes.len())),
             RESET => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
             // The bytes are dropped.
             SILENT => Poll::Ready(Ok(bytes.len())),
-            _ => self.inner()?.poll_write(cx, bytes),
+            _ => match ready!(self.inner()?.poll_write(cx, bytes)) {
+                Err(_) if is_blocked => Poll::Ready(Ok(bytes.len())),
+                written => Poll::Ready(written),
+            },
         }
     }
 
--- a/crates/lib/tests/memory.rs
+++ b/crates/lib/tests/memory.rs
@@ -65,6 +65,36 @@
     assert!(timeout(TIMEOUT, pair.listener.accept()).await.is_ok());
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_a_blocked_host_is_sent_arrives_late() {
+    let mut pair = connect().await;
+    let (caller, server) = (pair.caller.ip(), pair.server.ip());
+    let own = pair.net.for_host(caller);
+    pair.net.block(caller, server);
+    pair.caller_end.write_u8(7).await.unwrap();
+    pair.server_end.write_u8(8).await.unwrap();
+    let received = timeout(TIMEOUT, pair.caller_end.read_u8()).await;
+    assert_eq!(received.unwrap().unwrap(), 8, "the other way is open");
+    assert!(timeout(TIMEOUT, pair.server_end.read_u8()).await.is_err());
+    assert!(timeout(TIMEOUT, own.connect(pair.server)).await.is_err());
+    pair.net.kill(server);
+    assert!(pair.caller_end.read_u8().await.is_err());
+    let mut listener = pair.net.for_host(server).bind(pair.server).await.unwrap();
+    pair.net.unblock(caller, server);
+    let mut second = own.connect(pair.server).await.unwrap();
+    let mut accepted = listener.accept().await.unwrap();
+    pair.net.block(caller, server);
+    second.write_u8(9).await.unwrap();
+    drop(second);
+    assert!(timeout(TIMEOUT, accepted.read_u8()).await.is_err());
+    pair.net.unblock(caller, server);
+    assert_eq!(accepted.read_u8().await.unwrap(), 9);
+    assert!(
+        accepted.read_u8().await.is_err(),
+        "the end arrives behind it"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_silenced_connection_drops_data_without_error_and_new_ones_work() {
     let mut pair = connect().await;
