--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -52,6 +52,7 @@
 mod exchange;
 mod generate;
 pub(crate) mod held;
+mod history;
 mod numberings;
 mod origin;
 mod parts;
@@ -185,6 +186,8 @@
     numberings: numberings::Registry,
     /// Notified when the store lacks a numbering that this host has learned.
     numbering_learned: Notify,
+    /// Notified when the store's record of versions in use must be read or changed.
+    history_changed: Notify,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -286,6 +289,7 @@
             budgets: Mutex::default(),
             numberings: numberings::Registry::default(),
             numbering_learned: Notify::new(),
+            history_changed: Notify::new(),
             suspects: Suspects::default(),
             parts: parts::Registry::default(),
             origins: Mutex::default(),
@@ -542,6 +546,8 @@
         });
         if is_new {
             lock(&self.moves).begin_era(self.clock.now());
+            // The copy may lack versions in use.
+            lock(&self.origins).versions_mut().forget_history();
             self.metrics.count("store.era_begun");
             slog::info!(self.logger, "store: new era"; "era" => era.0, "before" => before.0);
         }
@@ -560,6 +566,12 @@
         self.capacity_freed.notify_waiters();
     }
 
+    /// Returns whether this host is the first that reads the platform for its failure domain.
+    fn is_reader(&self) -> bool {
+        let readers = lock(&self.hosts).readers(&self.settings.domain);
+        readers.first() == Some(&self.settings.scheduler)
+    }
+
     /// Returns the record with which this host announces itself.
     fn host(&self) -> Host {
         Host {
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -20,7 +20,7 @@
 
 use super::snapshot::{self, Snapshot};
 use super::store::{Answer, Error, Host, Page, Record, Store, Topic};
-use super::{lock, numberings, Shared};
+use super::{history, lock, numberings, Shared};
 use crate::clock::Clock;
 
 /// Delay after a failed call to the store. Doubles with each further failure.
@@ -62,6 +62,7 @@
         follow_endpoints(&shared, &store),
         follow_hosts(&shared, &store),
         numberings::follow(&shared, &store),
+        history::follow(&shared, &store),
     );
 }
 
@@ -274,15 +275,18 @@
     loop {
         let now = shared.clock.now();
         begin_era(shared, &mut list, now, &mut era);
-        let (endpoints, valid_until) = {
+        let (endpoints, listed_at, valid_until) = {
             let snapshot = news.borrow_and_update();
             (
                 snapshot.endpoints.clone(),
+                snapshot.listed_at,
                 snapshot.list_valid_until(own_read, interval),
             )
         };
         if let Some(until) = valid_until.filter(|until| *until > now) {
             list.record_read(now);
+            let age = listed_at.map(|read_at| now.saturating_duration_since(read_at));
+            shared.record_list(age.unwrap_or_default());
             let is_due = list.change_due().is_some_and(|due| due <= now);
             // Most messages bring no change.
             if is_due || !is_same(&endpoints, &adopted) {
@@ -294,28 +298,28 @@
             }
             // The next own reading must be complete, as this offset is too old.
             reader.next = None;
-            let until = list.change_due().map_or(until, |due| due.min(until));
-            // On a timeout, the snapshot is checked again.
-            let pause = until.saturating_duration_since(now);
-            let _ = tokio::time::timeout(pause, news.changed()).await;
-            continue;
+            // Others follow this host again once it reaches the store.
+            if !shared.is_reader() {
+                let until = list.change_due().map_or(until, |due| due.min(until));
+                // On a timeout, the snapshot is checked again.
+                let pause = until.saturating_duration_since(now);
+                let _ = tokio::time::timeout(pause, news.changed()).await;
+                continue;
+            }
         }
         adopted = None;
-        let started = now;
-        let uptime = shared.clock.uptime();
+        let started = shared.clock.moment();
         let batch = reader.read(shared, Duration::ZERO).await;
         let now = shared.clock.now();
         begin_era(shared, &mut list, now, &mut era);
+        let is_read = batch.is_ok();
         match batch {
             Ok(batch) => {
                 list.record_read(now);
+                shared.record_list(now.saturating_duration_since(started.now));
                 apply_batch(shared, &mut list, now, batch);
-                own_read = Some(started);
-                let read = snapshot::Time {
-                    at: started,
-                    uptime,
-                };
-                shared.seen.send_modify(|seen| seen.listed = Some(read));
+                own_read = Some(started.now);
+                shared.seen.send_modify(|seen| seen.listed = Some(started));
             }
             Err(Error::Trimmed) => continue,
             Err(Error::Unavailable(_) | Error::Outdated) => {}
@@ -323,6 +327,9 @@
         if own_read.is_some() {
             publish(shared, &mut list, now, &mut published);
         }
+        if is_read && list.is_complete(started.now) {
+            shared.record_reading(started);
+        }
         if reader.failures > 0 {
             reader.wait_to_retry(shared).await;
         } else {
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -204,6 +204,9 @@
         call.exclude_joining(&mut progress.excluded)?;
         let acquire = reservation::acquire(call, engine, need, progress);
         let mut reservation = unless_barred(&shared, &parts, acquire).await?;
+        if !call.change_version(&reservation.endpoint.version).await? {
+            continue;
+        }
         let now = shared.clock.now();
         let reusable = kept
             .take()
@@ -293,7 +296,7 @@
             .add_call("room", &reservation.endpoint.id, "leaving");
         return Ok(Attempt::NotRun(cache));
     };
-    if !call.may_use(&endpoint) {
+    if !call.may_use(&endpoint) || endpoint.version != reservation.endpoint.version {
         call.record.add_call("room", &endpoint.id, "other version");
         progress.excluded.push(key);
         return Ok(Attempt::NotRun(cache));
--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -7,16 +7,16 @@
 //! know.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
+use cranberryridge_policy::answer::deadline::Moment;
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::origin::{
-    group, Decision, Origin, GROUPS, MAX_LIST_AGE_INTERVALS,
-};
+use cranberryridge_policy::gateway::origin::{group, Answers, Decision, Origin, GROUPS};
 use cranberryridge_policy::gateway::pool::EndpointKey;
 use cranberryridge_policy::gateway::route::{Kind, Route, Table};
 use cranberryridge_wire::code::Code;
@@ -25,7 +25,7 @@
 
 use super::dialect::Description;
 use super::refusal::Refusal;
-use super::schedule::{locate, Asked};
+use super::schedule::{confirm, locate, Asked};
 use super::serve::Call;
 use super::{lock, Shared};
 use crate::clock::Clock;
@@ -37,6 +37,9 @@
 /// Retry time of a stream whose origin no host knows.
 const LOST_ORIGIN_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Retry time of a stream that another host may begin.
+const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Digest in questions for a stream that its caller does not name.
 const UNNAMED_STREAM: u64 = 0;
 
@@ -55,9 +58,7 @@
             }
             slog::info!(self.logger, "versions: appeared";
                 "service" => %service, "version" => %version);
-            for origin in self.open_origins(service) {
-                self.tell_origin(&origin);
-            }
+            self.tell_open_origins(service);
         }
     }
 
@@ -76,9 +77,7 @@
                 continue;
             }
             slog::info!(self.logger, "versions: route moved"; "service" => %service);
-            for origin in self.open_origins(service) {
-                self.tell_origin(&origin);
-            }
+            self.tell_open_origins(service);
         }
     }
 
@@ -122,35 +121,33 @@
 
     /// Answers another host's question for the version that began a stream.
     pub(super) fn locate_origin(&self, question: &wire::Locate) -> wire::Located {
-        let (now, age) = (self.clock.now(), self.own_list_age());
+        let now = self.clock.moment();
         let origins = lock(&self.origins);
-        let version = origins.version(now, question.stream, &question.service);
+        let version = origins.version(now.now, question.stream, &question.service);
+        let settled = origins.versions().last_settled(now, &question.service);
         wire::Located {
             number: question.number,
             version: version.cloned(),
-            mixed: origins.versions().are_mixed(now, &question.service),
-            before: origins.versions().before(now, &question.service).cloned(),
-            sole: origins.versions().sole(now, &question.service).cloned(),
-            age: age.map(Into::into),
+            mixed: origins.versions().are_mixed(now.now, &question.service),
+            sole: settled.map(|(version, _)| version.clone()),
+            age: settled.map(|(_, age)| age.into()),
         }
     }
 
-    /// Returns the time since this host itself last began to read the list of endpoints,
-    /// including time in which it was suspended. `None` if it has never read it.
-    fn own_list_age(&self) -> Option<Duration> {
-        let read = self.seen.borrow().listed?;
-        let age = self.clock.now().saturating_duration_since(read.at);
-        Some(age.max(self.clock.uptime().saturating_sub(read.uptime)))
-    }
-
-    /// Returns whether a list of this age names every version that may have begun a stream.
-    pub(super) fn is_fresh(&self, age: Duration) -> bool {
-        age <= self.settings.list_interval * MAX_LIST_AGE_INTERVALS
+    /// Returns whether this host has itself read the list of endpoints a short time ago.
+    pub(super) fn has_fresh_list(&self) -> bool {
+        let (now, interval) = (self.clock.moment(), self.settings.list_interval);
+        lock(&self.origins).versions().has_fresh_list(now, interval)
     }
 
-    /// Returns whether this host's own list names every version that may have begun a stream.
-    pub(super) fn has_fresh_list(&self) -> bool {
-        self.own_list_age().is_some_and(|age| self.is_fresh(age))
+    /// Returns whether this host has reached neither the store nor another host for so long that no
+    /// other one could go on with a stream that begins now. Without other hosts there is none that
+    /// could go on at another version.
+    fn is_isolated(&self) -> bool {
+        let now = self.clock.moment();
+        lock(&self.origins).versions().is_outdated(now)
+            && lock(&self.hosts).count() > 1
+            && !self.links.is_any_up()
     }
 
     /// Returns the time until a version may begin streams that may be taken up.
@@ -162,45 +159,104 @@
             .joining_time(now, service, version, interval)
     }
 
-    /// Returns the services of which several versions are in use.
-    pub(super) fn mixed_services(&self) -> Vec<CompactString> {
-        lock(&self.origins).versions().mixed(self.clock.now())
+    /// Records that this host has a list of endpoints of this age, as read by itself or told by
+    /// its reader.
+    pub(super) fn record_list(&self, age: Duration) {
+        let (now, interval) = (self.clock.moment(), self.settings.list_interval);
+        let read_at = Moment {
+            now: now.now.checked_sub(age).unwrap_or(now.now),
+            uptime: now.uptime.saturating_sub(age),
+        };
+        let mut origins = lock(&self.origins);
+        origins.versions_mut().record_list(read_at, interval);
+        if origins.versions().needs_history() {
+            self.history_changed.notify_one();
+        }
+    }
+
+    /// Records that this host has itself read the complete list of endpoints.
+    pub(super) fn record_reading(&self, read_at: Moment) {
+        let mut origins = lock(&self.origins);
+        origins.versions_mut().record_reading(read_at);
+        if origins.versions().unrecorded(self.clock.now()).is_some() {
+            self.history_changed.notify_one();
+        }
+    }
+
+    /// Tells the origins of all open streams if the list has become old.
+    pub(super) fn update_staleness(&self) {
+        let (now, interval) = (self.clock.moment(), self.settings.list_interval);
+        let (has_become_stale, services) = {
+            let mut origins = lock(&self.origins);
+            let has_become_stale = origins.versions_mut().update_staleness(now, interval);
+            (has_become_stale, origins.versions().recorded(now.now))
+        };
+        if !has_become_stale {
+            return;
+        }
+        slog::info!(self.logger, "versions: list is old, telling origins");
+        for service in &services {
+            self.tell_open_origins(service);
+        }
     }
 
-    /// Returns the messages for a host to which a link has been opened: the origins of open
-    /// streams of which it keeps the records.
-    pub(super) fn origin_messages(&self, address: SocketAddr) -> Vec<wire::Origin> {
-        let mut messages = Vec::new();
-        for service in self.mixed_services() {
+    /// Returns the services of whose streams other hosts are told.
+    pub(super) fn recorded_services(&self) -> Vec<CompactString> {
+        lock(&self.origins).versions().recorded(self.clock.now())
+    }
+
+    /// Returns the streams of which a host is told when a link to it has been opened: the open
+    /// ones of which it keeps the records.
+    pub(super) fn open_streams(&self, address: SocketAddr) -> Vec<u64> {
+        let mut streams = Vec::new();
+        for service in self.recorded_services() {
             let groups = 0..GROUPS;
             let kept = groups.filter(|group| {
                 let keepers = lock(&self.hosts).keepers(&service, *group);
                 keepers.contains(&address)
             });
             let kept = kept.collect::<Vec<_>>();
-            let open = self.open_origins(&service).into_iter();
-            messages.extend(open.filter(|origin| kept.contains(&group(origin.stream))));
+            let open = lock(&self.origins).open(self.clock.now(), &service);
+            let open = open.into_iter().map(|(stream, _)| stream);
+            streams.extend(open.filter(|stream| kept.contains(&group(*stream))));
+        }
+        streams
+    }
+
+    /// Passes the message with the origin of this host's stream to `send`, unless the stream has
+    /// ended. A newer origin is not recorded meanwhile, and so not sent before.
+    pub(super) fn send_current_origin(&self, stream: u64, send: impl FnOnce(wire::Origin)) {
+        let origins = lock(&self.origins);
+        if let Some(origin) = origins.find_own(self.clock.now(), stream) {
+            send(to_message(stream, origin));
         }
-        messages
     }
 
-    /// Returns the messages that tell the origins of a service's open streams, none if it
-    /// has one version only.
-    fn open_origins(&self, service: &str) -> Vec<wire::Origin> {
+    /// Tells the origins of a service's open streams to the hosts that keep their records, none
+    /// if these need not know them.
+    fn tell_open_origins(&self, service: &str) {
         let open = lock(&self.origins).open(self.clock.now(), service);
-        open.iter()
-            .map(|(stream, origin)| to_message(*stream, origin))
-            .collect()
+        for (stream, origin) in open {
+            let keepers = self.record_told(&to_message(stream, &origin));
+            self.links.queue_origin(&keepers, stream);
+        }
     }
 
     /// Tells the origin of a stream to the hosts that keep its record.
     fn tell_origin(&self, origin: &wire::Origin) {
-        let keepers = lock(&self.hosts).keepers(&origin.service, origin.stream);
+        let keepers = self.record_told(origin);
         self.links.report_origin(&keepers, origin);
+    }
+
+    /// Records the origin of a stream as told if this host keeps its record. Returns the hosts
+    /// that do.
+    fn record_told(&self, origin: &wire::Origin) -> Vec<SocketAddr> {
+        let keepers = lock(&self.hosts).keepers(&origin.service, origin.stream);
         if keepers.contains(&self.settings.scheduler) {
             self.merge_origin(origin.clone());
         }
         self.metrics.count("stream.origin_told");
+        keepers
     }
 }
 
@@ -210,11 +266,18 @@
     /// each send.
     pub fn record_version(&mut self, endpoint: &Endpoint) {
         self.record.version = endpoint.version.clone();
-        let Some(stream) = self.stream else { return };
+        if let Some(stream) = self.stream {
+            self.record_origin(stream, &endpoint.version);
+        }
+    }
+
+    /// Records the software version that begins a stream, and tells other hosts if they have to
+    /// know.
+    fn record_origin(&self, stream: u64, version: &CompactString) {
         let shared = &self.shared;
         let origin = Origin {
             service: self.service.clone(),
-            version: endpoint.version.clone(),
+            version: version.clone(),
         };
         let message = to_message(stream, &origin);
         let is_news = lock(&shared.origins).record(shared.clock.now(), stream, origin);
@@ -242,12 +305,19 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if there are no others, with the time until the first one may.
+    /// Returns a refusal if there are no others, with the time until the first one may, or if this
+    /// host is isolated.
     pub fn exclude_joining(&self, excluded: &mut Vec<EndpointKey>) -> Result<(), Refusal> {
         if !self.begins_resumable_stream() {
             return Ok(());
         }
         let (shared, service) = (&self.shared, self.service.as_str());
+        if shared.is_isolated() {
+            return Err(Refusal::with_retry_after(
+                Code::Isolated,
+                ISOLATED_RETRY_AFTER,
+            ));
+        }
         let (now, interval) = (shared.clock.now(), shared.settings.list_interval);
         let joining = {
             let origins = lock(&shared.origins);
@@ -290,6 +360,44 @@
 }
 
 impl<N: Net, C: Clock, D: Send + Sync + 'static> Call<N, C, D> {
+    /// Prepares to send the request to an endpoint of another software version than that of an
+    /// earlier attempt which other hosts were told. One that does not hear of the change would let
+    /// the stream go on at the earlier one. Returns `false` if one is not in reach, and the stream
+    /// has to begin at that version.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if a host may not have heard of the change, so that the stream can begin at
+    /// neither version.
+    pub async fn change_version(&mut self, version: &CompactString) -> Result<bool, Refusal> {
+        let shared = Arc::clone(&self.shared);
+        let Some(stream) = self.stream.filter(|_| self.version.is_none()) else {
+            return Ok(true);
+        };
+        let before = {
+            let (origins, now) = (lock(&shared.origins), shared.clock.now());
+            let told = origins.versions().needs_records(now, &self.service);
+            let before = origins.version(now, stream, &self.service);
+            before.filter(|before| told && *before != version).cloned()
+        };
+        let Some(before) = before else {
+            return Ok(true);
+        };
+        if !confirm(self, stream, None).await {
+            shared.metrics.count("stream.version_kept");
+            self.record.add_call("origin", &before, "kept");
+            self.version = Some(before);
+            return Ok(false);
+        }
+        self.record_origin(stream, version);
+        if confirm(self, stream, Some(version.as_str())).await {
+            return Ok(true);
+        }
+        shared.metrics.count("stream.version_unconfirmed");
+        self.record.add_call("origin", version, "not confirmed");
+        Err(Refusal::new(Code::OriginUnknown))
+    }
+
     /// Finds the software version at which the stream must go on, if the caller takes one
     /// up.
     ///
@@ -308,24 +416,29 @@
             let retry_after = LOST_ORIGIN_RETRY_AFTER;
             return Err(Refusal::with_retry_after(Code::OriginUnknown, retry_after));
         }
-        let version = self.find_origin().await?;
-        self.record.add_call("origin", &version, "known");
+        let (version, basis) = self.find_origin().await?;
+        self.record.add_call("origin", &version, basis.name());
+        let counter = format!("stream.origin_{}", basis.name());
+        self.shared.metrics.count(&counter);
         self.version = Some(version);
         self.check_version(&[], Duration::ZERO)
     }
 
     /// Finds the software version that began the stream, with the help of other hosts.
-    async fn find_origin(&self) -> Result<CompactString, Refusal> {
+    async fn find_origin(&self) -> Result<(CompactString, Basis), Refusal> {
         let shared = &self.shared;
         let (stream, service) = (self.stream, self.service.as_str());
-        let is_list_fresh = shared.has_fresh_list();
-        let decision = {
-            let origins = lock(&shared.origins);
-            origins.decide(shared.clock.now(), stream, service, is_list_fresh)
+        let interval = shared.settings.list_interval;
+        let (decision, is_recorded) = {
+            let (origins, now) = (lock(&shared.origins), shared.clock.moment());
+            let decision = origins.decide(now, stream, service, interval);
+            let record = stream.and_then(|stream| origins.find(now.now, stream));
+            (decision, record.is_some())
         };
-        let waits_for_links = match decision {
-            Decision::GoOn(version) => return Ok(version),
-            Decision::Ask { waits_for_links } => waits_for_links,
+        let is_patient = match decision {
+            Decision::GoOn(version) if is_recorded => return Ok((version, Basis::Recorded)),
+            Decision::GoOn(version) => return Ok((version, Basis::Listed)),
+            Decision::Ask { is_patient } => is_patient,
             Decision::Gone => {
                 let retry_after = LOST_ORIGIN_RETRY_AFTER;
                 return Err(Refusal::with_retry_after(Code::VersionGone, retry_after));
@@ -334,34 +447,44 @@
         // No host has a record of a stream that is not named, but the versions are asked for.
         let number = stream.unwrap_or(UNNAMED_STREAM);
         let mut answers = match locate(self, number, Asked::Reader).await {
-            Ok(version) => return Ok(version),
+            Ok(version) => return Ok((version, Basis::Located)),
             Err(answers) => answers,
         };
         if answers.confirmed.is_none() {
-            let asked = Asked::Keepers { waits_for_links };
-            answers = match locate(self, number, asked).await {
-                Ok(version) => return Ok(version),
-                Err(answers) => answers,
-            };
-        }
-        answers.is_list_fresh = is_list_fresh;
-        if stream.is_none() {
-            // That no host has a record does not tell when it began.
-            answers.before = None;
+            let asked = Asked::Keepers { is_patient };
+            match locate(self, number, asked).await {
+                Ok(version) => return Ok((version, Basis::Located)),
+                Err(further) => {
+                    // The reader need not keep the record, so that it does not count as a
+                    // keeper that has none.
+                    answers = Answers {
+                        are_mixed: answers.are_mixed || further.are_mixed,
+                        ..further
+                    };
+                }
+            }
         }
-        let now = shared.clock.now();
+        let now = shared.clock.moment();
         let origins = lock(&shared.origins);
-        let concluded = origins.versions().conclude(now, service, &answers);
-        concluded.ok_or_else(|| {
-            slog::info!(shared.logger, "stream: origin unknown";
-                "request" => %self.record.description.attempt_id,
-                "resumes" => self.record.description.first_attempt_id.as_deref(),
-                "service" => service,
-                "answered" => answers.answered,
-                "silent" => answers.silent,
-                "others_know_several" => answers.are_mixed,
-                "knows_several" => origins.versions().are_mixed(now, service),
-                "list_fresh" => answers.is_list_fresh);
+        let concluded = origins
+            .versions()
+            .conclude(now, service, interval, &answers);
+        let basis = concluded.as_ref().map(|_| match answers.confirmed {
+            Some(_) => Basis::Confirmed,
+            None => Basis::Only,
+        });
+        slog::info!(shared.logger, "stream: no record of the origin";
+            "request" => %self.record.description.attempt_id,
+            "resumes" => self.record.description.first_attempt_id.as_deref(),
+            "service" => service,
+            "concluded" => concluded.as_deref(),
+            "basis" => basis.map(Basis::name),
+            "answered" => answers.answered,
+            "silent" => answers.silent,
+            "others_know_several" => answers.are_mixed,
+            "knows_several" => origins.versions().are_mixed(now.now, service),
+            "list_fresh" => origins.versions().has_fresh_list(now, interval));
+        concluded.zip(basis).ok_or_else(|| {
             let retry_after = if answers.silent > 0 {
                 SILENT_HOST_RETRY_AFTER
             } else {
@@ -372,6 +495,34 @@
     }
 }
 
+/// How the version of a stream that is taken up was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Basis {
+    /// This host has a record of the stream.
+    Recorded,
+    /// Another host has one.
+    Located,
+    /// This host's list names no other version.
+    Listed,
+    /// No host that answered has a record, and a fresh list of one names no other version.
+    Confirmed,
+    /// No host that answered has a record or knows another version, nor does this host's list.
+    Only,
+}
+
+impl Basis {
+    /// Returns the name in logs and of the counter.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Recorded => "recorded",
+            Self::Located => "located",
+            Self::Listed => "listed",
+            Self::Confirmed => "confirmed",
+            Self::Only => "only",
+        }
+    }
+}
+
 /// Returns the digest by which hosts know the stream of a request. `None` if it is no stream, or
 /// its caller takes it up and does not name it. A route that may not be resumed may become
 /// resumable while its streams run, or may have been when they began.
--- a/crates/lib/src/gateway/plain.rs
+++ b/crates/lib/src/gateway/plain.rs
@@ -107,6 +107,14 @@
             Err(refusal) => return failure.ok_or(refusal),
         };
         let now = call.shared.clock.now();
+        if let Some(endpoint) = call.shared.active_endpoint(now, key) {
+            match call.change_version(&endpoint.version).await {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(refusal) => return failure.ok_or(refusal),
+            }
+        }
+        let now = call.shared.clock.now();
         if !call.shared.pay_send(now, &call.service, &mut sends) {
             return failure.ok_or(Refusal::new(Code::RetryBudget));
         }
--- a/crates/lib/src/gateway/schedule.rs
+++ b/crates/lib/src/gateway/schedule.rs
@@ -37,7 +37,7 @@
 pub(super) use self::acquire::request_permit;
 pub(super) use self::ask::request_endpoints;
 pub(super) use self::draw::{draw, Drawing};
-pub(super) use self::locate::{locate, Asked};
+pub(super) use self::locate::{confirm, locate, Asked};
 
 mod acquire;
 mod ask;
@@ -563,7 +563,7 @@
     let age = |at: Instant| now.saturating_duration_since(at).into();
     let seen = *shared.seen.borrow();
     Down::Beat(wire::Beat {
-        list: seen.listed.map(|read| age(read.at)),
+        list: seen.listed.map(|read| age(read.now)),
         configuration: seen.configured_at.map(age),
         version: shared.table.load().version(),
         era: shared.era.borrow().0,
--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -1,5 +1,6 @@
 //! Links of this host to schedulers.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
@@ -50,6 +51,12 @@
 /// Capacity of a link's queue of outgoing messages.
 const OUTBOX_CAPACITY: usize = 1024;
 
+/// Part of the queue that origins which are told in bulk leave to other messages.
+const SPARE_CAPACITY: usize = OUTBOX_CAPACITY / 2;
+
+/// Interval at which origins that are told in bulk look for room in the queue.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The links of this host and its leases.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -67,6 +74,8 @@
     pub(super) state: Mutex<State>,
     /// Closes the connection, so that it is opened anew.
     reset: Notify,
+    /// Wakes the task that tells the origins of streams in bulk.
+    untold_added: Notify,
 }
 
 /// State of a link.
@@ -77,6 +86,8 @@
     services: Set<CompactString>,
     /// Channels of the requests that wait for a reply, by request number.
     pub(super) waiting: Map<u64, mpsc::Sender<Down>>,
+    /// Streams whose origins are told as the queue has room.
+    untold: BTreeSet<u64>,
     /// Time of the last request on the link.
     last_used: Instant,
     /// Time at which the last connection ended or could not be opened, or `None` before
@@ -111,6 +122,10 @@
     let is_own = matches!(service, SNAPSHOT_SERVICE | CRASH_SERVICE);
     for address in hosts {
         if is_own && address == shared.settings.scheduler {
+            if service == SNAPSHOT_SERVICE && !shared.has_fresh_list() {
+                // It does not reach the store, but the next reader may.
+                continue;
+            }
             return None;
         }
         let link = shared.links.get_or_open(shared, address);
@@ -171,10 +186,10 @@
                 shared.links.reclaim_from_others(address);
             }
         }
-        let readers = lock(&shared.hosts).readers(&shared.settings.domain);
-        if readers.first() == Some(&shared.settings.scheduler) {
+        if shared.is_reader() {
             active_link(&shared, CRASH_SERVICE);
         }
+        shared.update_staleness();
         shared.links.keep_origin_links(&shared);
         tokio::time::sleep(READER_CHECK_INTERVAL).await;
     }
@@ -199,11 +214,13 @@
                 phase: Phase::Opening,
                 services: Set::default(),
                 waiting: Map::default(),
+                untold: BTreeSet::default(),
                 last_used: shared.clock.now(),
                 down_since: None,
                 is_unresponsive: false,
             }),
             reset: Notify::new(),
+            untold_added: Notify::new(),
         });
         by_address.insert(address, link.clone());
         tokio::spawn(run(shared.clone(), link.clone(), outbox));
@@ -227,7 +244,7 @@
         shared: &Arc<Shared<N, C, D>>,
     ) {
         let own = shared.settings.scheduler;
-        for service in shared.mixed_services() {
+        for service in shared.recorded_services() {
             let mut keepers = Set::default();
             for group in 0..origin::GROUPS {
                 keepers.extend(lock(&shared.hosts).keepers(&service, group));
@@ -327,16 +344,33 @@
         }
     }
 
+    /// Returns whether a link to another host is up.
+    pub fn is_any_up(&self) -> bool {
+        let by_address = lock(&self.by_address);
+        let mut links = by_address.values();
+        links.any(|link| lock(&link.state).is_up())
+    }
+
     /// Tells the origin of a stream to hosts. One to which no link is up is told once it is.
     pub fn report_origin(&self, keepers: &[SocketAddr], origin: &wire::Origin) {
         let by_address = lock(&self.by_address);
         for link in keepers.iter().filter_map(|address| by_address.get(address)) {
-            if lock(&link.state).is_up() {
-                link.send(Up::Origin(origin.clone()));
+            let is_up = lock(&link.state).is_up();
+            if is_up && link.sender.try_send(Up::Origin(origin.clone())).is_err() {
+                link.queue_origins([origin.stream]);
             }
         }
     }
 
+    /// Tells the origin of this host's stream to hosts as the queues of their links have room.
+    /// One to which no link is up is told once it is.
+    pub fn queue_origin(&self, keepers: &[SocketAddr], stream: u64) {
+        let by_address = lock(&self.by_address);
+        for link in keepers.iter().filter_map(|address| by_address.get(address)) {
+            link.queue_origins([stream]);
+        }
+    }
+
     /// Returns the time for which a scheduler has been unreachable, or `None` if it is not
     /// known to be. Begins to open a link to it if there is none.
     pub(super) fn down_time<N: Net, C: Clock, D: Send + Sync + 'static>(
@@ -381,6 +415,15 @@
             self.reset.notify_one();
         }
     }
+
+    /// Tells the origins of this host's streams as the queue has room, unless the link is not up.
+    fn queue_origins(&self, streams: impl IntoIterator<Item = u64>) {
+        let mut state = lock(&self.state);
+        if state.is_up() {
+            state.untold.extend(streams);
+            self.untold_added.notify_one();
+        }
+    }
 }
 
 /// Keeps a link open until it is idle or its host is no longer a scheduler.
@@ -400,6 +443,7 @@
             // Closes the reply channels, so that the waiting requests choose
             // endpoints themselves.
             state.waiting.clear();
+            state.untold.clear();
         }
         tokio::time::sleep(RECONNECT_DELAY).await;
         let idle = shared
@@ -451,16 +495,14 @@
         state.phase = Phase::Up;
         state.down_since = None;
     }
-    for origin in shared.origin_messages(address) {
-        // What does not fit in the queue is known to this host alone.
-        let _ = link.sender.try_send(Up::Origin(origin));
-    }
+    link.queue_origins(shared.open_streams(address));
     slog::info!(shared.logger, "scheduler: linked"; "address" => %address);
     let to = Delivery { shared, link };
     let ended = tokio::select! {
         ended = frame::run(stream, || Up::Beat, outbox, to) => ended,
         () = link.reset.notified() => Ok(()),
         () = wait_until_idle(shared, link) => Ok(()),
+        () = tell_untold(shared, link) => Ok(()),
     };
     match ended {
         Ok(()) => slog::info!(shared.logger, "scheduler: left"; "address" => %address),
@@ -533,6 +575,27 @@
     }
 }
 
+/// Tells the origins of streams that wait as the queue has room. Runs until it is dropped.
+async fn tell_untold<N, C: Clock, D>(shared: &Shared<N, C, D>, link: &Link) {
+    loop {
+        let stream = lock(&link.state).untold.pop_first();
+        let Some(stream) = stream else {
+            link.untold_added.notified().await;
+            continue;
+        };
+        while link.sender.capacity() <= SPARE_CAPACITY {
+            tokio::time::sleep(ROOM_POLL_INTERVAL).await;
+        }
+        let mut is_sent = true;
+        shared.send_current_origin(stream, |origin| {
+            is_sent = link.sender.try_send(Up::Origin(origin)).is_ok();
+        });
+        if !is_sent {
+            link.queue_origins([stream]);
+        }
+    }
+}
+
 /// Waits until the link has been unused for [`IDLE_TIMEOUT`].
 async fn wait_until_idle<N, C: Clock, D>(shared: &Shared<N, C, D>, link: &Link) {
     loop {
--- a/crates/lib/src/gateway/snapshot.rs
+++ b/crates/lib/src/gateway/snapshot.rs
@@ -10,6 +10,7 @@
 
 use compact_str::CompactString;
 
+use cranberryridge_policy::answer::deadline::Moment;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::{Endpoint, Phase};
 use cranberryridge_wire::schedule::{self as wire, Stage};
@@ -49,20 +50,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LastRead {
     /// When the list of endpoints was requested.
-    pub listed: Option<Time>,
+    pub listed: Option<Moment>,
     /// When the configuration was requested.
     pub configured_at: Option<Instant>,
 }
 
-/// A time by both clocks of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Time {
-    /// The time by the clock that stops while the host is suspended.
-    pub at: Instant,
-    /// The time by the clock that goes on.
-    pub uptime: Duration,
-}
-
 impl Snapshot {
     /// Returns the time until which the snapshot replaces a reading of the
     /// endpoints by this host, which last read them at `own_read` and reads them
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -11,6 +11,7 @@
 use cranberryridge_policy::gateway::balance::Move;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::Endpoint;
+use cranberryridge_policy::gateway::origin::Usage;
 use cranberryridge_policy::gateway::route::Configuration;
 
 /// Reads and writes the store. An adapter implements it.
@@ -44,6 +45,19 @@
     /// claim may have been recorded.
     fn claim(&self, claim: &Claim, next: u64) -> impl Future<Output = Answer<Option<u64>>> + Send;
 
+    /// Returns which versions of each service hosts have recorded as in use. The result is
+    /// [`Error::Unavailable`] if the store does not answer.
+    fn version_usages(&self) -> impl Future<Output = Answer<Usages>> + Send;
+
+    /// Records the versions of a service in use, provided that nothing was recorded at offset
+    /// `next` or later. Returns the offset of the record, or `None` if another one came first. The
+    /// result is [`Error::Unavailable`] if no answer came; it may have been recorded.
+    fn record_version_usage(
+        &self,
+        usage: &Usage,
+        next: u64,
+    ) -> impl Future<Output = Answer<Option<u64>>> + Send;
+
     /// Returns the numberings that hosts have recorded. The result is
     /// [`Error::Unavailable`] if the store does not answer.
     fn numberings(&self) -> impl Future<Output = Answer<Vec<Numbered>>> + Send;
@@ -125,6 +139,15 @@
     pub order: Move,
 }
 
+/// The versions in use of the services.
+#[derive(Clone, Debug, Default)]
+pub struct Usages {
+    /// One entry per service.
+    pub entries: Vec<Usage>,
+    /// Offset after the last record.
+    pub next: u64,
+}
+
 /// A service at a software version, with the numbering of its events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Numbered {
--- a/crates/policy/src/answer/deadline.rs
+++ b/crates/policy/src/answer/deadline.rs
@@ -94,7 +94,7 @@
 
 impl Moment {
     /// Returns the time since an earlier moment, including time in which the host was suspended.
-    fn since(&self, earlier: &Self) -> Duration {
+    pub fn since(&self, earlier: &Self) -> Duration {
         let steady = self.now.saturating_duration_since(earlier.now);
         steady.max(self.uptime.saturating_sub(earlier.uptime))
     }
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -181,6 +181,25 @@
         self.stale_until = Some(now + self.entry_ttl * STALE_TTL_MULTIPLE);
     }
 
+    /// Returns whether a reading that began at `read_at` lists all endpoints that run. After an
+    /// outage, or in an older copy of the store, some are listed again only after a time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::gateway::member::{List, RELIST_GRACE_PERIOD};
+    /// let (mut list, now) = (List::new(Duration::from_secs(2)), Instant::now());
+    /// assert!(list.is_complete(now));
+    /// list.begin_era(now);
+    /// assert!(!list.is_complete(now));
+    /// assert!(list.is_complete(now + RELIST_GRACE_PERIOD));
+    /// ```
+    pub fn is_complete(&self, read_at: Instant) -> bool {
+        let held_until = self.removals_held_until;
+        held_until.is_none_or(|until| until <= read_at)
+    }
+
     /// Adds or replaces an endpoint that has written its entry.
     pub fn put(&mut self, endpoint: Endpoint) {
         self.insert(endpoint, None);
--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -13,20 +13,14 @@
 use cranberryridge_wire::Map;
 
 use super::member::Endpoint;
+use crate::answer::deadline::Moment;
 
-/// Time for which a stream may be taken up after it began or was last taken up.
-pub const STREAM_LIFETIME: Duration = Duration::from_secs(60);
-
-/// Maximum age of a fresh list of endpoints, in reading intervals. A new version begins streams
-/// that may be taken up only once no list without it is fresh ([`Versions::joining_time`]).
-pub const MAX_LIST_AGE_INTERVALS: u32 = 3;
+pub use self::version::{is_fresh, Change, Usage, Versions, MAX_LIST_AGE_INTERVALS};
 
-/// Time in which a version that was just listed begins no stream that may be taken up, in
-/// reading intervals. The further interval covers clocks and timers that run late.
-const JOINING_INTERVALS: u32 = MAX_LIST_AGE_INTERVALS + 1;
+mod version;
 
-/// Time in which the caller of a stream that was broken off takes it up, if it does.
-const TAKE_UP_TIME: Duration = Duration::from_secs(10);
+/// Time for which a stream may be taken up after it began or was last taken up.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Number of hosts up to which all keep the records of all streams, so that any one of them
 /// that is left knows what began a stream.
@@ -75,12 +69,14 @@
 /// # Examples
 ///
 /// ```
-/// use std::time::Instant;
+/// use std::time::{Duration, Instant};
+/// use cranberryridge_policy::answer::deadline::Moment;
 /// use cranberryridge_policy::gateway::origin::{Decision, Origin, Registry};
 /// let (mut registry, now) = (Registry::default(), Instant::now());
 /// let origin = Origin { service: "model".into(), version: "v1".into() };
 /// registry.record(now, 7, origin);
-/// let decision = registry.decide(now, Some(7), "model", true);
+/// let now = Moment { now, uptime: Duration::ZERO };
+/// let decision = registry.decide(now, Some(7), "model", Duration::from_secs(1));
 /// assert_eq!(decision, Decision::GoOn("v1".into()));
 /// ```
 #[derive(Debug, Default)]
@@ -99,8 +95,8 @@
     GoOn(CompactString),
     /// The hosts that keep the service's records are asked.
     Ask {
-        /// Whether those to which no link is open are asked as well.
-        waits_for_links: bool,
+        /// Whether they get more time to answer, as this host itself can conclude nothing.
+        is_patient: bool,
     },
     /// Its route no longer leads to the service that began it.
     Gone,
@@ -115,9 +111,9 @@
     /// Records the origin of a stream that this host begins or takes up. Returns whether
     /// other hosts have to be told.
     pub fn record(&mut self, now: Instant, stream: u64, origin: Origin) -> bool {
-        let are_mixed = self.versions.are_mixed(now, &origin.service);
+        let needs_records = self.versions.needs_records(now, &origin.service);
         self.own.record(now, stream, origin);
-        are_mixed
+        needs_records
     }
 
     /// Forgets a stream of this host that its caller got in full.
@@ -136,6 +132,11 @@
         origin.or_else(|| self.told.find(now, stream))
     }
 
+    /// Returns the origin of a stream that this host serves, or that did not end.
+    pub fn find_own(&self, now: Instant, stream: u64) -> Option<&Origin> {
+        self.own.find(now, stream)
+    }
+
     /// Returns the version at which a service began a stream, if this host has a record that
     /// it did.
     pub fn version(&self, now: Instant, stream: u64, service: &str) -> Option<&CompactString> {
@@ -150,9 +151,9 @@
     }
 
     /// Returns the origins of this host's streams of a service of which other hosts have to be
-    /// told, none while one version is in use.
+    /// told, none while one version is in use and listed.
     pub fn open(&self, now: Instant, service: &str) -> Vec<(u64, Origin)> {
-        if !self.versions.are_mixed(now, service) {
+        if !self.versions.needs_records(now, service) {
             return Vec::new();
         }
         let open = self.own.of_service(now, service);
@@ -161,27 +162,26 @@
     }
 
     /// Decides how to find the version of a stream that a caller takes up, `None` if it names
-    /// no stream. `is_list_fresh` tells whether this host itself has read the list of endpoints
-    /// recently; what others told may have been under way for any time.
+    /// no stream. `list_interval` is the time between readings of the list of endpoints.
     pub fn decide(
         &self,
-        now: Instant,
+        now: Moment,
         stream: Option<u64>,
         service: &str,
-        is_list_fresh: bool,
+        list_interval: Duration,
     ) -> Decision {
-        let recorded = stream.and_then(|stream| self.find(now, stream));
+        let recorded = stream.and_then(|stream| self.find(now.now, stream));
         if recorded.is_some_and(|origin| origin.service != service) {
             return Decision::Gone;
         }
         let recorded = recorded.map(|origin| &origin.version);
-        let sole = self.versions.sole(now, service);
-        if let Some(version) = recorded.or(sole.filter(|_| is_list_fresh)) {
+        let settled = || self.versions.settled(now, service, list_interval);
+        if let Some(version) = recorded.or_else(settled) {
             return Decision::GoOn(version.clone());
         }
-        let is_single = self.versions.only(now, service).is_some();
+        let is_single = self.versions.only(now.now, service).is_some();
         Decision::Ask {
-            waits_for_links: !is_single || !is_list_fresh,
+            is_patient: !is_single || !self.versions.has_fresh_list(now, list_interval),
         }
     }
 
@@ -189,6 +189,11 @@
     pub fn versions(&self) -> &Versions {
         &self.versions
     }
+
+    /// Returns what this host knows of the versions in use, to record its readings.
+    pub fn versions_mut(&mut self) -> &mut Versions {
+        &mut self.versions
+    }
 }
 
 /// The endpoints at which a stream may go on.
@@ -274,283 +279,7 @@
     pub silent: usize,
     /// Whether one of them knows of several versions in use.
     pub are_mixed: bool,
-    /// The only version until shortly ago, as one of them says ([`Versions::before`]).
-    pub before: Option<CompactString>,
-    /// The only version of which a stream can be, as a host says that has read the list
-    /// itself recently.
+    /// The only version of which a stream can be, by a fresh list of one of them
+    /// ([`Versions::settled`]).
     pub confirmed: Option<CompactString>,
-    /// Whether the asking host has read the list of endpoints recently.
-    pub is_list_fresh: bool,
-}
-
-impl Answers {
-    /// Returns whether a version of which the asking host does not know would be known to
-    /// one that answered. A host that is cut off from all others and from the list must not
-    /// rely on what it knows.
-    fn are_sufficient(&self) -> bool {
-        self.is_list_fresh || self.answered > 0 || self.silent == 0
-    }
-}
-
-/// A software version of a service's endpoints.
-#[derive(Clone, Debug)]
-struct Seen {
-    version: CompactString,
-    /// Time at which its first endpoint was listed.
-    since: Instant,
-    /// Time since which it is listed, or was last listed, without a gap.
-    listed_at: Instant,
-    /// Time at which the last endpoint with this version was gone, or `None` while one is
-    /// listed.
-    gone_at: Option<Instant>,
-}
-
-/// A version that began or ceased to be listed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// Name of the service.
-    pub service: CompactString,
-    /// Software version that some endpoint of the service had or has.
-    pub version: CompactString,
-    /// Whether it is listed now.
-    pub is_listed: bool,
-}
-
-/// Software versions of the services' endpoints, now and in the lifetime of streams.
-#[derive(Debug, Default)]
-pub struct Versions {
-    /// Time of the first list, or `None` before it.
-    known_since: Option<Instant>,
-    services: Map<CompactString, Vec<Seen>>,
-    /// Services to which routes were moved in the lifetime of a stream, with the last time.
-    moved: Map<CompactString, Instant>,
-}
-
-impl Versions {
-    /// Replaces the list of endpoints. Returns the versions that began or ceased to be listed.
-    pub fn update(&mut self, now: Instant, endpoints: &[Endpoint]) -> Vec<Change> {
-        self.known_since.get_or_insert(now);
-        let mut listed = Map::<&str, Vec<&str>>::default();
-        for endpoint in endpoints {
-            let versions = listed.entry(&endpoint.service).or_default();
-            if !versions.contains(&endpoint.version.as_str()) {
-                versions.push(&endpoint.version);
-            }
-        }
-        let mut changes = Vec::new();
-        for (service, seen) in &mut self.services {
-            let current = listed.remove(service.as_str()).unwrap_or_default();
-            changes.extend(update_service(now, service, seen, &current));
-        }
-        for (service, current) in listed {
-            let seen = self.services.entry(service.into()).or_default();
-            changes.extend(update_service(now, service, seen, &current));
-        }
-        self.services.retain(|_, seen| !seen.is_empty());
-        changes
-    }
-
-    /// Records that a route was moved to a service. A stream that is taken up there may have
-    /// begun at another one, so that for the lifetime of a stream its records count alone, as
-    /// if several versions were in use.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Instant;
-    /// use cranberryridge_policy::gateway::origin::{Versions, STREAM_LIFETIME};
-    /// let (mut versions, now) = (Versions::default(), Instant::now());
-    /// versions.record_move(now, "model");
-    /// assert!(versions.are_mixed(now, "model"));
-    /// assert!(!versions.are_mixed(now + STREAM_LIFETIME, "model"));
-    /// ```
-    pub fn record_move(&mut self, now: Instant, service: &str) {
-        self.moved
-            .retain(|_, at| now.saturating_duration_since(*at) < STREAM_LIFETIME);
-        self.moved.insert(service.into(), now);
-    }
-
-    /// Returns whether a route was moved to a service in the lifetime of a stream.
-    fn is_moved_to(&self, now: Instant, service: &str) -> bool {
-        let moved_at = self.moved.get(service);
-        moved_at.is_some_and(|at| now.saturating_duration_since(*at) < STREAM_LIFETIME)
-    }
-
-    /// Returns the only version of which streams can be that are taken up at a service, as far
-    /// as this host knows. `None` if there may be several, or streams of another service.
-    pub fn only(&self, now: Instant, service: &str) -> Option<&CompactString> {
-        if self.is_moved_to(now, service) {
-            return None;
-        }
-        only(self.recent(now, service).map(|seen| &seen.version))
-    }
-
-    /// Returns whether streams of a service may be of different versions, as endpoints of
-    /// several have been listed in the lifetime of a stream or a route was moved to it.
-    pub fn are_mixed(&self, now: Instant, service: &str) -> bool {
-        self.is_moved_to(now, service) || self.recent(now, service).count() > 1
-    }
-
-    /// Returns the only version of which a stream can be, or `None` if there may be
-    /// several or this host has not known the endpoints for long enough.
-    pub fn sole(&self, now: Instant, service: &str) -> Option<&CompactString> {
-        let known_since = self.known_since?;
-        if now.saturating_duration_since(known_since) < STREAM_LIFETIME {
-            return None;
-        }
-        self.only(now, service)
-    }
-
-    /// Returns the version of a stream of which no host has a record. Streams are told only
-    /// while several versions are in use, so that it is the only one that this host knows, or
-    /// began when there was only one. `None` if there may be others.
-    pub fn conclude(
-        &self,
-        now: Instant,
-        service: &str,
-        answers: &Answers,
-    ) -> Option<CompactString> {
-        if self.is_moved_to(now, service) {
-            return None;
-        }
-        if let Some(before) = &answers.before {
-            return Some(before.clone());
-        }
-        if answers.are_mixed || !answers.are_sufficient() {
-            return None;
-        }
-        let only = self.only(now, service)?;
-        let confirmed = answers.confirmed.as_ref();
-        confirmed
-            .is_none_or(|confirmed| confirmed == only)
-            .then(|| only.clone())
-    }
-
-    /// Returns the only version that was in use until another one appeared, if streams of
-    /// that time may still be taken up. A host that knows it has been told each stream that
-    /// began since, so one that it does not know began before.
-    pub fn before(&self, now: Instant, service: &str) -> Option<&CompactString> {
-        if self.is_moved_to(now, service) {
-            return None;
-        }
-        let known_since = self.known_since?;
-        let newest = self.recent(now, service).map(|seen| seen.since).max()?;
-        let is_recent = now.saturating_duration_since(newest) < TAKE_UP_TIME;
-        let is_known = newest.saturating_duration_since(known_since) >= STREAM_LIFETIME;
-        let earlier = self.recent(now, service).filter(|seen| seen.since < newest);
-        only(earlier.map(|seen| &seen.version)).filter(|_| is_recent && is_known)
-    }
-
-    /// Returns the time for which a version begins no stream that may be taken up, zero if it
-    /// may begin one. A host that stood still or was cut off may not know the version yet,
-    /// and would let the stream go on at another one, until its list no longer counts as
-    /// fresh. `list_interval` is the time between readings of the list. The only version
-    /// that is listed begins streams at once.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::{Duration, Instant};
-    /// use cranberryridge_policy::gateway::origin::Versions;
-    /// let versions = Versions::default();
-    /// let time = versions.joining_time(Instant::now(), "model", "v1", Duration::from_secs(1));
-    /// assert_eq!(time, Duration::ZERO);
-    /// ```
-    pub fn joining_time(
-        &self,
-        now: Instant,
-        service: &str,
-        version: &str,
-        list_interval: Duration,
-    ) -> Duration {
-        let mut joining = self.joining(now, service, list_interval);
-        let own = joining.find(|(joining, _)| *joining == version);
-        own.map_or(Duration::ZERO, |(_, time)| time)
-    }
-
-    /// Returns the versions of a service of which [`Versions::joining_time`] is not zero, with
-    /// that time.
-    pub fn joining<'a>(
-        &'a self,
-        now: Instant,
-        service: &str,
-        list_interval: Duration,
-    ) -> impl Iterator<Item = (&'a str, Duration)> {
-        let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let listed = seen.iter().filter(|seen| seen.gone_at.is_none());
-        let is_only = listed.clone().nth(1).is_none();
-        let times = listed.filter(move |_| !is_only).map(move |seen| {
-            let listed_for = now.saturating_duration_since(seen.listed_at);
-            let time = (list_interval * JOINING_INTERVALS).saturating_sub(listed_for);
-            (seen.version.as_str(), time)
-        });
-        times.filter(|(_, time)| !time.is_zero())
-    }
-
-    /// Returns the services for which [`Versions::are_mixed`] holds.
-    pub fn mixed(&self, now: Instant) -> Vec<CompactString> {
-        let services = self.services.keys();
-        let mixed = services.filter(|service| self.are_mixed(now, service));
-        mixed.cloned().collect()
-    }
-
-    /// Returns the versions listed in the lifetime of a stream.
-    fn recent<'a>(&'a self, now: Instant, service: &str) -> impl Iterator<Item = &'a Seen> {
-        let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        seen.iter().filter(move |seen| seen.is_recent(now))
-    }
-}
-
-impl Seen {
-    fn is_recent(&self, now: Instant) -> bool {
-        self.gone_at
-            .is_none_or(|at| now.saturating_duration_since(at) < STREAM_LIFETIME)
-    }
-}
-
-/// Updates the versions of one service to those that are listed.
-fn update_service(
-    now: Instant,
-    service: &str,
-    seen: &mut Vec<Seen>,
-    listed: &[&str],
-) -> Vec<Change> {
-    let change = |version: &str, is_listed| Change {
-        service: service.into(),
-        version: version.into(),
-        is_listed,
-    };
-    let mut changes = Vec::new();
-    for one in seen.iter_mut() {
-        let is_listed = listed.contains(&one.version.as_str());
-        if is_listed != one.gone_at.is_none() {
-            if is_listed && !one.is_recent(now) {
-                one.since = now;
-            }
-            if is_listed {
-                one.listed_at = now;
-            }
-            one.gone_at = (!is_listed).then_some(now);
-            changes.push(change(&one.version, is_listed));
-        }
-    }
-    for version in listed {
-        if !seen.iter().any(|one| one.version == *version) {
-            seen.push(Seen {
-                version: (*version).into(),
-                since: now,
-                listed_at: now,
-                gone_at: None,
-            });
-            changes.push(change(version, true));
-        }
-    }
-    seen.retain(|one| one.is_recent(now));
-    changes
-}
-
-/// Returns the only item, or `None` if there are none or several.
-fn only<T>(mut items: impl Iterator<Item = T>) -> Option<T> {
-    let first = items.next()?;
-    items.next().is_none().then_some(first)
 }
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -4,14 +4,16 @@
 
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
+use cranberryridge_policy::answer::deadline::Moment;
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::origin::{
-    group, keeper_count, keeper_key, Answers, Change, Decision, Origin, Registry, Table, Versions,
-    GROUPS, MAX_LIST_AGE_INTERVALS, STREAM_LIFETIME,
+    group, keeper_count, keeper_key, Answers, Change, Decision, Origin, Registry, Table, Usage,
+    Versions, GROUPS, MAX_LIST_AGE_INTERVALS, STREAM_LIFETIME,
 };
 use cranberryridge_policy::subset::{choose, Member};
 
@@ -22,11 +24,45 @@
     answered: 3,
     silent: 0,
     are_mixed: false,
-    before: None,
     confirmed: None,
-    is_list_fresh: true,
 };
 
+/// Returns a time on both clocks of a host that is never suspended.
+fn moment(now: Instant) -> Moment {
+    let uptime = Duration::ZERO;
+    Moment { now, uptime }
+}
+
+/// Returns versions as of a host that has just read a list with these.
+fn read(begin: Instant, listed: &[&str]) -> Versions {
+    let mut versions = Versions::default();
+    versions.update(begin, &endpoints(listed));
+    versions.record_list(moment(begin), LIST_INTERVAL);
+    versions.record_reading(moment(begin));
+    versions
+}
+
+/// Returns the same of a host that has also read the store's record of versions, which names none
+/// before.
+fn read_with_history(begin: Instant, listed: &[&str]) -> Versions {
+    let mut versions = read(begin, listed);
+    versions.merge_history(begin, Vec::new());
+    versions
+}
+
+/// Returns the versions in use of the service `model`.
+fn usage(versions: &[&str]) -> Usage {
+    Usage {
+        service: "model".into(),
+        versions: versions.iter().map(|version| (*version).into()).collect(),
+    }
+}
+
+/// Returns what is concluded of a stream of the service `model`.
+fn conclude(versions: &Versions, now: Instant, answers: &Answers) -> Option<CompactString> {
+    versions.conclude(moment(now), "model", LIST_INTERVAL, answers)
+}
+
 /// Returns endpoints of the service `model` with these versions.
 fn endpoints(versions: &[&str]) -> Vec<Endpoint> {
     let endpoints = versions
@@ -55,7 +91,7 @@
     assert_eq!(versions.sole(known, "model"), Some(&"v1".into()));
     versions.update(known, &endpoints(&["v1", "v1.2"]));
     assert!(versions.are_mixed(known, "model"));
-    assert_eq!(versions.mixed(known), ["model"]);
+    assert_eq!(versions.recorded(known), ["model"]);
     let left = known + 10 * SECOND;
     let changes = versions.update(left, &endpoints(&["v1.2"]));
     let gone = Change {
@@ -66,7 +102,8 @@
     assert_eq!(changes, [gone]);
     let late = left + STREAM_LIFETIME - SECOND;
     assert_eq!(versions.sole(late, "model"), None);
-    assert_eq!(versions.conclude(late, "model", &ANSWERS), None);
+    versions.record_reading(moment(late));
+    assert_eq!(conclude(&versions, late, &ANSWERS), None);
     let over = late + SECOND;
     assert_eq!(versions.sole(over, "model"), Some(&"v1.2".into()));
     assert!(!versions.are_mixed(over, "model"));
@@ -76,18 +113,18 @@
 #[test]
 fn a_host_that_has_just_started_knows_no_sole_version() {
     let begin = Instant::now();
-    let mut versions = Versions::default();
-    versions.update(begin, &endpoints(&["v1"]));
+    let mut versions = read_with_history(begin, &["v1"]);
     let early = begin + STREAM_LIFETIME - SECOND;
+    versions.record_reading(moment(early));
     assert_eq!(versions.sole(early, "model"), None);
     assert!(!versions.are_mixed(early, "model"));
-    let conclude = |answers| versions.conclude(early, "model", &answers).is_some();
-    assert!(conclude(ANSWERS));
+    assert!(conclude(&versions, early, &ANSWERS).is_some());
     let are_mixed = Answers {
         are_mixed: true,
         ..ANSWERS
     };
-    assert!(!conclude(are_mixed), "another host knows of two");
+    let concluded = conclude(&versions, early, &are_mixed);
+    assert_eq!(concluded, None, "another host knows of two");
 }
 
 #[test]
@@ -95,6 +132,7 @@
     let begin = Instant::now();
     let mut registry = Registry::default();
     registry.update(begin, &endpoints(&["v1"]));
+    registry.versions_mut().merge_history(begin, Vec::new());
     let now = begin + STREAM_LIFETIME;
     let old = Origin {
         service: "other".into(),
@@ -106,42 +144,110 @@
     assert_eq!(registry.open(now, "model"), [(2, origin("v1"))]);
     assert!(registry.record(now, 3, origin("v1")));
     let go_on = Decision::GoOn("v1".into());
-    let ask = Decision::Ask {
-        waits_for_links: true,
+    let ask = Decision::Ask { is_patient: true };
+    registry.versions_mut().record_reading(moment(now));
+    let decide = |registry: &Registry, at, stream| {
+        registry.decide(moment(at), Some(stream), "model", LIST_INTERVAL)
     };
     for (stream, decision) in [(1, &Decision::Gone), (2, &go_on), (3, &go_on), (4, &ask)] {
-        let decided = registry.decide(now, Some(stream), "model", true);
+        let decided = decide(&registry, now, stream);
         assert_eq!(decided, *decision, "stream {stream}");
     }
     let versions = registry.versions();
-    assert_eq!(versions.mixed(now), ["model"]);
-    let before = Answers {
-        before: Some("v1".into()),
+    assert_eq!(versions.recorded(now), ["model"]);
+    let confirmed = Answers {
+        confirmed: Some("v1".into()),
         ..ANSWERS
     };
-    assert_eq!(versions.conclude(now, "model", &before), None);
+    assert_eq!(conclude(versions, now, &confirmed), None);
     let later = now + STREAM_LIFETIME;
-    assert_eq!(registry.decide(later, Some(4), "model", true), go_on);
+    registry.versions_mut().record_reading(moment(later));
+    assert_eq!(decide(&registry, later, 4), go_on);
 }
 
+// A host that answers may be cut off as well, so that one answer did not suffice.
 #[test]
 fn a_host_that_is_cut_off_concludes_nothing() {
     let begin = Instant::now();
-    let mut versions = Versions::default();
-    versions.update(begin, &endpoints(&["v1"]));
-    let conclude = |answered, silent, is_list_fresh| {
+    let fresh = read_with_history(begin, &["v1"]);
+    let mut old = Versions::default();
+    old.update(begin, &endpoints(&["v1"]));
+    let concludes = |versions, answered, silent| {
         let answers = Answers {
             answered,
             silent,
-            is_list_fresh,
             ..ANSWERS
         };
-        versions.conclude(begin, "model", &answers).is_some()
+        conclude(versions, begin, &answers).is_some()
+    };
+    assert!(!concludes(&old, 0, 3));
+    assert!(!concludes(&old, 1, 2));
+    assert!(!concludes(&old, 3, 0));
+    assert!(!concludes(&fresh, 0, 3), "it may have been cut off before");
+    assert!(concludes(&fresh, 1, 2));
+    assert!(concludes(&fresh, 0, 0), "it is the only host");
+    assert!(!concludes(&old, 0, 0), "it may know no other host");
+}
+
+#[test]
+fn a_version_that_joins_leaves_the_last_reading_without_it_fresh() {
+    let begin = Instant::now();
+    let mut versions = read_with_history(begin, &["v1"]);
+    let known = begin + STREAM_LIFETIME;
+    versions.record_reading(moment(known));
+    let joined = known + LIST_INTERVAL;
+    versions.update(joined, &endpoints(&["v1", "v1.2"]));
+    versions.record_reading(moment(joined));
+    let settled = |at| versions.settled(moment(at), "model", LIST_INTERVAL);
+    let fresh = LIST_INTERVAL * MAX_LIST_AGE_INTERVALS;
+    assert_eq!(settled(known + fresh), Some(&"v1".into()));
+    let late = known + fresh + Duration::from_millis(1);
+    assert_eq!(settled(late), None);
+    let listed_for = late - joined;
+    let time = versions.joining_time(late, "model", "v1.2", LIST_INTERVAL);
+    assert!(time > Duration::ZERO, "begins streams after {listed_for:?}");
+}
+
+#[test]
+fn a_host_without_a_list_for_some_time_knows_no_sole_version() {
+    let begin = Instant::now();
+    let mut versions = read(begin, &["v1"]);
+    let known = begin + STREAM_LIFETIME;
+    versions.record_list(moment(known), STREAM_LIFETIME);
+    assert!(versions.sole(known, "model").is_some());
+    let suspended = Moment {
+        now: known,
+        uptime: LIST_INTERVAL * 5,
     };
-    assert!(!conclude(0, 3, false));
-    assert!(conclude(0, 3, true));
-    assert!(conclude(1, 2, false));
-    assert!(conclude(0, 0, false), "it is the only host");
+    versions.record_list(suspended, LIST_INTERVAL);
+    assert_eq!(versions.sole(known, "model"), None);
+}
+
+#[test]
+fn streams_are_told_while_the_list_is_old() {
+    let begin = Instant::now();
+    let mut registry = Registry::default();
+    registry.update(begin, &endpoints(&["v1"]));
+    assert!(
+        registry.record(begin, 1, origin("v1")),
+        "others may be in use"
+    );
+    let versions = registry.versions_mut();
+    versions.merge_history(begin, Vec::new());
+    versions.record_list(moment(begin), LIST_INTERVAL);
+    assert!(!registry.record(begin, 1, origin("v1")));
+    let fresh = begin + LIST_INTERVAL * MAX_LIST_AGE_INTERVALS;
+    let versions = registry.versions_mut();
+    assert!(versions.update_staleness(moment(fresh), LIST_INTERVAL));
+    assert!(!versions.update_staleness(moment(fresh), LIST_INTERVAL));
+    assert_eq!(versions.recorded(fresh), ["model"]);
+    assert!(!versions.are_mixed(fresh, "model"));
+    assert_eq!(registry.open(fresh, "model"), [(1, origin("v1"))]);
+    assert!(registry.record(fresh, 2, origin("v1")));
+    let versions = registry.versions_mut();
+    versions.record_list(moment(fresh), LIST_INTERVAL);
+    assert!(!versions.update_staleness(moment(fresh), LIST_INTERVAL));
+    assert!(!registry.record(fresh, 3, origin("v1")));
 }
 
 // A host that does not know a new version yet must have an old list by the time at which a
@@ -151,6 +257,7 @@
     let begin = Instant::now();
     let mut versions = Versions::default();
     versions.update(begin, &endpoints(&["v1"]));
+    versions.merge_history(begin, Vec::new());
     let time = |versions: &Versions, at, version| {
         versions.joining_time(at, "model", version, LIST_INTERVAL)
     };
@@ -167,11 +274,40 @@
     versions.update(back, &endpoints(&["v1", "v1.2"]));
     assert!(time(&versions, back, "v1.2") > fresh, "it was gone");
     versions.update(back, &endpoints(&["v1.2"]));
-    assert_eq!(
-        time(&versions, back, "v1.2"),
-        Duration::ZERO,
-        "the only one left"
-    );
+    assert!(time(&versions, back, "v1.2") > fresh, "old lists name both");
+}
+
+// Endpoints that are no longer listed serve for some time, and old lists name them.
+#[test]
+fn a_version_that_replaces_another_begins_streams_once_all_lists_with_that_are_old() {
+    let begin = Instant::now();
+    let mut versions = Versions::default();
+    versions.update(begin, &endpoints(&["v1"]));
+    let time = |versions: &Versions, at| versions.joining_time(at, "model", "v1.2", LIST_INTERVAL);
+    let fresh = LIST_INTERVAL * MAX_LIST_AGE_INTERVALS;
+    let left = begin + STREAM_LIFETIME;
+    versions.update(left, &endpoints(&[]));
+    let joined = left + LIST_INTERVAL;
+    versions.update(joined, &endpoints(&["v1.2"]));
+    assert!(time(&versions, joined) > fresh - LIST_INTERVAL);
+    assert!(time(&versions, joined) < fresh + LIST_INTERVAL);
+    let later = left + LIST_INTERVAL * 4;
+    assert_eq!(time(&versions, later), Duration::ZERO);
+}
+
+// A host that was cut off as soon as it listed a version began streams at it, which had left.
+#[test]
+fn a_version_begins_no_streams_by_a_list_that_has_become_old() {
+    let begin = Instant::now();
+    let joined = begin + STREAM_LIFETIME;
+    let mut versions = read(begin, &["v1"]);
+    versions.record_list(moment(joined), STREAM_LIFETIME);
+    versions.update(joined, &endpoints(&["v1", "v1.2"]));
+    let later = joined + LIST_INTERVAL * 5;
+    let time = |versions: &Versions| versions.joining_time(later, "model", "v1.2", LIST_INTERVAL);
+    assert!(!time(&versions).is_zero(), "it may have left since");
+    versions.record_list(moment(later), STREAM_LIFETIME);
+    assert!(time(&versions).is_zero());
 }
 
 #[test]
@@ -185,18 +321,86 @@
     }
 }
 
+// A host that was down or cut off did not see that a version came and went.
 #[test]
-fn what_a_reader_contradicts_is_not_concluded() {
+fn a_version_that_the_store_names_counts_for_the_lifetime_of_a_stream() {
     let begin = Instant::now();
-    let mut versions = Versions::default();
+    let mut versions = read(begin, &["v1"]);
+    versions.merge_history(begin, vec![usage(&["v1", "v1.2"])]);
+    let settled = |versions: &Versions, at| {
+        let version = versions.settled(moment(at), "model", LIST_INTERVAL);
+        version.cloned()
+    };
+    assert_eq!(conclude(&versions, begin, &ANSWERS), None);
+    assert_eq!(versions.unrecorded(begin), None);
+    let over = begin + STREAM_LIFETIME;
+    assert_eq!(versions.unrecorded(over), Some(usage(&["v1"])));
+    versions.merge_history(over, vec![usage(&["v1", "v1.2"])]);
+    versions.record_reading(moment(over));
+    assert_eq!(settled(&versions, over), Some("v1".into()), "it has left");
+    versions.record_unconfirmed(&"model".into());
+    versions.merge_history(over, vec![usage(&["v1"])]);
+    let again = Some(usage(&["v1"]));
+    assert_eq!(
+        versions.unrecorded(over),
+        again,
+        "a late write may replace it"
+    );
+    versions.record_usage(usage(&["v1"]));
+    assert_eq!(versions.unrecorded(over), None);
+    versions.merge_history(over, vec![usage(&["v1", "v1.1"])]);
+    assert!(versions.are_mixed(over, "model"), "another host knows it");
+}
+
+#[test]
+fn a_host_that_has_just_started_concludes_nothing_without_the_record_of_versions() {
+    let begin = Instant::now();
+    let mut versions = read(begin, &["v1"]);
+    assert_eq!(conclude(&versions, begin, &ANSWERS), None);
+    versions.merge_history(begin, vec![usage(&["v1"])]);
+    assert_eq!(conclude(&versions, begin, &ANSWERS), Some("v1".into()));
+    assert_eq!(
+        versions.sole(begin, "model"),
+        None,
+        "the record may be late"
+    );
+    let time = versions.joining_time(begin, "model", "v1", LIST_INTERVAL);
+    assert_eq!(time, Duration::ZERO);
+}
+
+// A host took its memory of the record for the store's, from which another one had removed it.
+#[test]
+fn a_version_that_appears_again_is_recorded_again() {
+    let begin = Instant::now();
+    let mut versions = read(begin, &["v1", "v1.2"]);
+    versions.merge_history(begin, vec![usage(&["v1", "v1.2"])]);
+    assert_eq!(versions.unrecorded(begin), None);
     versions.update(begin, &endpoints(&["v1"]));
+    let later = begin + SECOND;
+    versions.update(later, &endpoints(&["v1", "v1.2"]));
+    assert_eq!(versions.unrecorded(later), Some(usage(&["v1", "v1.2"])));
+}
+
+// Another version may have left the list just before it started, and old lists name that.
+#[test]
+fn a_host_that_has_just_started_holds_back_a_version_that_replaced_another() {
+    let begin = Instant::now();
+    let versions = read(begin, &["v1.2"]);
+    let time = versions.joining_time(begin, "model", "v1.2", LIST_INTERVAL);
+    assert!(time > LIST_INTERVAL * MAX_LIST_AGE_INTERVALS, "{time:?}");
+}
+
+#[test]
+fn what_a_reader_contradicts_is_not_concluded() {
+    let begin = Instant::now();
+    let versions = read(begin, &["v1"]);
     let confirmed = |version: &str| Answers {
         confirmed: Some(version.into()),
         ..ANSWERS
     };
-    let conclude = |answers| versions.conclude(begin, "model", &answers);
-    assert_eq!(conclude(confirmed("v1")), Some("v1".into()));
-    assert_eq!(conclude(confirmed("v1.2")), None);
+    let concluded = |answers| conclude(&versions, begin, &answers);
+    assert_eq!(concluded(confirmed("v1")), Some("v1".into()));
+    assert_eq!(concluded(confirmed("v1.2")), None);
 }
 
 #[test]
@@ -269,7 +473,7 @@
     }
 
     /// Brings the host to a time: what it knew is lost if it was down, and it reads the list.
-    fn advance(&mut self, begin: Instant, at: Duration, day: &Day) {
+    fn advance(&mut self, begin: Instant, at: Duration, day: &Day, store: &mut Vec<Usage>) {
         let ends = self.down.iter().map(|(_, until)| *until);
         let restarted_at = ends.filter(|until| *until <= at).max();
         if let Some(restarted_at) = restarted_at.filter(|restart| *restart > self.started_at) {
@@ -295,14 +499,28 @@
         while reading <= read_at {
             self.registry
                 .update(begin + reading, &day.endpoints(reading));
+            let read_at = moment(begin + reading);
+            let versions = self.registry.versions_mut();
+            versions.record_list(read_at, LIST_INTERVAL);
+            versions.record_reading(read_at);
             reading += LIST_INTERVAL;
         }
+        self.synchronize(begin + at, store);
         self.read_at = Some(read_at);
     }
 
-    fn is_list_fresh(&self, at: Duration) -> bool {
-        self.read_at
-            .is_some_and(|read| at.saturating_sub(read) <= LIST_INTERVAL * 3)
+    /// Reads the store's record of versions in use, and changes it.
+    fn synchronize(&mut self, now: Instant, store: &mut Vec<Usage>) {
+        let versions = self.registry.versions_mut();
+        if versions.needs_history() {
+            versions.merge_history(now, store.clone());
+        }
+        while let Some(usage) = versions.unrecorded(now) {
+            versions.merge_history(now, store.clone());
+            store.retain(|other| other.service != usage.service);
+            store.push(usage.clone());
+            versions.record_usage(usage);
+        }
     }
 }
 
@@ -372,6 +590,7 @@
     });
     let keepers = keepers.collect::<Vec<_>>();
     let mut result = Result::default();
+    let mut store = Vec::new();
     for _ in 0..random.random_range(1..5) {
         let at = warm_up + seconds(&mut random, 2.0, 55.0);
         let survivor = random.random_range(0..count);
@@ -410,7 +629,7 @@
     for number in 0..STREAMS {
         let at = warm_up + DAY_LENGTH * number / STREAMS;
         for host in hosts.iter_mut().filter(|host| host.is_up(at)) {
-            host.advance(begin, at, &day);
+            host.advance(begin, at, &day, &mut store);
         }
         let due = open.iter().filter(|stream| stream.0 <= at).copied();
         for (_, _, stream, version) in due.collect::<Vec<_>>() {
@@ -473,17 +692,13 @@
     stream: u64,
 ) -> Option<String> {
     let (now, own) = (begin + at, &hosts[host]);
-    let is_list_fresh = own.is_list_fresh(at);
     let decision = own
         .registry
-        .decide(now, Some(stream), "model", is_list_fresh);
+        .decide(moment(now), Some(stream), "model", LIST_INTERVAL);
     if let Decision::GoOn(version) = decision {
         return Some(version.into());
     }
-    let mut answers = Answers {
-        is_list_fresh,
-        ..Answers::default()
-    };
+    let mut answers = Answers::default();
     for keeper in keepers {
         if *keeper == host {
             continue;
@@ -499,10 +714,10 @@
         answers.answered += 1;
         let versions = registry.versions();
         answers.are_mixed |= versions.are_mixed(now, "model");
-        let before = versions.before(now, "model").cloned();
-        answers.before = answers.before.or(before);
+        let settled = versions.settled(moment(now), "model", LIST_INTERVAL);
+        answers.confirmed = answers.confirmed.or(settled.cloned());
     }
-    let concluded = own.registry.versions().conclude(now, "model", &answers);
+    let concluded = conclude(own.registry.versions(), now, &answers);
     concluded.map(Into::into)
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's store of keyed topics, with faults.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,6 +33,8 @@
     era: Arc<AtomicU64>,
     /// Whether answers lack the era, as those of an older platform.
     hides_era: Arc<AtomicBool>,
+    /// Texts that reads replace in values, each with its replacement.
+    replacements: Arc<[(String, String)]>,
 }
 
 /// A topic with a single partition.
@@ -82,6 +85,15 @@
         *lock(&self.fault) = fault;
     }
 
+    /// Returns a handle of the same store that replaces texts in the values that it serves, as
+    /// behind a translation of addresses.
+    pub fn translated(&self, replacements: impl IntoIterator<Item = (String, String)>) -> Self {
+        Self {
+            replacements: replacements.into_iter().collect(),
+            ..self.clone()
+        }
+    }
+
     /// Appends a record. `None` deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
         let value = value.map_or_else(Vec::new, |value| value.to_string().into_bytes());
@@ -231,7 +243,7 @@
             let mut records = topic.records.iter();
             let at = records.rposition(|other| other.key == row.key);
             let offset = topic.first_offset + at.unwrap_or_default() as u64;
-            json!({ "key": row.key, "value": encode(&row.value), "offset": offset })
+            json!({ "key": row.key, "value": encode(&self.translate(&row.value)), "offset": offset })
         });
         json(&json!({
             "items": items.collect::<Vec<_>>(),
@@ -286,13 +298,27 @@
         body.put_u64(topic.end());
         body.put_u64(topic.first_offset);
         for Record { key, value, .. } in records {
+            let value = self.translate(value);
             body.put_u32((1 + key.len() + value.len()) as u32);
             body.put_u8(key.len() as u8);
             body.put_slice(key.as_bytes());
-            body.put_slice(value);
+            body.put_slice(&value);
         }
         Some(Response::new(Body::full(body.freeze())))
     }
+
+    /// Replaces the texts of this handle in a value. Others than text stay as they are.
+    fn translate<'a>(&self, value: &'a [u8]) -> Cow<'a, [u8]> {
+        let Ok(text) = std::str::from_utf8(value) else {
+            return value.into();
+        };
+        let replacements = self.replacements.iter();
+        let found = replacements.filter(|(from, _)| text.contains(from.as_str()));
+        found.fold(value.into(), |value, (from, to)| {
+            let text = String::from_utf8_lossy(&value);
+            text.replace(from, to).into_bytes().into()
+        })
+    }
 }
 
 impl Topic {
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -107,13 +107,16 @@
     Settled = 1114, 409, "settled";
     /// The idempotency key was used before with another request.
     KeyMismatch = 1115, 422, "key_mismatch";
-    /// It is not known which service or software version began the stream; it may only be begun
-    /// anew.
+    /// It is not known yet which service or software version began the stream; a later attempt may
+    /// go on with it.
     OriginUnknown = 1116, 503, "origin_unknown";
     /// No endpoint of the route's service has the software version that began the stream.
     VersionGone = 1117, 503, "version_gone";
     /// The client account has used up its quota.
     Quota = 1118, 429, "quota";
+    /// This host has reached neither the platform's store nor another host for some time, so that no
+    /// other one could go on with the stream.
+    Isolated = 1119, 503, "isolated";
     /// The endpoint failed while it ran the request.
     EndpointFailed = 2001, 502, "endpoint_failed";
     /// The request ran past its deadline.
