--- a/crates/daemon/tests/shapes/caller.rs
+++ b/crates/daemon/tests/shapes/caller.rs
@@ -74,6 +74,8 @@
     pub tries: usize,
     /// Whether it tries again at once, whatever it was told.
     pub returns_at_once: bool,
+    /// Number of events after which the connection of a try breaks.
+    pub breaks_after: Option<usize>,
 }
 
 impl Stream {
@@ -254,6 +256,12 @@
             if self.events.len() >= leaves_at {
                 return End::Left;
             }
+            if manner
+                .breaks_after
+                .is_some_and(|count| self.events.len() >= count)
+            {
+                return End::Cut;
+            }
         }
     }
 }
