entry: read callers' connections 4 KiB at a time

Cause: a read that fills the HTTP library's buffer doubles it up to 64 KiB, and a chunk that is not consumed yet keeps its buffer while the next one is filled. Connections to endpoints are read 4 KiB at a time for this reason; callers' connections of an entry were not.

Change: closing::Stream bounds what is read at once, which entries set to 4 KiB. Gateways, whose heads are shorter, stay as they are.

--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -29,6 +29,10 @@
 /// Maximum size of a request's head, and of what a connection buffers, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Most bytes of a connection that are read at once. Buffers of connections whose heads are short
+/// so stay at the HTTP library's first size.
+const MAX_READ_BYTES: usize = 4 * 1024;
+
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts connections until the grace period of the entry's shutdown is over.
@@ -88,7 +92,8 @@
             Ok::<_, std::convert::Infallible>(closing.watch(caller, response))
         }
     });
-    let stream = closing::Stream::new(stream, shared.net.clone(), closing.clone());
+    let stream = closing::Stream::new(stream, shared.net.clone(), closing.clone())
+        .with_max_read_bytes(MAX_READ_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
--- a/crates/lib/src/net/closing.rs
+++ b/crates/lib/src/net/closing.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use http::{header, Method, Request, Response, StatusCode, Version};
 use http_body::{Frame, SizeHint};
@@ -109,6 +109,8 @@
     closing: Closing,
     /// Whether closing the connection resets it.
     resets: bool,
+    /// Most bytes that are read at once.
+    max_read_bytes: usize,
 }
 
 impl<N: Net> Stream<N> {
@@ -119,6 +121,16 @@
             net,
             closing,
             resets: false,
+            max_read_bytes: usize::MAX,
+        }
+    }
+
+    /// Bounds the bytes that are read at once. The HTTP library enlarges its buffer when a read
+    /// fills it, and keeps it for as long as the connection is open.
+    pub fn with_max_read_bytes(self, max_read_bytes: usize) -> Self {
+        Self {
+            max_read_bytes,
+            ..self
         }
     }
 
@@ -144,7 +156,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(cx, buffer)
+        let this = self.get_mut();
+        if buffer.remaining() <= this.max_read_bytes {
+            return Pin::new(&mut this.stream).poll_read(cx, buffer);
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(this.max_read_bytes));
+        ready!(Pin::new(&mut this.stream).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buffer.advance(read);
+        Poll::Ready(Ok(()))
     }
 }
 
