gateway: tell a host that is linked to of requests that crash endpoints

Callers' requests that crash endpoints are sent again by a host that has just started: 12 s after its start it answers such a request with 200 in place of 503.

Cause: a scheduler tells hosts that link to it which requests crash endpoints, and a host that links to a scheduler told it of later ones only. A host that becomes the scheduler as it starts, by its rank, so knew none. Parts of prompts and limits were told both ways.

Change: a host that links to another one tells it the requests that it knows as well.

Result: a_host_that_starts_as_the_scheduler_refuses_a_request_that_crashes_endpoints fails before, at the third of eight hosts, and passes now. Found as all_hosts_refuse_a_request_that_crashes_endpoints failed with hosts ranked by name.

--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -482,9 +482,12 @@
     if link.sender.try_send(greeting).is_err() {
         return;
     }
-    for evidence in shared.parts.snapshot(shared.clock.now()) {
+    let now = shared.clock.now();
+    let suspects = shared.suspects.snapshot(now).into_iter().map(Up::Suspect);
+    let evidence = shared.parts.snapshot(now).into_iter().map(Up::Evidence);
+    for message in suspects.chain(evidence) {
         // What does not fit in the queue is told when it changes.
-        let _ = link.sender.try_send(Up::Evidence(evidence));
+        let _ = link.sender.try_send(message);
     }
     for limit in shared.limit_messages() {
         // What does not fit in the queue is told with requests for permits.
