gateway: call the store for records in one place

Cause: history and numberings each made the timeout and the check of an answer's era, and history asked twice whether a record is due.

Change: Shared::call_store, which both use, and history::unrecorded. Behaviour stays as it is.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -554,6 +554,23 @@
         era >= before
     }
 
+    /// Makes a call to the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or takes too long, or if its answer is of an earlier era.
+    async fn call_store<T>(
+        &self,
+        call: impl Future<Output = store::Answer<T>>,
+    ) -> Result<T, store::Error> {
+        let answer = tokio::time::timeout(self.settings.call_timeout, call).await;
+        let answer = answer.map_err(|_| store::Error::Unavailable("no answer".into()))?;
+        if answer.era.is_some_and(|era| !self.observe_era(era)) {
+            return Err(store::Error::Outdated);
+        }
+        answer.result
+    }
+
     /// Replaces the endpoints that requests are sent to.
     fn update_endpoints(&self, endpoints: Vec<Endpoint>) {
         // The origins are told before a request goes to an endpoint of a new version.
--- a/crates/lib/src/gateway/history.rs
+++ b/crates/lib/src/gateway/history.rs
@@ -4,14 +4,13 @@
 //! meanwhile. Hosts that read the list of endpoints record in the store which versions each
 //! service has had in the lifetime of a stream.
 
-use std::future::Future;
 use std::time::Duration;
 
 use rand::RngExt;
 
-use cranberryridge_policy::gateway::origin::Versions;
+use cranberryridge_policy::gateway::origin::{Usage, Versions};
 
-use super::store::{Answer, Error, Store};
+use super::store::{Error, Store};
 use super::{lock, Shared};
 use crate::clock::Clock;
 
@@ -52,14 +51,20 @@
     }
 }
 
-/// Returns whether the record has to be read or changed. A host whose list is old, or that has it
-/// from another one, changes nothing.
+/// Returns whether the record has to be read or changed.
 fn is_due<N, C: Clock, D>(shared: &Shared<N, C, D>) -> bool {
+    let needs_history = lock(&shared.origins).versions().needs_history();
+    needs_history || unrecorded(shared).is_some()
+}
+
+/// Returns what the record lacks of a service. A host whose list is old, or that has it from
+/// another one, changes nothing.
+fn unrecorded<N, C: Clock, D>(shared: &Shared<N, C, D>) -> Option<Usage> {
     let (now, interval) = (shared.clock.moment(), shared.settings.list_interval);
     let origins = lock(&shared.origins);
     let versions = origins.versions();
-    let knows_better = versions.has_fresh_list(now, interval);
-    versions.needs_history() || knows_better && versions.unrecorded(now.now).is_some()
+    let is_fresh = versions.has_fresh_list(now, interval);
+    is_fresh.then(|| versions.unrecorded(now.now)).flatten()
 }
 
 /// Reads the record, and changes it if this host knows better.
@@ -68,17 +73,15 @@
     store: &S,
 ) -> Result<(), Error> {
     let gap_count = lock(&shared.origins).versions().gap_count();
-    let history = check(shared, store.version_usages()).await?;
+    let history = shared.call_store(store.version_usages()).await?;
     let mut next = history.next;
     update(shared, gap_count, |versions| {
         versions.merge_history(shared.clock.now(), history.entries);
     })?;
-    while is_due(shared) {
-        let unrecorded = lock(&shared.origins)
-            .versions()
-            .unrecorded(shared.clock.now());
-        let Some(usage) = unrecorded else { break };
-        let recorded = check(shared, store.record_version_usage(&usage, next)).await;
+    while let Some(usage) = unrecorded(shared) {
+        let recorded = shared
+            .call_store(store.record_version_usage(&usage, next))
+            .await;
         if recorded.is_err() {
             let mut origins = lock(&shared.origins);
             origins.versions_mut().record_unconfirmed(&usage.service);
@@ -100,26 +103,13 @@
 fn update<N, C, D>(
     shared: &Shared<N, C, D>,
     gap_count: u64,
-    update: impl FnOnce(&mut Versions),
+    apply: impl FnOnce(&mut Versions),
 ) -> Result<(), Error> {
     let mut origins = lock(&shared.origins);
     let versions = origins.versions_mut();
     if versions.gap_count() != gap_count {
         return Err(Error::Outdated);
     }
-    update(versions);
+    apply(versions);
     Ok(())
 }
-
-/// Makes a call to the store.
-async fn check<N, C: Clock, D, T>(
-    shared: &Shared<N, C, D>,
-    call: impl Future<Output = Answer<T>>,
-) -> Result<T, Error> {
-    let answer = tokio::time::timeout(shared.settings.call_timeout, call).await;
-    let answer = answer.map_err(|_| Error::Unavailable("no answer".into()))?;
-    if answer.era.is_some_and(|era| !shared.observe_era(era)) {
-        return Err(Error::Outdated);
-    }
-    answer.result
-}
--- a/crates/lib/src/gateway/numberings.rs
+++ b/crates/lib/src/gateway/numberings.rs
@@ -13,7 +13,7 @@
 use cranberryridge_policy::answer::numbering::{Finding, Ids, Numbering};
 use cranberryridge_wire::Map;
 
-use super::store::{Answer, Error, Numbered, Store};
+use super::store::{Answer, Numbered, Store};
 use super::{lock, Shared};
 use crate::clock::Clock;
 
@@ -209,13 +209,11 @@
 ) -> T {
     let mut pause = MIN_PAUSE;
     loop {
-        let answer = tokio::time::timeout(shared.settings.call_timeout, call()).await;
-        let none = |_| Answer::none(Error::Unavailable("no answer".into()));
-        let answer = answer.unwrap_or_else(none);
-        let is_current = answer.era.is_none_or(|era| shared.observe_era(era));
-        match answer.result {
-            Ok(value) if is_current => return value,
-            _ => slog::debug!(shared.logger, "store: call for numberings failed"),
+        match shared.call_store(call()).await {
+            Ok(value) => return value,
+            Err(error) => {
+                slog::debug!(shared.logger, "numbering: call failed"; "error" => %error);
+            }
         }
         let wait = spread(pause);
         tokio::time::sleep(wait).await;
