--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -517,20 +517,7 @@
     }
 
     /// Records an announcement, from an older copy of the store if `is_restored`.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Instant;
-    /// use cranberryridge::gateway::{follow::Hosts, store::Host};
-    /// use cranberryridge_policy::gateway::roster;
-    /// let mut hosts = Hosts::new(roster::Settings::default());
-    /// let scheduler = "10.0.0.1:7000".parse().ok();
-    /// let host = Host { name: "e1".into(), domain: "a".into(), scheduler, cores: 1.0 };
-    /// hosts.record(Instant::now(), host, false);
-    /// assert_eq!(hosts.schedulers("model"), scheduler.into_iter().collect::<Vec<_>>());
-    /// ```
-    pub fn record(&mut self, now: Instant, host: Host, is_restored: bool) {
+    fn record(&mut self, now: Instant, host: Host, is_restored: bool) {
         if let Some(address) = host.scheduler {
             self.addresses.insert(host.name.clone(), address);
         }
@@ -611,8 +598,7 @@
 
     /// Returns the addresses of the `count` preferred hosts for a key, in order of
     /// preference. Candidates with too few cores ([`MAX_CORES_RATIO`]) are left
-    /// out. Hosts are ranked by their names, as an address may differ from one host to another
-    /// and from one start to the next.
+    /// out.
     fn choose(
         &self,
         key: &str,
@@ -636,15 +622,11 @@
         };
         let max_cores = hosts().map(|host| host.cores).fold(0.0, f64::max);
         let large = hosts().filter(|host| host.cores * MAX_CORES_RATIO >= max_cores);
-        let reachable = large.filter(|host| address(host).is_some());
-        let members = reachable.map(|host| Member {
-            key: host.name.as_str(),
-            domain: "",
-        });
+        let members = large.filter_map(|host| Some((host.name.as_str(), address(host)?)));
+        let members = members.map(|key| Member { key, domain: "" });
         let members = members.collect::<Vec<_>>();
-        let chosen = subset::choose(key, "", &members, count).into_iter();
-        let chosen = chosen.filter_map(|name| self.roster.get(name));
-        chosen.filter_map(address).collect()
+        let chosen = subset::choose(key, "", &members, count);
+        chosen.into_iter().map(|(_, address)| address).collect()
     }
 
     /// Returns whether a known host runs a scheduler at this address.
