gateway: link the hub to its first substitute

Prompts with a part that crashes engines are sent again by a host that has just started: 2.5 s after its start it answers 502 in place of 503, if by its rank it is the hub.

Cause: hosts tell each other which parts are barred as they link. One that starts links to the hub, and is told; one that is itself the hub links to nobody, and knows nothing until the others have read its announcement and link to it. That it knew of no barred part counted as if there were none.

Change: the hub keeps a link to its first substitute, which was the hub before.

Found as hosts_that_start_later_know_barred_parts failed with hosts ranked by name.

--- a/crates/lib/src/gateway/schedule/link.rs
+++ b/crates/lib/src/gateway/schedule/link.rs
@@ -188,6 +188,7 @@
         }
         if shared.is_reader() {
             active_link(&shared, CRASH_SERVICE);
+            shared.links.keep_substitute_link(&shared);
         }
         shared.update_staleness();
         shared.links.keep_origin_links(&shared);
@@ -238,6 +239,20 @@
         link
     }
 
+    /// Keeps a link open from the hub to its first substitute, which was the hub before one that
+    /// has just started. The new one is told over it what the others know before they link to it.
+    fn keep_substitute_link<N: Net, C: Clock, D: Send + Sync + 'static>(
+        &self,
+        shared: &Arc<Shared<N, C, D>>,
+    ) {
+        let hubs = lock(&shared.hosts).hubs();
+        if let [hub, substitute, ..] = hubs[..] {
+            if hub == shared.settings.scheduler {
+                self.keep_open(shared, substitute);
+            }
+        }
+    }
+
     /// Keeps the links open over which hosts exchange the origins of streams.
     fn keep_origin_links<N: Net, C: Clock, D: Send + Sync + 'static>(
         &self,
