standin: listen again at an address once it is free

Cause: a process that is being started elsewhere holds copies of all listeners until it runs its program, which takes longer on a busy machine. The tests of one file start their processes at once. The same was found for the engines of shapes before.

Change: server::rebind repeats until the address is free. The beds of flood and soak use it wherever they listen again, and shapes in place of its own.

--- a/crates/daemon/tests/bed/mod.rs
+++ b/crates/daemon/tests/bed/mod.rs
@@ -23,7 +23,7 @@
 use cranberryridge_standin::ledger::Ledger;
 use cranberryridge_standin::log::Log;
 use cranberryridge_standin::plain::{self, Plain};
-use cranberryridge_standin::server::Server;
+use cranberryridge_standin::server::{self, Server};
 
 pub mod load;
 
@@ -172,7 +172,8 @@
         self.runners[index].kill();
         tokio::time::sleep(Duration::from_millis(100)).await;
         self.runners[index] = self.serve_runner(behind, RUNNER_KINDS[index]).await;
-        Flood::start(&Tcp, at, behind, settings).await.unwrap()
+        let flood = server::rebind(|| Flood::start(&Tcp, at, behind, settings.clone()));
+        flood.await.unwrap()
     }
 
     /// Serves a runner of a kind.
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -1,6 +1,5 @@
 //! Engines on raw sockets that follow the platform's protocol, with faults on request.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,6 +12,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
+use cranberryridge_standin::server;
 use cranberryridge_standin::stream::Ledger;
 
 /// Tokens of a prompt.
@@ -36,9 +36,6 @@
 /// Time between a whole stream and a late answer behind it.
 const EXTRA_DELAY: Duration = Duration::from_millis(300);
 
-/// Time in which an address becomes free once its listener is closed.
-const RELEASE_TIME: Duration = Duration::from_secs(2);
-
 /// Time for which an engine accepts connections behind the end of its streams.
 const LISTENER_LAG: Duration = Duration::from_millis(100);
 
@@ -268,8 +265,8 @@
         if let Some(room) = &mut *self.state.room.lock().unwrap() {
             *room = Room::new(room.limits);
         }
-        let listener = bind(self.address).await;
-        self.process = Some(tokio::spawn(serve(listener, self.state.clone())));
+        let listener = server::rebind(|| TcpListener::bind(self.address)).await;
+        self.process = Some(tokio::spawn(serve(listener.unwrap(), self.state.clone())));
     }
 
     /// Ends the engine: the listener is closed first, then all connections, unless streams are to
@@ -345,20 +342,6 @@
     }
 }
 
-/// Listens at an address that was in use before. A process that is being started elsewhere holds
-/// copies of all listeners until it runs its program.
-async fn bind(address: SocketAddr) -> TcpListener {
-    let ends_at = Instant::now() + RELEASE_TIME;
-    loop {
-        match TcpListener::bind(address).await {
-            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < ends_at => {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-            listener => return listener.unwrap(),
-        }
-    }
-}
-
 /// Accepts connections until the task is aborted, which drops them.
 async fn serve(listener: TcpListener, state: Arc<State>) {
     let mut connections = JoinSet::new();
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -12,6 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use cranberryridge_standin::server;
+
 /// Treatment of connections, including those that are already open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -216,7 +218,7 @@
                 listening.send_replace(false);
                 // The sender lives as long as the site.
                 let _ = states.wait_for(|state| *state == State::Up).await;
-                listener = TcpListener::bind(listen).await.unwrap();
+                listener = server::rebind(|| TcpListener::bind(listen)).await.unwrap();
                 listening.send_replace(true);
             }
         });
--- a/crates/daemon/tests/soak/restart.rs
+++ b/crates/daemon/tests/soak/restart.rs
@@ -9,6 +9,7 @@
 
 use cranberryridge::net::Tcp;
 use cranberryridge_standin::runner::{self, Runner};
+use cranberryridge_standin::server;
 
 use super::load::CRASHING_PART;
 use super::site::Site;
@@ -16,9 +17,6 @@
 /// Time after which an engine that crashed is back.
 const RESTART_TIME: Duration = Duration::from_millis(1500);
 
-/// Time between two tries to listen again.
-const REBIND_INTERVAL: Duration = Duration::from_millis(2);
-
 /// Time for which an engine that is replaced is listed as draining, and then serves on.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
@@ -98,13 +96,9 @@
                     tokio::time::sleep(RESTART_TIME / 10).await;
                 }
                 runner = runner.restart_as(&runner.settings.id);
-                server = loop {
-                    // The listener of a start that just ended may not be closed yet.
-                    match runner.serve(&Tcp, address).await {
-                        Ok(server) => break server,
-                        Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
-                    }
-                };
+                server = server::rebind(|| runner.serve(&Tcp, address))
+                    .await
+                    .unwrap();
                 proxy.start_again();
                 let mut entries = entries.lock().unwrap();
                 let entry = &mut entries[index].value;
@@ -151,7 +145,9 @@
                     version: version.clone(),
                     ..(*runner.settings).clone()
                 });
-                server = runner.serve(&Tcp, address).await.unwrap();
+                server = server::rebind(|| runner.serve(&Tcp, address))
+                    .await
+                    .unwrap();
                 entry["state"] = "ready".into();
                 entry["version"] = version.into();
                 entry["born"] = runner.born().into();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,7 +1,9 @@
 //! A small HTTP server that can be killed.
 
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -10,10 +12,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use cranberryridge::body::Body;
 use cranberryridge::net::{Listen, Net};
 
+/// Time in which an address becomes free once its listener is closed.
+const RELEASE_TIME: Duration = Duration::from_secs(10);
+
+/// Time between two tries to listen again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(2);
+
 /// A server that runs until it is killed or dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -29,7 +38,7 @@
     /// # Errors
     ///
     /// Fails if the address is in use.
-    pub async fn start<N, H, F>(net: &N, at: SocketAddr, handler: H) -> std::io::Result<Self>
+    pub async fn start<N, H, F>(net: &N, at: SocketAddr, handler: H) -> io::Result<Self>
     where
         N: Net,
         H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
@@ -59,6 +68,26 @@
     }
 }
 
+/// Repeats `bind` for as long as the address is still in use. A closed listener is not free at once:
+/// a process that is being started elsewhere holds copies of all listeners until it runs its program.
+///
+/// # Errors
+///
+/// Returns the error of `bind` if it is another one, or if the address does not become free.
+pub async fn rebind<T, F: Future<Output = io::Result<T>>>(
+    mut bind: impl FnMut() -> F,
+) -> io::Result<T> {
+    let ends_at = Instant::now() + RELEASE_TIME;
+    loop {
+        match bind().await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < ends_at => {
+                tokio::time::sleep(REBIND_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Serves one connection until it closes or the server ends.
 async fn serve_connection<S, H, F>(stream: S, handler: H, mut stopped: watch::Receiver<bool>)
 where
