--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 GATEWAY = os.path.join(ROOT, "target", "release", "cranberryridge-gateway")
@@ -377,17 +378,25 @@
     return dict(version=version, routes=routes, services=services, limits=bounds)
 
 
+async def next_byte(reader):
+    """Waits for a byte, or for the end of the connection."""
+    try:
+        return await reader.read(1)
+    except OSError:
+        return b""
+
+
 class Engine:
     """A model runner of one stage, with the speed of its site's pages. Reads prompts, and makes one
     token after the other, an event for each `stride` tokens. Drops a request when its connection
     closes. Never fails."""
 
     def __init__(self, record, store, ident, service, phase, zone="z", slots=64, tokens=33279,
-                 step_ms=4.0, read_per_ms=33.3, stride=1, extra=None):
+                 step_ms=4.0, read_per_ms=33.3, stride=1, extra=None, version="v1"):
         self.record, self.store, self.ident, self.service = record, store, ident, service
         self.phase, self.zone, self.slots, self.tokens = phase, zone, slots, tokens
         self.step_ms, self.read_per_ms, self.stride = step_ms, read_per_ms, stride
-        self.extra = extra or {}
+        self.extra, self.version = extra or {}, version
         self.born, self.state, self.sequence = born(), "ready", 0
         self.running, self.handles, self.runs, self.made = 0, {}, [], 0
         self.busy_until = 0.0
@@ -399,7 +408,7 @@
         self.beating = asyncio.create_task(self.beat())
 
     def entry(self):
-        found = dict(service=self.service, address=self.address, zone=self.zone, version="v1",
+        found = dict(service=self.service, address=self.address, zone=self.zone, version=self.version,
                      slots=self.slots, state=self.state, coldLeftMs=0, sequence=self.sequence,
                      born=self.born)
         if self.phase:
@@ -428,7 +437,7 @@
                 if request is None:
                     break
                 work = asyncio.create_task(self.answer(request, writer))
-                watch = asyncio.create_task(reader.read(1))
+                watch = asyncio.create_task(next_byte(reader))
                 await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
                 if not work.done():
                     work.cancel()
@@ -522,8 +531,9 @@
 
 
 def stream_route(name, service, **more):
-    return route(name, service, "streaming", 14000, 1000, sticky=True, resumable=False, gapAimMs=300,
-                 **more)
+    found = dict(sticky=True, resumable=False, gapAimMs=300)
+    found.update(more)
+    return route(name, service, "streaming", 14000, 1000, **found)
 
 
 async def guarded(work, limit, record):
@@ -532,8 +542,9 @@
     except CannotRun as error:
         record.say("cannot run:", error)
         return 2
-    except (asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
         record.say("cannot run:", type(error).__name__, error)
+        record(traceback.format_exc())
         return 2
 
 
