--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -62,6 +62,8 @@
 
     def __init__(self, path):
         self.file = open(path, "w")
+        # Runs that have ended: their runner, attempt and time.
+        self.ends = []
 
     def __call__(self, *words):
         line = f"{now():9.3f}  " + " ".join(str(w) for w in words)
@@ -401,6 +403,8 @@
         self.running, self.handles, self.runs, self.made = 0, {}, [], 0
         self.busy_until = 0.0
         self.connections = set()
+        # Whether its machine has been taken away, and answers nothing any more.
+        self.is_gone = False
 
     async def start(self, port=0, ip="127.0.0.1"):
         self.server = await asyncio.start_server(self.serve, ip, port, backlog=512)
@@ -429,10 +433,29 @@
         found.update(self.extra)
         return found
 
+    async def leave(self, drain_s):
+        """Drains, serves for a time and until its runs are over, and exits. Its machine is taken
+        away then."""
+        self.state = "draining"
+        self.sequence += 1
+        self.store.put("keyed.servers", self.ident, self.entry())
+        self.record(self.ident, "drains")
+        await asyncio.sleep(drain_s)
+        while self.running:
+            await asyncio.sleep(0.001)
+        self.beating.cancel()
+        self.is_gone = True
+        for writer in list(self.connections):
+            writer.close()
+        self.store.put("keyed.servers", self.ident, None)
+        self.record(self.ident, "has exited, and its machine is taken away")
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
             while True:
+                if self.is_gone:
+                    await asyncio.sleep(3600)
                 request = await read_request(reader)
                 if request is None:
                     break
@@ -517,6 +540,7 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             self.record(self.ident, "ends", attempt)
+            self.record.ends.append((self.ident, attempt, now()))
         finally:
             self.running -= 1
         return True
