--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -12,7 +12,7 @@
 STREAMS = 24
 STABLE_S = 3
 # Machines that were removed for good, and replaced by others, in the life of the deployment.
-REMOVED = 10
+REMOVED = 40
 # Time after which no machine has them in its list any more.
 LATER_S = 58
 
