--- a/review/kit-2/streams.py
+++ b/review/kit-2/streams.py
@@ -47,7 +47,7 @@
                 return
 
 
-async def attempt(address, stream, attempt_id, head):
+async def attempt(address, stream, head, path):
     """Makes one attempt. Returns whether an event came."""
     before, stream.status, stream.retry_after, stream.code = stream.last, 0, 0.0, None
     try:
@@ -55,7 +55,7 @@
     except (OSError, asyncio.TimeoutError):
         return False
     try:
-        writer.write(request_bytes("POST", "/sum/x", head))
+        writer.write(request_bytes("POST", path, head))
         await stream.read(reader)
     except (OSError, asyncio.IncompleteReadError):
         pass
@@ -64,10 +64,10 @@
     return stream.last > before
 
 
-def two_versions(record, store):
-    """Runners of two software versions, which serve side by side."""
+def two_versions(record, store, service="pool"):
+    """Runners of two software versions of a service, which serve side by side."""
     return [
-        Engine(record, store, f"{kind}{n}{version}", "pool", phase, version=version)
+        Engine(record, store, f"{service}-{kind}{n}{version}", service, phase, version=version)
         for version in ("v1", "v2")
         for kind, phase, count in (("p", "prefill", 1), ("d", "decode", 2))
         for n in range(count)
@@ -77,8 +77,8 @@
 class Clients:
     """Clients whose streams break, and who take them up again, beside others with new streams."""
 
-    def __init__(self, record):
-        self.record, self.begin = record, now()
+    def __init__(self, record, paths=("/sum/x",)):
+        self.record, self.begin, self.paths = record, now(), paths
         self.cut = asyncio.Event()
         # Time, number of the client and whether the stream went on.
         self.tries = []
@@ -91,7 +91,8 @@
     async def new_stream(self, n, address):
         """A new stream, which its client leaves after the first events."""
         stream, ident, at = Stream(), f"e{n:x}", now()
-        work = asyncio.create_task(attempt(address, stream, ident, headers(ident, DEADLINE_S)))
+        work = asyncio.create_task(attempt(
+            address, stream, headers(ident, DEADLINE_S), self.paths[n % len(self.paths)]))
         await asyncio.wait({work}, timeout=2)
         work.cancel()
         await asyncio.gather(work, return_exceptions=True)
@@ -105,8 +106,8 @@
             await asyncio.sleep(0.25)
 
     async def client(self, n, address, others):
-        stream, first = Stream(), f"c{n:x}0"
-        work = asyncio.create_task(attempt(address, stream, first, headers(first, DEADLINE_S)))
+        stream, first, path = Stream(), f"c{n:x}0", self.paths[n % len(self.paths)]
+        work = asyncio.create_task(attempt(address, stream, headers(first, DEADLINE_S), path))
         await self.cut.wait()
         # If nothing else breaks its connection, the client does.
         await asyncio.wait({work}, timeout=0.3)
@@ -120,7 +121,7 @@
             ident, address = f"c{n:x}{k:x}f", others[(n + k) % len(others)]
             more = {"Last-Event-Id": str(stream.last), "Resumes": first}
             sent, before = now(), stream.last
-            goes_on = await attempt(address, stream, ident, headers(ident, self.left(), **more))
+            goes_on = await attempt(address, stream, headers(ident, self.left(), **more), path)
             if stream.status:
                 self.record("client", n, "takes up after", before, "gets", stream.status,
                             stream.code, "events up to", stream.last)
