gateway: believe the ends of an engine that completes its runs, however it is gone

Cause: an end that chunks state counts if its engine is seen to outlive it. One that has said that it completes its runs before it exits was believed if it refused connections, not if it was silent or another start had its address, and a stop of the gateway ended the looks as unknown.

Change: what the engine has said of its exit decides, however it is gone, and also if the gateway stops before the looks are over. Looks read it from the report. A silent engine whose named exit has passed is not waited for.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 
 use cranberryridge_policy::answer::deadline::{Deadline, Timing};
+use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{Conclusion, Disorder, End, Framing};
 use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -439,21 +440,22 @@
             connection,
             timing,
         } = *answer;
+        let expects_stream = form == Form::Stream;
+        let event_time = if expects_stream {
+            self.route.max_event_gap
+        } else {
+            Duration::ZERO
+        };
         let ending = Ending {
             key,
             endpoint,
             connection: &connection,
             wait_until: self.end_deadline(),
-            may_refuse: false,
+            departure: None,
+            event_time,
         };
         let (head, body) = response.into_parts();
         let body = held::read(&self.memory, body, form.max_bytes(), |_| Purpose::Answer).await;
-        let expects_stream = form == Form::Stream;
-        let event_time = if expects_stream {
-            self.route.max_event_gap
-        } else {
-            Duration::ZERO
-        };
         let is_overdue = timing.is_overdue(shared.clock.moment(), event_time);
         let error = match body {
             // Its head is the whole answer.
@@ -468,7 +470,8 @@
                         &endpoint.version,
                     );
                     if matches!(end, Conclusion::Complete(_)) && timing.framing == Framing::Chunks {
-                        let watch = shared.watch_end(ending).await;
+                        let mut watch = Watch::default();
+                        shared.watch_end(ending, &mut watch).await;
                         self.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{Overrun, Pace};
+use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -342,22 +343,26 @@
                 if matches!(end, Conclusion::Complete(_)) {
                     run.reservation.complete();
                     if run.timing.framing == Framing::Chunks {
-                        let now = shared.clock.now();
-                        let departure = run.departure;
                         let ending = Ending {
                             key: run.reservation.key,
                             endpoint: &run.reservation.endpoint,
                             connection: &run.connection,
                             wait_until: call.end_deadline(),
-                            may_refuse: departure
-                                .is_some_and(|departure| !departure.may_end_run(now, event_time)),
+                            departure: run.departure,
+                            event_time,
                         };
+                        let mut watch = Watch::default();
                         // A caller that has disconnected after the last event needs no end, but
                         // what the run tells of its endpoint counts.
-                        let watch = tokio::select! {
-                            watch = shared.watch_end(ending) => watch,
-                            () = exit.as_mut() => return Outcome::Stopped,
-                        };
+                        tokio::select! {
+                            biased;
+                            () = shared.watch_end(ending, &mut watch) => {}
+                            () = exit.as_mut() => {
+                                if !watch.is_needless() {
+                                    return Outcome::Stopped;
+                                }
+                            }
+                        }
                         call.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cranberryridge_policy::answer::survival::{Departure, Sign, Watch};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::pool::{EndpointKey, State};
 
-use super::dialect::Dialect;
+use super::dialect::{Dialect, Report};
 use super::{exchange, lock, Shared};
 use crate::client::{Error, Held};
 use crate::clock::Clock;
@@ -25,27 +25,35 @@
     /// Time until which a silent endpoint is waited for. It is given up after a few looks if this
     /// is `None`.
     pub wait_until: Option<Instant>,
-    /// Whether the endpoint may refuse connections before it has completed its runs.
-    pub may_refuse: bool,
+    /// What the endpoint has said of its exit, as far as it is known.
+    pub departure: Option<Departure>,
+    /// Time that the endpoint takes for an event, before which it may have stopped.
+    pub event_time: Duration,
 }
 
 impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
-    /// Looks at an endpoint until it is known whether it has outlived the end of its answer. Returns
-    /// what it showed at last.
-    pub(super) async fn watch_end<B>(&self, ending: Ending<'_, B>) -> Watch {
+    /// Looks at an endpoint until it is known whether it has outlived the end of its answer, and
+    /// records what it shows.
+    pub(super) async fn watch_end<B>(&self, ending: Ending<'_, B>, watch: &mut Watch) {
         let Ending { key, endpoint, .. } = ending;
-        let mut watch = Watch::new(ending.may_refuse);
+        let ended_at = self.clock.now();
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
         loop {
             let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
             let may_be_stopping = is_leaving || ending.connection.is_closed();
             let now = self.clock.now();
-            let patience = ending.wait_until;
+            let departure = ending.departure;
+            let departure = departure.or_else(|| lock(&self.departures).find(key));
+            if departure.is_some_and(|it| !it.may_end_run(ended_at, ending.event_time)) {
+                watch.expect_completion();
+            }
+            let is_over = departure.is_some_and(|departure| departure.is_over(now));
+            let patience = ending.wait_until.filter(|_| !is_over);
             let patience = patience.map(|until| until.saturating_duration_since(now));
             let delay = watch.next_look(may_be_stopping, patience.unwrap_or_default());
             let Some(delay) = delay else {
-                return watch;
+                return;
             };
             tokio::time::sleep(delay).await;
             let sign = if is_limited {
@@ -84,15 +92,21 @@
     /// Asks an engine when it exits.
     async fn ask_departure(&self, key: EndpointKey, endpoint: &Endpoint) {
         let report = exchange::fetch_report(self, key, endpoint.address).await;
-        let report = report.filter(|report| report.started_ms == Some(endpoint.started_ms));
-        let Some(report) = report.filter(|report| report.is_draining) else {
+        if let Some(report) = report {
+            self.record_departure(key, endpoint, &report);
+        }
+    }
+
+    /// Records what an engine reports of its exit, if it drains and is the start that is known.
+    fn record_departure(&self, key: EndpointKey, endpoint: &Endpoint, report: &Report) {
+        if !report.is_draining || report.started_ms != Some(endpoint.started_ms) {
             return;
-        };
+        }
         let now = self.clock.now();
         let departure = report
             .leaves_in
             .map_or(Departure::AfterRuns, |time| Departure::At(now + time));
-        lock(&self.departures).record(key, departure);
+        lock(&self.departures).record(now, key, departure);
     }
 
     /// Asks an endpoint for a connection.
@@ -120,10 +134,13 @@
             Err(Error::Broken(_)) => return Sign::Resetting,
             Err(_) => return Sign::Silent,
         };
-        let report = self.dialect.parse_report(answer.body());
-        match report.and_then(|report| report.started_ms) {
+        // An engine that does not tell its start serves all the same.
+        let Some(report) = self.dialect.parse_report(answer.body()) else {
+            return Sign::Serving;
+        };
+        self.record_departure(key, endpoint, &report);
+        match report.started_ms {
             Some(started_ms) if started_ms != endpoint.started_ms => Sign::Restarted,
-            // An engine that does not tell its start serves all the same.
             _ => Sign::Serving,
         }
     }
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -56,6 +56,25 @@
             Self::At(exit) => now + MAX_REPORT_AGE + event_time >= exit,
         }
     }
+
+    /// Returns whether an endpoint that is silent has exited at the time that it named, and so
+    /// tells nothing any more.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::answer::survival::Departure;
+    /// let (now, departure) = (Instant::now(), Departure::At(Instant::now()));
+    /// assert!(!departure.is_over(now));
+    /// assert!(departure.is_over(now + Duration::from_secs(5)));
+    /// ```
+    pub fn is_over(self, now: Instant) -> bool {
+        match self {
+            Self::AfterRuns => false,
+            Self::At(exit) => now >= exit + MAX_REPORT_AGE,
+        }
+    }
 }
 
 /// What an endpoint shows when it is looked at.
@@ -110,33 +129,32 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Watch {
-    /// Whether refused connections say nothing, as the endpoint completes its runs behind a closed
-    /// listener.
-    may_refuse: bool,
+    /// Whether the endpoint has said that it completes its runs before it exits. That it is gone
+    /// does not contradict the end then.
+    completes_runs: bool,
     last_sign: Option<Sign>,
     serving_looks: u32,
     silent_looks: u32,
 }
 
 impl Watch {
-    /// Begins the looks at an endpoint. `may_refuse` is whether it may refuse connections before it
-    /// has completed its runs ([`Departure`]).
+    /// Records that the endpoint has said that it completes its runs before it exits
+    /// ([`Departure::may_end_run`]).
     ///
     /// # Examples
     ///
     /// ```
     /// use cranberryridge_policy::answer::survival::{Sign, Watch};
-    /// for may_refuse in [false, true] {
-    ///     let mut watch = Watch::new(may_refuse);
-    ///     watch.record(Sign::Refusing, false);
-    ///     assert_eq!(watch.has_survived(), may_refuse);
+    /// for sign in [Sign::Refusing, Sign::Restarted, Sign::Silent] {
+    ///     let mut watch = Watch::default();
+    ///     watch.record(sign, false);
+    ///     assert!(!watch.has_survived());
+    ///     watch.expect_completion();
+    ///     assert!(watch.has_survived());
     /// }
     /// ```
-    pub fn new(may_refuse: bool) -> Self {
-        Self {
-            may_refuse,
-            ..Self::default()
-        }
+    pub fn expect_completion(&mut self) {
+        self.completes_runs = true;
     }
 
     /// Returns the time until the next look, or `None` if the looks tell enough. `may_be_stopping`
@@ -159,6 +177,9 @@
         match self.last_sign {
             None => Some(FIRST_LOOK_DELAY),
             Some(Sign::Refusing | Sign::Restarted) => None,
+            Some(Sign::Silent) if self.completes_runs && self.silent_looks >= MAX_SILENT_LOOKS => {
+                None
+            }
             Some(Sign::Resetting | Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => {
                 (patience > PATIENT_DELAY).then_some(PATIENT_DELAY)
             }
@@ -202,11 +223,27 @@
         self.last_sign
     }
 
-    /// Returns whether the endpoint has outlived the end.
+    /// Returns whether the end counts although the looks were not completed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::Watch;
+    /// let mut watch = Watch::default();
+    /// assert!(!watch.is_needless());
+    /// watch.expect_completion();
+    /// assert!(watch.is_needless());
+    /// ```
+    pub fn is_needless(&self) -> bool {
+        self.completes_runs && self.has_survived()
+    }
+
+    /// Returns whether the endpoint has outlived the end, or did not state it because it stopped.
     pub fn has_survived(&self) -> bool {
         match self.last_sign {
-            Some(Sign::Refusing) => self.may_refuse,
-            sign => sign == Some(Sign::Serving),
+            Some(Sign::Serving) => true,
+            None | Some(Sign::Refusing | Sign::Restarted | Sign::Silent) => self.completes_runs,
+            Some(Sign::Resetting) => false,
         }
     }
 }
--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -26,7 +26,7 @@
 /// assert!(table.begin_question(now, key));
 /// assert!(!table.begin_question(now, key));
 /// assert!(table.begin_question(now + Duration::from_millis(300), key));
-/// table.record(key, Departure::AfterRuns);
+/// table.record(now, key, Departure::AfterRuns);
 /// assert_eq!(table.find(key), Some(Departure::AfterRuns));
 /// ```
 #[derive(Debug, Default)]
@@ -68,10 +68,12 @@
         true
     }
 
-    /// Records what an endpoint that was asked says of its exit.
-    pub fn record(&mut self, key: EndpointKey, departure: Departure) {
-        if let Some(question) = self.endpoints.get_mut(&key) {
-            question.departure = Some(departure);
-        }
+    /// Records what an endpoint says of its exit.
+    pub fn record(&mut self, now: Instant, key: EndpointKey, departure: Departure) {
+        let question = Question {
+            asked_at: now,
+            departure: Some(departure),
+        };
+        self.endpoints.insert(key, question);
     }
 }
