gateway: hold late streams of a stop to their deadline, and close all connections in time

Cause: a connection closed one lame-duck period after its accept if that was later than the stop, and the upper bound of a late stream was the mean pace of its service.

Change: all connections close when the period ends. A stream that was not sent by then is held to its deadline as well, when its engine stops.

--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -248,8 +248,9 @@
     }
     let now = call.shared.clock.now();
     let longest = call.record.description.max_output_tokens;
+    let remaining_time = call.remaining_time();
     let pool = call.shared.pool();
-    Some(pool.predict_length(now, &call.service, engine, need, longest))
+    Some(pool.predict_length(now, &call.service, engine, need, longest, remaining_time))
 }
 
 /// Returns the capacity that the request needs.
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -406,7 +406,9 @@
     let mut draining = shared.draining.subscribe();
     // The sender lives as long as the gateway.
     let _ = draining.wait_for(|draining| *draining).await;
-    tokio::time::sleep(shared.settings.lame_duck_period).await;
+    if let Some(stop) = shared.stop.get() {
+        tokio::time::sleep_until(stop.lame_duck_until.into()).await;
+    }
 }
 
 /// Serves a connection until it ends or exceeds a timeout.
--- a/crates/policy/src/gateway/drain.rs
+++ b/crates/policy/src/gateway/drain.rs
@@ -4,7 +4,8 @@
 //! serve it whole, so it is refused at once if it is not expected to end in time. Until the
 //! load balancer has noticed the stop, the estimated duration counts: if many hosts stop
 //! together, the longest requests would be refused everywhere. Later only few requests come,
-//! and none of them may be cut.
+//! and none of them may be cut. A stream is then held to its deadline, as engines become slower with
+//! each further request.
 
 use std::time::{Duration, Instant};
 
@@ -45,7 +46,7 @@
 pub struct Length {
     /// Expected duration. For a stream, that of an answer as long as its caller estimates.
     pub estimated: Duration,
-    /// Upper bound of the duration. For a stream, that of the longest possible answer.
+    /// Upper bound of the duration.
     pub longest: Duration,
 }
 
@@ -93,7 +94,9 @@
 }
 
 impl Pool {
-    /// Predicts the duration of a stream with at most `max_output_tokens`.
+    /// Predicts the duration of a stream with at most `max_output_tokens`, from the mean pace of its
+    /// service. Only its deadline in `remaining_time`, when its engine stops, bounds that of a slower
+    /// one.
     pub fn predict_length(
         &self,
         now: Instant,
@@ -101,11 +104,12 @@
         engine: Engine,
         need: Need,
         max_output_tokens: u32,
+        remaining_time: Duration,
     ) -> Length {
         let (_, token_time) = self.capacity(now, service, None, engine);
         Length {
             estimated: run_time(need.output_tokens, token_time),
-            longest: run_time(max_output_tokens, token_time),
+            longest: run_time(max_output_tokens, token_time).max(remaining_time),
         }
     }
 
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -9,7 +9,7 @@
 
 use cranberryridge_wire::code::Class;
 
-use fixture::{endpoint, SECOND};
+use fixture::{endpoint, engine_pool, ENGINE, NEED, SECOND};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -88,6 +88,19 @@
     assert!(!stop.accepts(begin + 6 * SECOND, short));
 }
 
+/// Guards against a mean that is taken for the pace of a slower stream, which is passed on late in the
+/// grace period and cut.
+#[test]
+fn a_stream_is_held_to_its_deadline_and_to_its_longest_answer() {
+    let (mut pool, now) = (engine_pool(0, 1), Instant::now());
+    let key = pool.key("d0").unwrap();
+    pool.record_event_interval(now, key, 22 * MS);
+    let predict = |deadline| pool.predict_length(now, "model", ENGINE, NEED, 1000, deadline);
+    assert!(predict(14 * SECOND).estimated < 2 * SECOND);
+    assert_eq!(predict(14 * SECOND).longest, 14 * SECOND);
+    assert!(predict(SECOND).longest > 2 * SECOND);
+}
+
 /// Guards against a request that is called not run although an endpoint may have run it: its
 /// caller would send it again.
 #[test]
