entry: close connections at the end of the grace period

A connection that an entry accepted while it drained stayed open, and took requests, for a whole grace period of its own.

Cause: as at the gateway, each connection waited for the period from its own begin.

Change: the drain itself says when the period is over.

Result: a_connection_accepted_while_the_entry_drains_closes_with_the_others fails before (3.5 s) and passes now.

--- a/crates/lib/src/entry.rs
+++ b/crates/lib/src/entry.rs
@@ -110,6 +110,8 @@
     pub claims: Arc<claims::Claims>,
     /// Whether the entry is shutting down.
     pub draining: watch::Sender<bool>,
+    /// Whether the grace period of the shutdown is over, so that connections are closed.
+    pub closing: watch::Sender<bool>,
     /// Whether open requests are given up, as the process is about to exit.
     pub giving_up: watch::Sender<bool>,
     /// Open connections of callers.
@@ -164,6 +166,7 @@
             configuration,
             claims: claims.clone(),
             draining: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
             giving_up: watch::Sender::new(false),
             connections: Tally::default(),
             in_flight: watch::Sender::new(0),
@@ -215,6 +218,7 @@
         info!(self.shared.logger, "entry: draining");
         self.shared.draining.send_replace(true);
         tokio::time::sleep(Duration::from_millis(u64::from(common.grace_ms))).await;
+        self.shared.closing.send_replace(true);
         let mut in_flight = self.shared.in_flight.subscribe();
         let timeout = Duration::from_millis(u64::from(common.drain_ms));
         let idle = async {
--- a/crates/lib/src/entry/http.rs
+++ b/crates/lib/src/entry/http.rs
@@ -62,11 +62,9 @@
 /// Waits until the entry drains and its grace period is over. During the grace period
 /// the load balancer may still send requests.
 async fn wait_drained<N, C>(shared: Arc<Shared<N, C>>) {
-    let grace = Duration::from_millis(u64::from(shared.settings.common.grace_ms));
-    let mut draining = shared.draining.subscribe();
+    let mut closing = shared.closing.subscribe();
     // The sender lives as long as the entry, so the wait cannot fail.
-    let _ = draining.wait_for(|draining| *draining).await;
-    tokio::time::sleep(grace).await;
+    let _ = closing.wait_for(|closing| *closing).await;
 }
 
 /// Serves one connection and shuts it down gracefully once the entry has drained.
--- a/crates/standin/tests/drain.rs
+++ b/crates/standin/tests/drain.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
+use tokio::io::AsyncReadExt;
 
 use cranberryridge::client::Client;
 use cranberryridge::net::Net;
@@ -82,6 +83,23 @@
     }
 }
 
+// Guards against connections that stay open beyond the grace period as they were accepted in it.
+#[tokio::test(start_paused = true)]
+async fn a_connection_accepted_while_the_entry_drains_closes_with_the_others() {
+    let (net, fleet) = start_fleet(Plan::default()).await;
+    let entry = fleet.entries[0].clone();
+    let address = entry.address();
+    let began = tokio::time::Instant::now();
+    let drained = tokio::spawn(async move { entry.drain().await });
+    tokio::time::sleep(GRACE_PERIOD * 3 / 4).await;
+    let mut idle = net.connect(address).await.unwrap();
+    let mut rest = Vec::new();
+    idle.read_to_end(&mut rest).await.unwrap();
+    assert!(with_timeout(drained).await.unwrap());
+    let took = began.elapsed();
+    assert!(took < GRACE_PERIOD + Duration::from_millis(50), "{took:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_upload_that_began_before_the_drain_is_answered() {
     let (net, fleet) = start_fleet(Plan::default()).await;
