gateway: remove the announcements of hosts that are gone from the store

Cause: the store keeps the last announcement of each host for ever and tells no time with it, and a host that reads it for the first time takes it for new. Nobody removed it.

Change: the first of the hosts removes the announcements of those that have expired, on the condition that none has announced itself since it read. An older copy of the store does not bring them back.

--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -43,6 +43,9 @@
 /// that started shortly before is unknown to others until then.
 const RESTORE_ANNOUNCE_DELAY_MS: std::ops::Range<u64> = 0..1500;
 
+/// Maximum number of hosts whose announcements are removed in one call.
+const MAX_REMOVALS: usize = 64;
+
 /// Number of hosts that are tried in turn as the scheduler of a service, in
 /// case some are unreachable.
 const SCHEDULER_CANDIDATES: usize = 3;
@@ -474,16 +477,9 @@
         let now = shared.clock.now();
         if let Ok(batch) = batch {
             let is_restored = batch.is_full && reader.era != era_before;
-            let mut hosts = lock(&shared.hosts);
-            for record in batch.page.records {
-                match record {
-                    Record::Host(host) => hosts.record(now, host, is_restored),
-                    Record::Unreadable { key, reason } => log_unreadable(shared, &key, &reason),
-                    _ => {}
-                }
-            }
-            hosts.finish_reading(now);
-            shared.pool().set_host_count(hosts.count());
+            let next = batch.page.next;
+            record_hosts(shared, now, batch, is_restored);
+            remove_hosts(shared, store, next).await;
         }
         // On a timeout, the host announces itself again.
         let wait = tokio::time::timeout(pause, shared.announce_requested.notified());
@@ -499,6 +495,58 @@
     }
 }
 
+/// Records the announcements of one call, from an older copy of the store if `is_restored`.
+fn record_hosts<N, C: Clock, D>(
+    shared: &Shared<N, C, D>,
+    now: Instant,
+    batch: Batch,
+    is_restored: bool,
+) {
+    let mut hosts = lock(&shared.hosts);
+    for record in batch.page.records {
+        match record {
+            Record::Host(host) => hosts.record(now, host, is_restored),
+            Record::Removed(name) => hosts.roster.record_removal(now, &name),
+            Record::Unreadable { key, reason } => log_unreadable(shared, &key, &reason),
+            _ => {}
+        }
+    }
+    hosts.finish_reading(now);
+    shared.pool().set_host_count(hosts.count());
+}
+
+/// Removes the announcements of hosts that are gone from the store, if this host is the one that
+/// does so. `next` is the offset up to which it has read them: a host that has announced itself
+/// since is not gone.
+async fn remove_hosts<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S, next: u64) {
+    let names = {
+        let hosts = lock(&shared.hosts);
+        if hosts.hubs().first() != Some(&shared.settings.scheduler) {
+            return;
+        }
+        let names = hosts.roster.removable().take(MAX_REMOVALS).cloned();
+        names.collect::<Vec<_>>()
+    };
+    if names.is_empty() {
+        return;
+    }
+    match shared.call_store(store.remove_hosts(&names, next)).await {
+        Ok(true) => {
+            let (now, mut hosts) = (shared.clock.now(), lock(&shared.hosts));
+            for name in &names {
+                hosts.roster.record_removal(now, name);
+            }
+            slog::info!(shared.logger, "hosts: gone, announcements removed";
+                "hosts" => names.join(" "));
+        }
+        // They are removed after the next reading.
+        Ok(false) => {}
+        Err(error) => {
+            slog::debug!(shared.logger, "hosts: removal failed"; "error" => %error);
+        }
+    }
+}
+
 /// The entry hosts with a recent announcement.
 #[derive(Debug)]
 pub struct Hosts {
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -35,6 +35,15 @@
     /// [`Error::Unavailable`] if the store does not answer.
     fn announce(&self, host: &Host) -> impl Future<Output = Answer<()>> + Send;
 
+    /// Removes the announcements of hosts that are gone, provided that nothing was recorded at offset
+    /// `next` or later. Returns whether that held. The result is [`Error::Unavailable`] if no answer
+    /// came; they may have been removed.
+    fn remove_hosts(
+        &self,
+        names: &[CompactString],
+        next: u64,
+    ) -> impl Future<Output = Answer<bool>> + Send;
+
     /// Returns the newest claim on each engine. The result is
     /// [`Error::Unavailable`] if the store does not answer.
     fn claims(&self) -> impl Future<Output = Answer<Claims>> + Send;
@@ -186,7 +195,7 @@
     Configuration(Configuration),
     /// A new or changed endpoint.
     Endpoint(Endpoint),
-    /// Id of an endpoint that was removed.
+    /// Id of an endpoint, or name of an entry host, that was removed.
     Removed(CompactString),
     /// An entry host's announcement.
     Host(Host),
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -4,6 +4,9 @@
 //! add up to more than the whole while some know of fewer hosts than others, so a
 //! share begins late and ends early: a host has none before all others know it,
 //! nor after they may have given it up.
+//!
+//! The store keeps the last announcement of each host for ever, and tells no time with it. A host that
+//! reads it for the first time cannot know how old it is, so others remove it once its host is gone.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -63,6 +66,9 @@
     settings: Settings,
     /// Hosts with the time of their last announcement.
     hosts: BTreeMap<CompactString, (Instant, T)>,
+    /// Hosts that are gone, with the time at which their announcement was removed from the store.
+    /// `None` while the store has it.
+    gone: BTreeMap<CompactString, Option<Instant>>,
     /// Time of the last reading, or `None` before the first.
     read_at: Option<Instant>,
     /// First and last of this host's announcements in an unbroken series, or
@@ -76,6 +82,7 @@
         Self {
             settings,
             hosts: BTreeMap::new(),
+            gone: BTreeMap::new(),
             read_at: None,
             announced: None,
         }
@@ -83,13 +90,50 @@
 
     /// Records the announcement of a host, this one or another.
     pub fn record(&mut self, now: Instant, name: CompactString, host: T) {
+        self.gone.remove(&name);
         self.hosts.insert(name, (now, host));
     }
 
     /// Records an announcement from an older copy of the store. It does not
-    /// replace a known one, which may be newer.
+    /// replace a known one, which may be newer, nor does it bring a host back that is gone.
     pub fn record_restored(&mut self, now: Instant, name: CompactString, host: T) {
-        self.hosts.entry(name).or_insert((now, host));
+        match self.gone.get_mut(&name) {
+            Some(removed_at) => *removed_at = None,
+            None => {
+                self.hosts.entry(name).or_insert((now, host));
+            }
+        }
+    }
+
+    /// Records that the announcement of a host was removed from the store, as the host is gone.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::gateway::roster::{Roster, Settings};
+    /// let (mut roster, now) = (Roster::new(Settings::default()), Instant::now());
+    /// roster.record(now, "front-1".into(), ());
+    /// roster.finish_reading(now);
+    /// let later = now + Duration::from_secs(40);
+    /// roster.record(later, "front-2".into(), ());
+    /// roster.finish_reading(later + Duration::from_secs(10));
+    /// assert!(roster.removable().eq(["front-1"]));
+    /// roster.record_removal(later, "front-1");
+    /// assert_eq!(roster.removable().count(), 0);
+    /// ```
+    pub fn record_removal(&mut self, now: Instant, name: &str) {
+        self.hosts.remove(name);
+        self.gone.insert(name.into(), Some(now));
+    }
+
+    /// Returns the hosts that are gone and whose announcement the store still has.
+    pub fn removable(&self) -> impl Iterator<Item = &CompactString> {
+        let present = self
+            .gone
+            .iter()
+            .filter(|(_, removed_at)| removed_at.is_none());
+        present.map(|(name, _)| name)
     }
 
     /// Records that the store has accepted this host's announcement, which was sent
@@ -110,9 +154,18 @@
         let excess = unread.saturating_sub(self.settings.announce_interval);
         self.read_at = Some(now);
         let expiry = self.settings.expiry;
-        self.hosts.retain(|_, (at, _)| {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < expiry;
+        // Copies of the store are younger than that.
+        self.gone
+            .retain(|_, removed_at| removed_at.is_none_or(is_recent));
+        let gone = &mut self.gone;
+        self.hosts.retain(|name, (at, _)| {
             *at = (*at + excess).min(now);
-            now.saturating_duration_since(*at) < expiry
+            let is_recent = is_recent(*at);
+            if !is_recent {
+                gone.insert(name.clone(), None);
+            }
+            is_recent
         });
     }
 
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -53,14 +53,36 @@
         }
         store.last += 1;
         store.by_name.insert(self.name.clone(), store.last);
+        store.removed.remove(&self.name);
         self.roster.record_announcement(now);
         for (name, number) in &store.by_name {
             if *number > self.read {
                 self.roster.record(now, name.clone(), ());
             }
         }
+        for (name, number) in &store.removed {
+            if *number > self.read {
+                self.roster.record_removal(now, name);
+            }
+        }
         self.read = store.last;
         self.roster.finish_reading(now);
+        self.remove_announcements(now, store);
+    }
+
+    /// Removes the announcements of hosts that are gone, if this host is the one that does so.
+    fn remove_announcements(&mut self, now: Instant, store: &mut Announcements) {
+        let first = self.roster.iter().next().map(|(name, ())| name);
+        if first != Some(&self.name) {
+            return;
+        }
+        let names = self.roster.removable().cloned().collect::<Vec<_>>();
+        for name in names {
+            store.last += 1;
+            store.by_name.remove(&name);
+            self.roster.record_removal(now, &name);
+            store.removed.insert(name, store.last);
+        }
     }
 }
 
@@ -71,6 +93,8 @@
     last: u64,
     /// Number of the last announcement of each host.
     by_name: BTreeMap<CompactString, u64>,
+    /// Number of the removal of a host's announcement.
+    removed: BTreeMap<CompactString, u64>,
 }
 
 /// Times of the requests and of the retries of all hosts.
@@ -181,6 +205,37 @@
     }
 }
 
+// Guards against hosts that are removed for good and count as there for whoever starts later.
+#[test]
+fn a_host_that_starts_does_not_count_those_that_are_gone() {
+    let begin = Instant::now();
+    let names = (0..6).map(|number| format_compact!("front-{number}"));
+    let mut processes = names
+        .map(|name| Process::new(begin, name))
+        .collect::<Vec<_>>();
+    let mut store = Announcements::default();
+    for step in 0..STEPS {
+        let now = begin + STEP * step;
+        if step == 300 {
+            processes.truncate(2);
+        }
+        if step == 900 {
+            let name = processes[1].name.clone();
+            processes[1] = Process::new(now, name);
+        }
+        for process in &mut processes {
+            if now >= process.next_round {
+                process.run_round(now, &mut store);
+            }
+        }
+        if step >= 900 {
+            let counts = processes.iter().map(|process| process.roster.count());
+            assert!(counts.into_iter().all(|count| count == 2), "step {step}");
+        }
+    }
+    assert_eq!(store.by_name.len(), 2);
+}
+
 /// A host that the store refuses goes on to serve while the others forget it.
 #[test]
 fn a_host_that_others_may_have_removed_has_no_share() {
