gateway: record the origins of streams in the store

Cause: which version began a stream was known to the memory of gateways only.

Change: while several versions are in use, a host records the origins of its streams in the platform's log once an event has reached the caller, as the origin is final then. Hosts read the last records as they start, and further ones when nobody knows a stream. The stand-in of the store has topics without keys.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -53,6 +53,7 @@
 mod generate;
 pub(crate) mod held;
 mod history;
+mod journal;
 mod numberings;
 mod origin;
 mod parts;
@@ -188,6 +189,10 @@
     numbering_learned: Notify,
     /// Notified when the store's record of versions in use must be read or changed.
     history_changed: Notify,
+    /// Wakes the task that records origins of streams in the store.
+    journal_changed: Notify,
+    /// Wakes the task that reads the recorded origins, as nobody knows a stream.
+    journal_wanted: Notify,
     /// Newest known era of the platform's store.
     era: watch::Sender<Era>,
     /// Known entry hosts.
@@ -290,6 +295,8 @@
             numberings: numberings::Registry::default(),
             numbering_learned: Notify::new(),
             history_changed: Notify::new(),
+            journal_changed: Notify::new(),
+            journal_wanted: Notify::new(),
             suspects: Suspects::default(),
             parts: parts::Registry::default(),
             origins: Mutex::default(),
--- a/crates/lib/src/gateway/follow.rs
+++ b/crates/lib/src/gateway/follow.rs
@@ -20,7 +20,7 @@
 
 use super::snapshot::{self, Snapshot};
 use super::store::{Answer, Error, Host, Page, Record, Store, Topic};
-use super::{history, lock, numberings, Shared};
+use super::{history, journal, lock, numberings, Shared};
 use crate::clock::Clock;
 
 /// Delay after a failed call to the store. Doubles with each further failure.
@@ -66,6 +66,7 @@
         follow_hosts(&shared, &store),
         numberings::follow(&shared, &store),
         history::follow(&shared, &store),
+        journal::follow(&shared, &store),
     );
 }
 
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -275,6 +275,9 @@
                     run.reservation
                         .record_event_interval(gap / batch.event_count.max(1));
                 }
+                if call.record.event_count == 0 {
+                    call.record_begin(&run.reservation.endpoint.version);
+                }
                 call.record.event_count += batch.event_count;
                 let (events, is_within) = call.memory.count(batch.bytes);
                 if reply.send_piece(events).await.is_err() {
--- a/crates/lib/src/gateway/history.rs
+++ b/crates/lib/src/gateway/history.rs
@@ -78,6 +78,7 @@
     update(shared, gap_count, |versions| {
         versions.merge_history(shared.clock.now(), history.entries);
     })?;
+    shared.queue_open_origins();
     while let Some(usage) = unrecorded(shared) {
         let recorded = shared
             .call_store(store.record_version_usage(&usage, next))
--- a/crates/lib/src/gateway/origin.rs
+++ b/crates/lib/src/gateway/origin.rs
@@ -31,8 +31,8 @@
 use crate::clock::Clock;
 use crate::net::Net;
 
-/// Retry time of a stream whose origin may be known to a host that did not answer.
-const SILENT_HOST_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry time of a stream whose origin may be known to a host that did not answer, or to the store.
+const UNREAD_ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Retry time of a stream whose origin no host knows.
 const LOST_ORIGIN_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -232,9 +232,25 @@
         }
     }
 
+    /// Queues the origins of all open streams for the store if they have to be recorded there.
+    pub(super) fn queue_open_origins(&self) {
+        for service in self.recorded_services() {
+            self.queue_open_origins_of(&service);
+        }
+    }
+
+    /// Queues the origins of a service's open streams for the store if they have to be recorded
+    /// there.
+    fn queue_open_origins_of(&self, service: &str) {
+        if lock(&self.origins).queue_open(self.clock.now(), service) {
+            self.journal_changed.notify_one();
+        }
+    }
+
     /// Tells the origins of a service's open streams to the hosts that keep their records, none
     /// if these need not know them.
     fn tell_open_origins(&self, service: &str) {
+        self.queue_open_origins_of(service);
         let open = lock(&self.origins).open(self.clock.now(), service);
         for (stream, origin) in open {
             let keepers = self.record_told(&to_message(stream, &origin));
@@ -271,6 +287,16 @@
         }
     }
 
+    /// Records that an event has reached the caller, which an endpoint of this version has made. The
+    /// stream goes on at no other one from then on.
+    pub fn record_begin(&self, version: &str) {
+        let Some(stream) = self.stream else { return };
+        let shared = &self.shared;
+        if lock(&shared.origins).record_begin(shared.clock.now(), stream, version) {
+            shared.journal_changed.notify_one();
+        }
+    }
+
     /// Records the software version that begins a stream, and tells other hosts if they have to
     /// know.
     fn record_origin(&self, stream: u64, version: &CompactString) {
@@ -485,8 +511,9 @@
             "knows_several" => origins.versions().are_mixed(now.now, service),
             "list_fresh" => origins.versions().has_fresh_list(now, interval));
         concluded.zip(basis).ok_or_else(|| {
-            let retry_after = if answers.silent > 0 {
-                SILENT_HOST_RETRY_AFTER
+            shared.journal_wanted.notify_one();
+            let retry_after = if answers.silent > 0 || !origins.are_records_read() {
+                UNREAD_ORIGIN_RETRY_AFTER
             } else {
                 LOST_ORIGIN_RETRY_AFTER
             };
--- a/crates/lib/src/gateway/store.rs
+++ b/crates/lib/src/gateway/store.rs
@@ -11,7 +11,7 @@
 use cranberryridge_policy::gateway::balance::Move;
 use cranberryridge_policy::gateway::era::Era;
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::origin::Usage;
+use cranberryridge_policy::gateway::origin::{Origin, Usage};
 use cranberryridge_policy::gateway::route::Configuration;
 
 /// Reads and writes the store. An adapter implements it.
@@ -67,6 +67,15 @@
         next: u64,
     ) -> impl Future<Output = Answer<Option<u64>>> + Send;
 
+    /// Records origins of streams. The store keeps them for some minutes. The result is
+    /// [`Error::Unavailable`] if no answer came; they may have been recorded.
+    fn record_origins(&self, origins: &[(u64, Origin)]) -> impl Future<Output = Answer<()>> + Send;
+
+    /// Returns recorded origins of streams from an offset on, or the last ones if it is `None`. The
+    /// result is [`Error::Trimmed`] if the store does not have the offset, [`Error::Unavailable`] if
+    /// it does not answer.
+    fn origins(&self, from: Option<u64>) -> impl Future<Output = Answer<Origins>> + Send;
+
     /// Returns the numberings that hosts have recorded. The result is
     /// [`Error::Unavailable`] if the store does not answer.
     fn numberings(&self) -> impl Future<Output = Answer<Vec<Numbered>>> + Send;
@@ -157,6 +166,17 @@
     pub next: u64,
 }
 
+/// Recorded origins of streams.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    /// Streams with their origins, oldest first.
+    pub entries: Vec<(u64, Origin)>,
+    /// Offset after the last record.
+    pub next: u64,
+    /// Whether there were no records at the offset.
+    pub is_end: bool,
+}
+
 /// A service at a software version, with the numbering of its events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Numbered {
--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -62,7 +62,11 @@
 }
 
 /// Maximum number of streams in a table. The oldest are forgotten first.
-const MAX_STREAMS: usize = 1 << 17;
+pub const MAX_STREAMS: usize = 1 << 17;
+
+/// Maximum number of streams whose origin waits to be recorded in the store. The oldest are left out
+/// first.
+const MAX_UNRECORDED: usize = 1 << 13;
 
 /// What a host knows of streams and of the software versions of services.
 ///
@@ -85,6 +89,13 @@
     own: Table,
     /// Streams of other hosts.
     told: Table,
+    /// Streams of this host of which an event has reached the caller, so that they go on at no other
+    /// version.
+    begun: Table,
+    /// Those of them that are to be recorded in the store, oldest first.
+    unrecorded: VecDeque<u64>,
+    /// Whether the origins in the store have been read since the start of this host.
+    are_records_read: bool,
     versions: Versions,
 }
 
@@ -119,6 +130,90 @@
     /// Forgets a stream of this host that its caller got in full.
     pub fn forget(&mut self, stream: u64) {
         self.own.remove(stream);
+        self.begun.remove(stream);
+    }
+
+    /// Records that an event of this host's stream has reached the caller, from an endpoint of
+    /// `version`. Returns whether its origin has to be recorded in the store.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use cranberryridge_policy::gateway::origin::{Origin, Registry};
+    /// let (mut registry, now) = (Registry::default(), Instant::now());
+    /// let origin = Origin { service: "model".into(), version: "v1".into() };
+    /// registry.record(now, 7, origin.clone());
+    /// registry.versions_mut().record_move(now, "model");
+    /// assert!(registry.record_begin(now, 7, "v1"));
+    /// assert_eq!(registry.take_unrecorded(now, 10), [(7, origin)]);
+    /// ```
+    pub fn record_begin(&mut self, now: Instant, stream: u64, version: &str) -> bool {
+        let origin = self.own.find(now, stream);
+        let Some(origin) = origin.filter(|origin| origin.version == version) else {
+            return false;
+        };
+        let origin = origin.clone();
+        let is_needed = self.versions.are_mixed(now, &origin.service);
+        self.begun.record(now, stream, origin);
+        if is_needed {
+            self.queue_records([stream]);
+        }
+        is_needed
+    }
+
+    /// Queues the origins of this host's open streams of a service for the store. Returns whether
+    /// there are any, none while one version is in use.
+    pub fn queue_open(&mut self, now: Instant, service: &str) -> bool {
+        if !self.versions.are_mixed(now, service) {
+            return false;
+        }
+        let open = self.begun.of_service(now, service);
+        let open = open.map(|(stream, _)| stream).collect::<Vec<_>>();
+        let is_any = !open.is_empty();
+        self.queue_records(open);
+        is_any
+    }
+
+    /// Records the origins of streams that the store has. `is_last` is whether there are no further
+    /// ones.
+    pub fn merge_records(
+        &mut self,
+        now: Instant,
+        records: impl IntoIterator<Item = (u64, Origin)>,
+        is_last: bool,
+    ) {
+        for (stream, origin) in records {
+            self.merge(now, stream, origin);
+        }
+        self.are_records_read |= is_last;
+    }
+
+    /// Returns whether the origins in the store have been read since the start of this host.
+    pub fn are_records_read(&self) -> bool {
+        self.are_records_read
+    }
+
+    /// Queues the origins of streams of this host for the store.
+    pub fn queue_records(&mut self, streams: impl IntoIterator<Item = u64>) {
+        self.unrecorded.extend(streams);
+        let excess = self.unrecorded.len().saturating_sub(MAX_UNRECORDED);
+        self.unrecorded.drain(..excess);
+    }
+
+    /// Removes up to `max_count` origins from the queue for the store. Streams that their callers
+    /// have got in full meanwhile are left out.
+    pub fn take_unrecorded(&mut self, now: Instant, max_count: usize) -> Vec<(u64, Origin)> {
+        let mut taken = Vec::new();
+        while taken.len() < max_count {
+            let Some(stream) = self.unrecorded.pop_front() else {
+                break;
+            };
+            if let Some(origin) = self.begun.find(now, stream) {
+                taken.push((stream, origin.clone()));
+            }
+        }
+        taken
     }
 
     /// Records the origin of another host's stream.
@@ -197,7 +292,7 @@
 }
 
 /// The endpoints at which a stream may go on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Origin {
     /// Service that began the stream.
     pub service: CompactString,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,4 +1,4 @@
-//! A stand-in for the platform's store of keyed topics, with faults.
+//! A stand-in for the platform's store, with faults.
 
 use std::borrow::Cow;
 use std::net::SocketAddr;
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug)]
 struct Record {
     key: String,
-    /// Empty if the record deletes the key.
+    /// Empty if the record deletes the key. The whole record in a topic without keys.
     value: Vec<u8>,
     written_at: Instant,
 }
@@ -211,8 +211,12 @@
         while body.remaining() >= 4 {
             let length = body.get_u32() as usize;
             let mut record = body.split_to(length.min(body.len()));
-            let key = usize::from(record.get_u8());
-            let key = record.split_to(key);
+            let key = if is_keyed(&name) {
+                let key = usize::from(record.get_u8());
+                record.split_to(key)
+            } else {
+                Bytes::new()
+            };
             records.push((String::from_utf8_lossy(&key).into_owned(), record.to_vec()));
         }
         let end = lock(&self.topics).get(&name).map_or(0, Topic::end);
@@ -299,9 +303,13 @@
         body.put_u64(topic.first_offset);
         for Record { key, value, .. } in records {
             let value = self.translate(value);
-            body.put_u32((1 + key.len() + value.len()) as u32);
-            body.put_u8(key.len() as u8);
-            body.put_slice(key.as_bytes());
+            if is_keyed(name) {
+                body.put_u32((1 + key.len() + value.len()) as u32);
+                body.put_u8(key.len() as u8);
+                body.put_slice(key.as_bytes());
+            } else {
+                body.put_u32(value.len() as u32);
+            }
             body.put_slice(&value);
         }
         Some(Response::new(Body::full(body.freeze())))
@@ -321,6 +329,11 @@
     }
 }
 
+/// Returns whether the records of a topic have keys.
+fn is_keyed(topic: &str) -> bool {
+    topic.starts_with("keyed.")
+}
+
 impl Topic {
     /// Offset of the next record.
     fn end(&self) -> u64 {
