gateway: wait after failed calls to the store in one place

Cause: the records of versions in use and of streams' origins had the same pause after a failed call, written twice.

Change: gateway::retry::Pause serves both.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -62,6 +62,7 @@
 mod quota;
 mod record;
 mod refusal;
+mod retry;
 mod survival;
 mod suspects;
 
--- a/crates/lib/src/gateway/history.rs
+++ b/crates/lib/src/gateway/history.rs
@@ -10,16 +10,11 @@
 
 use cranberryridge_policy::gateway::origin::{Usage, Versions};
 
+use super::retry::Pause;
 use super::store::{Error, Store};
 use super::{lock, Shared};
 use crate::clock::Clock;
 
-/// Delay after a failed call to the store. Doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Maximum delay after a failed call.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
-
 /// Range of the random delay of a reading after the store came back from an older copy, in
 /// milliseconds. Not all hosts read at once.
 const RESTORE_PAUSE_MS: std::ops::Range<u64> = 0..1500;
@@ -29,17 +24,14 @@
 pub(super) async fn follow<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
     let mut eras = shared.era.subscribe();
     loop {
-        let mut pause = RETRY_PAUSE;
+        let mut pause = Pause::default();
         while is_due(shared) {
             let Err(error) = synchronize(shared, store).await else {
                 continue;
             };
             shared.metrics.count("versions.not_synchronized");
             slog::debug!(shared.logger, "versions: record not read or written"; "error" => %error);
-            // The next attempt follows either way.
-            let spread = pause.mul_f64(rand::rng().random_range(0.5..1.0));
-            let _ = tokio::time::timeout(spread, shared.store_recovered.notified()).await;
-            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            pause.wait(shared).await;
         }
         tokio::select! {
             () = shared.history_changed.notified() => {}
--- a/crates/lib/src/gateway/journal.rs
+++ b/crates/lib/src/gateway/journal.rs
@@ -7,8 +7,7 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
-
+use super::retry::Pause;
 use super::store::{Error, Store};
 use super::{lock, Shared};
 use crate::clock::Clock;
@@ -25,12 +24,6 @@
 /// Time between two readings, at least.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Delay after a failed call. Doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Maximum delay after a failed call.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
-
 /// Records the origins of this host's streams in the store, and reads those of others. Runs until the
 /// process ends.
 pub(super) async fn follow<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
@@ -39,7 +32,7 @@
 
 /// Records the origins that are queued.
 async fn record<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
-    let mut retry_pause = RETRY_PAUSE;
+    let mut retry_pause = Pause::default();
     loop {
         let now = shared.clock.now();
         let batch = lock(&shared.origins).take_unrecorded(now, MAX_ORIGINS);
@@ -50,7 +43,7 @@
         match shared.call_store(store.record_origins(&batch)).await {
             Ok(()) => {
                 shared.metrics.count("stream.origins_recorded");
-                retry_pause = RETRY_PAUSE;
+                retry_pause = Pause::default();
                 let host_count = lock(&shared.hosts).count() as f64;
                 let interval = Duration::from_secs_f64(host_count / MAX_CALLS_PER_SECOND);
                 tokio::time::sleep(interval.max(MIN_RECORD_INTERVAL)).await;
@@ -60,7 +53,7 @@
                 slog::debug!(shared.logger, "streams: origins not recorded"; "error" => %error);
                 let streams = batch.into_iter().map(|(stream, _)| stream);
                 lock(&shared.origins).queue_records(streams);
-                pause_after_failure(shared, &mut retry_pause).await;
+                retry_pause.wait(shared).await;
             }
         }
     }
@@ -69,7 +62,7 @@
 /// Reads the last origins that hosts have recorded, and those that follow when they are wanted.
 async fn read<N, C: Clock, D, S: Store>(shared: &Shared<N, C, D>, store: &S) {
     let (mut next, mut era) = (None, *shared.era.borrow());
-    let mut retry_pause = RETRY_PAUSE;
+    let mut retry_pause = Pause::default();
     loop {
         let current = *shared.era.borrow();
         if current != era {
@@ -79,7 +72,7 @@
         match shared.call_store(store.origins(next)).await {
             Ok(page) => {
                 next = Some(page.next);
-                retry_pause = RETRY_PAUSE;
+                retry_pause = Pause::default();
                 let now = shared.clock.now();
                 lock(&shared.origins).merge_records(now, page.entries, page.is_end);
                 if page.is_end {
@@ -92,16 +85,8 @@
                 if error == Error::Trimmed {
                     next = None;
                 }
-                pause_after_failure(shared, &mut retry_pause).await;
+                retry_pause.wait(shared).await;
             }
         }
     }
 }
-
-/// Waits after a failed call, until the delay is over or a call for another topic succeeds again.
-async fn pause_after_failure<N, C, D>(shared: &Shared<N, C, D>, pause: &mut Duration) {
-    let spread = pause.mul_f64(rand::rng().random_range(0.5..1.0));
-    // The next attempt follows either way.
-    let _ = tokio::time::timeout(spread, shared.store_recovered.notified()).await;
-    *pause = (*pause * 2).min(MAX_RETRY_PAUSE);
-}
