policy: test which origins are recorded in the store

Cause: that an origin may be recorded only once it is final was tested through whole gateways alone.

Change: a test of the registry by itself: attempts that were replaced, streams that are over, and the end of the time in which several versions are in use.

--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -747,3 +747,27 @@
     assert_eq!(refused, 0, "streams refused while versions joined");
     assert!(shares[0] >= 0.5, "{:.2} go on", shares[0]);
 }
+
+// Guards against records in the store of an attempt whose stream began at another version, or is over.
+#[test]
+fn only_origins_that_are_final_are_recorded() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    let origin = |version: &str| Origin {
+        service: "model".into(),
+        version: version.into(),
+    };
+    registry.versions_mut().record_move(now, "model");
+    registry.record(now, 1, origin("v1"));
+    registry.record(now, 1, origin("v1.2"));
+    assert!(!registry.record_begin(now, 1, "v1"));
+    assert!(registry.record_begin(now, 1, "v1.2"));
+    registry.record(now, 2, origin("v1"));
+    assert!(registry.record_begin(now, 2, "v1"));
+    registry.forget(2);
+    registry.record(now, 3, origin("v1"));
+    assert_eq!(registry.take_unrecorded(now, 10), [(1, origin("v1.2"))]);
+    assert_eq!(registry.take_unrecorded(now, 10), []);
+    assert!(registry.queue_open(now, "model"));
+    assert_eq!(registry.take_unrecorded(now, 10).len(), 1);
+    assert!(!registry.queue_open(now + STREAM_LIFETIME, "model"));
+}
