gateway: hold back no end of an engine that completes its runs

Cause: an engine that has said that it completes its runs was still looked at behind their ends, up to three times if it was silent, though nothing that it shows decides.

Change: its ends count at once, and a stop of the gateway needs no case of its own.

--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -20,7 +20,6 @@
 use hyper::body::Incoming;
 
 use cranberryridge_policy::answer::deadline::{Deadline, Timing};
-use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{Conclusion, Disorder, End, Framing};
 use cranberryridge_policy::gateway::drain::Length;
 use cranberryridge_policy::gateway::member::Endpoint;
@@ -470,8 +469,7 @@
                         &endpoint.version,
                     );
                     if matches!(end, Conclusion::Complete(_)) && timing.framing == Framing::Chunks {
-                        let mut watch = Watch::default();
-                        shared.watch_end(ending, &mut watch).await;
+                        let watch = shared.watch_end(ending).await;
                         self.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,7 +8,6 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{Overrun, Pace};
-use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -354,18 +353,13 @@
                             departure: run.departure,
                             event_time,
                         };
-                        let mut watch = Watch::default();
                         // A caller that has disconnected after the last event needs no end, but
                         // what the run tells of its endpoint counts.
-                        tokio::select! {
+                        let watch = tokio::select! {
                             biased;
-                            () = shared.watch_end(ending, &mut watch) => {}
-                            () = exit.as_mut() => {
-                                if !watch.is_needless() {
-                                    return Outcome::Stopped;
-                                }
-                            }
-                        }
+                            watch = shared.watch_end(ending) => watch,
+                            () = exit.as_mut() => return Outcome::Stopped,
+                        };
                         call.record.sign = watch.last_sign();
                         end = end.after(watch);
                     }
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -32,10 +32,11 @@
 }
 
 impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
-    /// Looks at an endpoint until it is known whether it has outlived the end of its answer, and
-    /// records what it shows.
-    pub(super) async fn watch_end<B>(&self, ending: Ending<'_, B>, watch: &mut Watch) {
+    /// Looks at an endpoint until it is known whether it has outlived the end of its answer. Returns
+    /// what it showed at last.
+    pub(super) async fn watch_end<B>(&self, ending: Ending<'_, B>) -> Watch {
         let Ending { key, endpoint, .. } = ending;
+        let mut watch = Watch::default();
         let ended_at = self.clock.now();
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
@@ -53,7 +54,7 @@
             let patience = patience.map(|until| until.saturating_duration_since(now));
             let delay = watch.next_look(may_be_stopping, patience.unwrap_or_default());
             let Some(delay) = delay else {
-                return;
+                return watch;
             };
             tokio::time::sleep(delay).await;
             let sign = if is_limited {
--- a/crates/lib/src/gateway/suspects.rs
+++ b/crates/lib/src/gateway/suspects.rs
@@ -10,7 +10,6 @@
 
 use tokio::sync::broadcast;
 
-use cranberryridge_policy::answer::survival::Watch;
 use cranberryridge_policy::answer::{End, Framing};
 use cranberryridge_policy::gateway::member::Endpoint;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -277,8 +276,7 @@
         let is_endpoint_up = match framing {
             Framing::Length => true,
             Framing::Chunks => {
-                let mut watch = Watch::default();
-                self.watch_end(ending, &mut watch).await;
+                let watch = self.watch_end(ending).await;
                 if !watch.has_survived() {
                     self.metrics.count("endpoint.stopped_at_end");
                 }
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -129,8 +129,8 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Watch {
-    /// Whether the endpoint has said that it completes its runs before it exits. That it is gone
-    /// does not contradict the end then.
+    /// Whether the endpoint has said that it completes its runs before it exits. Nothing that it
+    /// shows contradicts the end then.
     completes_runs: bool,
     last_sign: Option<Sign>,
     serving_looks: u32,
@@ -144,14 +144,13 @@
     /// # Examples
     ///
     /// ```
+    /// use std::time::Duration;
     /// use cranberryridge_policy::answer::survival::{Sign, Watch};
-    /// for sign in [Sign::Refusing, Sign::Restarted, Sign::Silent] {
-    ///     let mut watch = Watch::default();
-    ///     watch.record(sign, false);
-    ///     assert!(!watch.has_survived());
-    ///     watch.expect_completion();
-    ///     assert!(watch.has_survived());
-    /// }
+    /// let (mut watch, is_leaving, patience) = (Watch::default(), true, Duration::ZERO);
+    /// watch.record(Sign::Silent, false);
+    /// assert!(!watch.has_survived() && watch.next_look(is_leaving, patience).is_some());
+    /// watch.expect_completion();
+    /// assert!(watch.has_survived() && watch.next_look(is_leaving, patience).is_none());
     /// ```
     pub fn expect_completion(&mut self) {
         self.completes_runs = true;
@@ -175,11 +174,9 @@
     /// ```
     pub fn next_look(&self, may_be_stopping: bool, patience: Duration) -> Option<Duration> {
         match self.last_sign {
+            _ if self.completes_runs => None,
             None => Some(FIRST_LOOK_DELAY),
             Some(Sign::Refusing | Sign::Restarted) => None,
-            Some(Sign::Silent) if self.completes_runs && self.silent_looks >= MAX_SILENT_LOOKS => {
-                None
-            }
             Some(Sign::Resetting | Sign::Silent) if self.silent_looks >= MAX_SILENT_LOOKS => {
                 (patience > PATIENT_DELAY).then_some(PATIENT_DELAY)
             }
@@ -223,27 +220,8 @@
         self.last_sign
     }
 
-    /// Returns whether the end counts although the looks were not completed.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cranberryridge_policy::answer::survival::Watch;
-    /// let mut watch = Watch::default();
-    /// assert!(!watch.is_needless());
-    /// watch.expect_completion();
-    /// assert!(watch.is_needless());
-    /// ```
-    pub fn is_needless(&self) -> bool {
-        self.completes_runs && self.has_survived()
-    }
-
     /// Returns whether the endpoint has outlived the end, or did not state it because it stopped.
     pub fn has_survived(&self) -> bool {
-        match self.last_sign {
-            Some(Sign::Serving) => true,
-            None | Some(Sign::Refusing | Sign::Restarted | Sign::Silent) => self.completes_runs,
-            Some(Sign::Resetting) => false,
-        }
+        self.completes_runs || self.last_sign == Some(Sign::Serving)
     }
 }
