policy: start the hosts of roster tests in one place

Cause: the new test of hosts that are gone repeated how others start their hosts.

Change: one function serves the three.

Result: crates/policy/tests/roster.rs passes, 5 tests.

--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -86,6 +86,12 @@
     }
 }
 
+/// Starts the processes of some hosts.
+fn start_processes(begin: Instant, count: usize) -> Vec<Process> {
+    let names = (0..count).map(|number| format_compact!("front-{number}"));
+    names.map(|name| Process::new(begin, name)).collect()
+}
+
 /// The store's topic of announcements.
 #[derive(Default)]
 struct Announcements {
@@ -154,10 +160,7 @@
 fn run_series(seed: u64) -> Traffic {
     let mut random = StdRng::seed_from_u64(seed);
     let begin = Instant::now();
-    let names = (0..random.random_range(2..6)).map(|number| format_compact!("front-{number}"));
-    let mut processes = names
-        .map(|name| Process::new(begin, name))
-        .collect::<Vec<_>>();
+    let mut processes = start_processes(begin, random.random_range(2..6));
     let (mut store, mut traffic) = (Announcements::default(), Traffic::default());
     for step in 0..STEPS {
         let now = begin + STEP * step;
@@ -209,10 +212,7 @@
 #[test]
 fn a_host_that_starts_does_not_count_those_that_are_gone() {
     let begin = Instant::now();
-    let names = (0..6).map(|number| format_compact!("front-{number}"));
-    let mut processes = names
-        .map(|name| Process::new(begin, name))
-        .collect::<Vec<_>>();
+    let mut processes = start_processes(begin, 6);
     let mut store = Announcements::default();
     for step in 0..STEPS {
         let now = begin + STEP * step;
@@ -240,10 +240,7 @@
 #[test]
 fn a_host_that_others_may_have_removed_has_no_share() {
     let begin = Instant::now();
-    let names = (0..6).map(|number| format_compact!("front-{number}"));
-    let mut processes = names
-        .map(|name| Process::new(begin, name))
-        .collect::<Vec<_>>();
+    let mut processes = start_processes(begin, 6);
     let mut store = Announcements::default();
     for step in 0..STEPS {
         let now = begin + STEP * step;
