gateway: record no origin before the first event of its stream

Cause: found by reading: a comment that came before the first event counted as one, so an attempt could be recorded in the store that another version may yet replace.

Change: the batch has to hold an event.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -274,7 +274,8 @@
                     run.reservation
                         .record_event_interval(gap / batch.event_count.max(1));
                 }
-                if call.record.event_count == 0 {
+                // Comments may come from an attempt that is followed by one at another version.
+                if call.record.event_count == 0 && batch.event_count > 0 {
                     call.record_begin(&run.reservation.endpoint.version);
                 }
                 call.record.event_count += batch.event_count;
