policy: keep the bound of the origins' table private

Cause: the constant had become public with the records in the store, and nothing outside uses it.

Change: it is private again.

Result: lints of the crate and crates/policy/tests/origin.rs pass.

--- a/crates/policy/src/gateway/origin.rs
+++ b/crates/policy/src/gateway/origin.rs
@@ -62,7 +62,7 @@
 }
 
 /// Maximum number of streams in a table. The oldest are forgotten first.
-pub const MAX_STREAMS: usize = 1 << 17;
+const MAX_STREAMS: usize = 1 << 17;
 
 /// Maximum number of streams whose origin waits to be recorded in the store. The oldest are left out
 /// first.
