gateway: name the request, and who cut it, where a log line begins

Cause: the drain writes the last field first, so the id of a request stood at the end of its line, and readers that cut lines at 200 characters lost it. Nothing told what the host knew of the exit of the engine, nor how much time its caller had left. A stream that the host cut and a caller that left differ in the text of an error of the HTTP library alone.

Change: a request's line begins with its id, its outcome and what decided its end; it has departure and time_left_ms. The line of a failed connection has cut_by.

--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{Overrun, Pace};
+use cranberryridge_policy::answer::survival::Departure;
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -335,6 +336,9 @@
                 chunk = Some(bytes);
             }
             Ok(Chunk::End) => {
+                let is_leaving = shared.is_leaving(run.reservation.key);
+                let departure = run.departure.map_or("unsaid", Departure::name);
+                call.record.departure = is_leaving.then_some(departure);
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
                 let event_time = pace.event_time(call.route.max_event_gap);
                 let is_overdue = run.timing.is_overdue(shared.clock.moment(), event_time);
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -49,6 +49,9 @@
     pub end: Option<Proof>,
     /// What the endpoint showed after it stated the end of the last run, if it was looked at.
     pub sign: Option<Sign>,
+    /// What was known of the exit of the last run's endpoint when the run ended, or `None` if it
+    /// was not leaving.
+    pub departure: Option<&'static str>,
     /// Bytes that arrived after the last complete event when the last stream
     /// ended.
     pub partial_bytes: usize,
@@ -88,6 +91,7 @@
             framing: None,
             end: None,
             sign: None,
+            departure: None,
             partial_bytes: 0,
             version: CompactString::default(),
             calls: String::new(),
@@ -143,6 +147,8 @@
 impl<C: Clock> Drop for Record<C> {
     fn drop(&mut self) {
         let total = self.clock.now().saturating_duration_since(self.arrival);
+        let timeout = self.description.timeout;
+        let time_left = timeout.map(|timeout| timeout.saturating_sub(total));
         let other_protocol = Some(self.protocol).filter(|version| *version != Version::HTTP_11);
         let first = self
             .answer_started_at
@@ -163,31 +169,34 @@
         if let Some(end) = self.end {
             self.metrics.count(&format!("stream.end_{}", end.name()));
         }
+        // The drain writes the last field first, and readers may cut long lines.
         slog::info!(self.logger, "gateway: request over";
-            "request" => %self.description.attempt_id,
-            "caller" => self.caller.map(|caller| caller.to_string()),
-            "protocol" => other_protocol.map(|version| format!("{version:?}")),
-            "route" => %self.route,
-            "account" => self.account.as_deref(),
-            "service" => %self.service,
-            "resumes" => self.description.first_attempt_id.as_deref(),
-            "version" => %self.version,
-            "configuration" => self.configuration_version,
-            "outcome" => self.outcome,
-            "status" => self.status,
-            "first_ms" => first.map(|first| first.as_millis() as u64),
-            "prompt" => self.description.prompt_tokens,
-            "parts" => self.description.shared_parts.join(","),
-            "estimate" => self.description.estimated_output_tokens,
-            "longest" => self.description.max_output_tokens,
-            "events" => self.event_count,
+            "runs" => %self.runs,
+            "calls" => %self.calls,
+            "partial_bytes" => self.partial_bytes,
             "pause_ms" => self.max_event_gap.as_millis() as u64,
-            "total_ms" => total.as_millis() as u64,
+            "longest" => self.description.max_output_tokens,
+            "estimate" => self.description.estimated_output_tokens,
+            "parts" => self.description.shared_parts.join(","),
+            "prompt" => self.description.prompt_tokens,
+            "first_ms" => first.map(|first| first.as_millis() as u64),
+            "configuration" => self.configuration_version,
+            "version" => %self.version,
+            "resumes" => self.description.first_attempt_id.as_deref(),
+            "service" => %self.service,
+            "account" => self.account.as_deref(),
+            "protocol" => other_protocol.map(|version| format!("{version:?}")),
+            "caller" => self.caller.map(|caller| caller.to_string()),
             "framing" => self.framing.map(Framing::name),
-            "end" => self.end.map(Proof::name),
+            "departure" => self.departure,
             "sign" => self.sign.map(Sign::name),
-            "partial_bytes" => self.partial_bytes,
-            "calls" => %self.calls,
-            "runs" => %self.runs);
+            "end" => self.end.map(Proof::name),
+            "events" => self.event_count,
+            "time_left_ms" => time_left.map(|time| time.as_millis() as u64),
+            "total_ms" => total.as_millis() as u64,
+            "route" => %self.route,
+            "status" => self.status,
+            "outcome" => self.outcome,
+            "request" => %self.description.attempt_id);
     }
 }
--- a/crates/lib/src/gateway/serve.rs
+++ b/crates/lib/src/gateway/serve.rs
@@ -462,7 +462,9 @@
         poll_timeout(timer.as_mut(), &activity, limits, shared.clock.now(), cx)
     });
     if let Some(Err(error)) = ended.await {
-        slog::debug!(shared.logger, "gateway: caller's connection failed"; "error" => %error);
+        let cut_by = if error.is_user() { "host" } else { "caller" };
+        slog::debug!(shared.logger, "gateway: caller's connection failed";
+            "error" => %error, "cut_by" => cut_by);
     }
 }
 
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -41,7 +41,7 @@
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
         loop {
-            let is_leaving = self.pool().get(key).is_none_or(State::is_leaving);
+            let is_leaving = self.is_leaving(key);
             let may_be_stopping = is_leaving || ending.connection.is_closed();
             let now = self.clock.now();
             let departure = ending.departure;
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns whether an endpoint is leaving or listed no more.
+    pub(super) fn is_leaving(&self, key: EndpointKey) -> bool {
+        self.pool().get(key).is_none_or(State::is_leaving)
+    }
+
     /// Returns what an engine says of its exit, if it is leaving or listed no more. Asks it in the
     /// background as long as it has not said that it drains. One that has named a limit is not
     /// asked, as a report is a request.
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -37,6 +37,21 @@
 }
 
 impl Departure {
+    /// Returns the name in logs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cranberryridge_policy::answer::survival::Departure;
+    /// assert_eq!(Departure::AfterRuns.name(), "after runs");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::AfterRuns => "after runs",
+            Self::At(_) => "at a time",
+        }
+    }
+
     /// Returns whether an endpoint may end a run now because of its exit. It may stop before an
     /// event that it cannot complete, which takes `event_time`.
     ///
