gateway: believe the ends of engines that leave without a word and serve on

Callers had all events and no end.

Cause: an end that chunks state counts if its engine is seen to outlive it, or has said that it completes its runs. An engine that is taken off the list and never reports that it drains has said nothing, nor has one that named a limit and is not asked. That it is gone behind its last run was taken for a stop that ended the run: forsaken at once where its address refuses, held back until the caller's deadline or the host's exit where it is silent.

Change: an engine that was at work long enough after the host knew that it leaves is not one that stops as it leaves, so it completes its runs. The time of the departure is kept by start, and forgotten if the start is listed again; time in which the host stood still does not count.

An engine that ends its streams as it leaves the list is not believed, as before.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -96,6 +96,8 @@
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
     pub list_interval: Duration,
+    /// Time for which an endpoint serves on after it has left the list, or is listed as draining.
+    pub drain_period: Duration,
     /// Timeout of a long poll for a new configuration. A connection that went
     /// silent is detected after this plus [`Settings::call_timeout`].
     pub configuration_poll_timeout: Duration,
@@ -140,6 +142,7 @@
             max_open_bytes: 64 * 1024 * 1024,
             max_connections: 4096,
             list_interval: Duration::from_millis(800),
+            drain_period: Duration::from_secs(2),
             configuration_poll_timeout: Duration::from_millis(1500),
             endpoint_ttl: Duration::from_millis(2400),
             call_timeout: Duration::from_millis(400),
@@ -583,7 +586,8 @@
     fn update_endpoints(&self, endpoints: Vec<Endpoint>) {
         // The origins are told before a request goes to an endpoint of a new version.
         self.update_versions(&endpoints);
-        self.pool().update(endpoints.clone());
+        let removed = self.pool().update(endpoints.clone());
+        self.update_departures(&removed);
         for (id, started_ms) in &*self.leaving_endpoints.borrow() {
             self.mark_leaving(id, *started_ms);
         }
--- a/crates/lib/src/gateway/exchange.rs
+++ b/crates/lib/src/gateway/exchange.rs
@@ -450,7 +450,7 @@
             endpoint,
             connection: &connection,
             wait_until: self.end_deadline(),
-            departure: None,
+            served_at: sent_at,
             event_time,
         };
         let (head, body) = response.into_parts();
--- a/crates/lib/src/gateway/generate.rs
+++ b/crates/lib/src/gateway/generate.rs
@@ -15,7 +15,6 @@
 
 use cranberryridge_policy::answer::deadline::Timing;
 use cranberryridge_policy::answer::numbering::Numbering;
-use cranberryridge_policy::answer::survival::Departure;
 use cranberryridge_policy::answer::{Framing, Sequence};
 use cranberryridge_policy::gateway::budget::Sends;
 use cranberryridge_policy::gateway::drain::{Interruption, Length};
@@ -78,8 +77,6 @@
     sent_at: Instant,
     /// Time of the first bytes.
     first_event_at: Instant,
-    /// What the endpoint has said of its exit.
-    departure: Option<Departure>,
     /// Whether the run has not yet been recorded as proof for the parts of its prompt.
     is_on_probation: bool,
 }
@@ -404,7 +401,6 @@
         reservation,
         sent_at: started_at,
         first_event_at: now,
-        departure: None,
         is_on_probation: true,
     }))))
 }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -315,10 +315,8 @@
                 return Outcome::Broken;
             }
         }
-        if run.departure.is_none() {
-            let Reservation { key, endpoint, .. } = &run.reservation;
-            run.departure = shared.departure(*key, endpoint);
-        }
+        let Reservation { key, endpoint, .. } = &run.reservation;
+        shared.follow_departure(*key, endpoint);
         let waiting_since = shared.clock.moment();
         let next = tokio::select! {
             biased;
@@ -336,9 +334,12 @@
                 chunk = Some(bytes);
             }
             Ok(Chunk::End) => {
-                let is_leaving = shared.is_leaving(run.reservation.key);
-                let departure = run.departure.map_or("unsaid", Departure::name);
-                call.record.departure = is_leaving.then_some(departure);
+                // The process was at work when this host began to wait, also if it reads late.
+                let served_at = waiting_since.now;
+                let endpoint = &run.reservation.endpoint;
+                let departure = shared.departure(endpoint, served_at);
+                let departure = departure.map_or("unsaid", Departure::name);
+                call.record.departure = shared.is_leaving(endpoint).then_some(departure);
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
                 let event_time = pace.event_time(call.route.max_event_gap);
                 let is_overdue = run.timing.is_overdue(shared.clock.moment(), event_time);
@@ -355,7 +356,7 @@
                             endpoint: &run.reservation.endpoint,
                             connection: &run.connection,
                             wait_until: call.end_deadline(),
-                            departure: run.departure,
+                            served_at,
                             event_time,
                         };
                         // A caller that has disconnected after the last event needs no end, but
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use cranberryridge_policy::answer::survival::{Departure, Sign, Watch};
+use cranberryridge_policy::gateway::departure::{Start, Voice};
 use cranberryridge_policy::gateway::member::Endpoint;
-use cranberryridge_policy::gateway::pool::{EndpointKey, State};
+use cranberryridge_policy::gateway::pool::EndpointKey;
 
 use super::dialect::{Dialect, Report};
 use super::{exchange, lock, Shared};
@@ -25,12 +26,27 @@
     /// Time until which a silent endpoint is waited for. It is given up after a few looks if this
     /// is `None`.
     pub wait_until: Option<Instant>,
-    /// What the endpoint has said of its exit, as far as it is known.
-    pub departure: Option<Departure>,
+    /// Time at which the endpoint is known to have been at work.
+    pub served_at: Instant,
     /// Time that the endpoint takes for an event, before which it may have stopped.
     pub event_time: Duration,
 }
 
+impl<N, C: Clock, D> Shared<N, C, D> {
+    /// Records which endpoints leave, of the list that has just been put in force and of those that
+    /// it lacks.
+    pub(super) fn update_departures(&self, removed: &[Endpoint]) {
+        let (now, pool) = (self.clock.now(), self.pool());
+        let mut departures = lock(&self.departures);
+        departures.retain(now, |start| {
+            pool.is_start_leaving(&start.id, start.started_ms)
+        });
+        for endpoint in pool.leaving().chain(removed) {
+            departures.begin(now, endpoint.into());
+        }
+    }
+}
+
 impl<N: Net, C: Clock, D: Dialect> Shared<N, C, D> {
     /// Looks at an endpoint until it is known whether it has outlived the end of its answer. Returns
     /// what it showed at last.
@@ -41,11 +57,9 @@
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
         loop {
-            let is_leaving = self.is_leaving(key);
-            let may_be_stopping = is_leaving || ending.connection.is_closed();
+            let may_be_stopping = self.is_leaving(endpoint) || ending.connection.is_closed();
             let now = self.clock.now();
-            let departure = ending.departure;
-            let departure = departure.or_else(|| lock(&self.departures).find(key));
+            let departure = self.departure(endpoint, ending.served_at);
             if departure.is_some_and(|it| !it.may_end_run(ended_at, ending.event_time)) {
                 watch.expect_completion();
             }
@@ -67,44 +81,57 @@
     }
 
     /// Returns whether an endpoint is leaving or listed no more.
-    pub(super) fn is_leaving(&self, key: EndpointKey) -> bool {
-        self.pool().get(key).is_none_or(State::is_leaving)
+    pub(super) fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let pool = self.pool();
+        pool.is_start_leaving(&endpoint.id, endpoint.started_ms)
     }
 
-    /// Returns what an engine says of its exit, if it is leaving or listed no more. Asks it in the
-    /// background as long as it has not said that it drains. One that has named a limit is not
-    /// asked, as a report is a request.
-    pub(super) fn departure(
-        self: &Arc<Self>,
-        key: EndpointKey,
-        endpoint: &Endpoint,
-    ) -> Option<Departure> {
-        {
+    /// Returns what is known of the exit of an endpoint that was at work at `served_at`.
+    pub(super) fn departure(&self, endpoint: &Endpoint, served_at: Instant) -> Option<Departure> {
+        let voice = {
             let pool = self.pool();
-            let is_leaving = pool.get(key).is_none_or(State::is_leaving);
-            if !is_leaving || endpoint.phase.is_none() || pool.is_limited(key) {
-                return None;
+            let key = pool.key_of_start(&endpoint.id, endpoint.started_ms);
+            let is_asked = endpoint.phase.is_some() && key.is_some_and(|key| !pool.is_limited(key));
+            if is_asked {
+                Voice::Reporting
+            } else {
+                Voice::Mute
             }
+        };
+        let settings = &self.settings;
+        // This host may have noticed the departure one reading of the list late.
+        let notice_time = settings.list_interval + settings.call_timeout;
+        let min_service_time = settings.drain_period.saturating_sub(notice_time);
+        lock(&self.departures).find(&endpoint.into(), voice, served_at, min_service_time)
+    }
+
+    /// Asks an engine in the background what it says of its exit, if it is leaving or listed no
+    /// more, as long as it has not said so. One that has named a limit is not asked, as a report is
+    /// a request.
+    pub(super) fn follow_departure(self: &Arc<Self>, key: EndpointKey, endpoint: &Endpoint) {
+        let is_engine = endpoint.phase.is_some();
+        if !is_engine || !self.is_leaving(endpoint) || self.pool().is_limited(key) {
+            return;
         }
+        let (now, start) = (self.clock.now(), Start::from(endpoint));
         let mut departures = lock(&self.departures);
-        let departure = departures.find(key);
-        if departure.is_none() && departures.begin_question(self.clock.now(), key) {
+        departures.begin(now, start.clone());
+        if departures.begin_question(now, &start) {
             let (shared, endpoint) = (self.clone(), endpoint.clone());
             tokio::spawn(async move { shared.ask_departure(key, &endpoint).await });
         }
-        departure
     }
 
     /// Asks an engine when it exits.
     async fn ask_departure(&self, key: EndpointKey, endpoint: &Endpoint) {
         let report = exchange::fetch_report(self, key, endpoint.address).await;
         if let Some(report) = report {
-            self.record_departure(key, endpoint, &report);
+            self.record_departure(endpoint, &report);
         }
     }
 
     /// Records what an engine reports of its exit, if it drains and is the start that is known.
-    fn record_departure(&self, key: EndpointKey, endpoint: &Endpoint, report: &Report) {
+    fn record_departure(&self, endpoint: &Endpoint, report: &Report) {
         if !report.is_draining || report.started_ms != Some(endpoint.started_ms) {
             return;
         }
@@ -112,7 +139,7 @@
         let departure = report
             .leaves_in
             .map_or(Departure::AfterRuns, |time| Departure::At(now + time));
-        lock(&self.departures).record(now, key, departure);
+        lock(&self.departures).record(now, endpoint.into(), departure);
     }
 
     /// Asks an endpoint for a connection.
@@ -144,7 +171,7 @@
         let Some(report) = self.dialect.parse_report(answer.body()) else {
             return Sign::Serving;
         };
-        self.record_departure(key, endpoint, &report);
+        self.record_departure(endpoint, &report);
         match report.started_ms {
             Some(started_ms) if started_ms != endpoint.started_ms => Sign::Restarted,
             _ => Sign::Serving,
--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -1,79 +1,174 @@
-//! What endpoints that leave say of their exit.
+//! What is known of the exits of endpoints that leave.
 
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
+
 use cranberryridge_wire::Map;
 
-use super::pool::EndpointKey;
+use super::member::Endpoint;
 use crate::answer::survival::Departure;
 
 /// Time between two questions to an endpoint, whose reports lag behind.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which an endpoint that was asked is remembered, also if it is listed no more.
-const QUESTION_LIFETIME: Duration = Duration::from_secs(60);
+/// Time for which an endpoint that leaves is remembered, also if it is listed no more.
+const LIFETIME: Duration = Duration::from_secs(60);
+
+/// Whether an endpoint that leaves can be expected to say so itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Voice {
+    /// It is listed, and its report tells of its exit.
+    Reporting,
+    /// It is listed no more, has no report or is not asked for it.
+    Mute,
+}
 
-/// Endpoints that were asked when they exit.
+/// Endpoints that leave.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::{Duration, Instant};
 /// use cranberryridge_policy::answer::survival::Departure;
-/// use cranberryridge_policy::gateway::departure::Table;
-/// use cranberryridge_policy::gateway::pool::EndpointKey;
-/// let (mut table, now, key) = (Table::default(), Instant::now(), EndpointKey::default());
-/// assert!(table.begin_question(now, key));
-/// assert!(!table.begin_question(now, key));
-/// assert!(table.begin_question(now + Duration::from_millis(300), key));
-/// table.record(now, key, Departure::AfterRuns);
-/// assert_eq!(table.find(key), Some(Departure::AfterRuns));
+/// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
+/// let (mut table, now) = (Table::default(), Instant::now());
+/// let start = Start { id: "d-1".into(), started_ms: 7 };
+/// table.begin(now, start.clone());
+/// assert!(table.begin_question(now, &start));
+/// assert!(!table.begin_question(now, &start));
+/// assert!(table.begin_question(now + Duration::from_millis(300), &start));
+/// table.record(now, start.clone(), Departure::AfterRuns);
+/// let found = table.find(&start, Voice::Reporting, now, Duration::from_secs(1));
+/// assert_eq!(found, Some(Departure::AfterRuns));
 /// ```
 #[derive(Debug, Default)]
 pub struct Table {
-    endpoints: Map<EndpointKey, Question>,
+    starts: Map<Start, Leaving>,
 }
 
-/// The last question to an endpoint.
+/// One start of an endpoint, which may start again under its id.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Start {
+    /// Id of the endpoint.
+    pub id: CompactString,
+    /// Start time in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+impl From<&Endpoint> for Start {
+    fn from(endpoint: &Endpoint) -> Self {
+        Self {
+            id: endpoint.id.clone(),
+            started_ms: endpoint.started_ms,
+        }
+    }
+}
+
+/// An endpoint that leaves.
 #[derive(Debug)]
-struct Question {
-    asked_at: Instant,
-    /// The answer, `None` as long as the endpoint has not said that it drains.
-    departure: Option<Departure>,
+struct Leaving {
+    /// Time since which this host knows that it leaves.
+    since: Instant,
+    /// Time of the last question.
+    asked_at: Option<Instant>,
+    /// What it has said of its exit.
+    said: Option<Departure>,
+}
+
+impl Leaving {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            asked_at: None,
+            said: None,
+        }
+    }
 }
 
 impl Table {
-    /// Returns what an endpoint has said of its exit.
-    pub fn find(&self, key: EndpointKey) -> Option<Departure> {
-        self.endpoints.get(&key)?.departure
+    /// Records that an endpoint leaves or is listed no more. The first time counts.
+    pub fn begin(&mut self, now: Instant, start: Start) {
+        self.entry(now, start);
+    }
+
+    /// Returns an endpoint's entry, and inserts one if it is missing.
+    fn entry(&mut self, now: Instant, start: Start) -> &mut Leaving {
+        self.starts
+            .entry(start)
+            .or_insert_with(|| Leaving::new(now))
+    }
+
+    /// Forgets endpoints that do not leave after all, as they are listed again, and those that left
+    /// long ago.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
+    /// let (mut table, now) = (Table::default(), Instant::now());
+    /// let start = Start { id: "d-1".into(), started_ms: 7 };
+    /// table.begin(now, start.clone());
+    /// table.retain(now, |start| start.id != "d-1");
+    /// let found = table.find(&start, Voice::Mute, now + Duration::from_secs(9), Duration::ZERO);
+    /// assert_eq!(found, None);
+    /// ```
+    pub fn retain(&mut self, now: Instant, is_leaving: impl Fn(&Start) -> bool) {
+        self.starts.retain(|start, leaving| {
+            is_leaving(start) && now.saturating_duration_since(leaving.since) < LIFETIME
+        });
     }
 
-    /// Returns whether to ask an endpoint now: it has not said that it drains, and was not asked
+    /// Returns what is known of the exit of an endpoint that was at work at `served_at`: what it has
+    /// said, or that it completes its runs if it has served for `min_service_time` since it left
+    /// without a word. One that stops as it leaves is gone by then.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cranberryridge_policy::answer::survival::Departure;
+    /// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
+    /// let (mut table, now, second) = (Table::default(), Instant::now(), Duration::from_secs(1));
+    /// let start = Start { id: "d-1".into(), started_ms: 7 };
+    /// table.begin(now, start.clone());
+    /// let find = |voice, served_at| table.find(&start, voice, served_at, second);
+    /// assert_eq!(find(Voice::Mute, now + second / 2), None);
+    /// assert_eq!(find(Voice::Mute, now + second), Some(Departure::AfterRuns));
+    /// assert_eq!(find(Voice::Reporting, now + second), None);
+    /// ```
+    pub fn find(
+        &self,
+        start: &Start,
+        voice: Voice,
+        served_at: Instant,
+        min_service_time: Duration,
+    ) -> Option<Departure> {
+        let leaving = self.starts.get(start)?;
+        let has_served_on = served_at >= leaving.since + min_service_time;
+        let inferred = (voice == Voice::Mute && has_served_on).then_some(Departure::AfterRuns);
+        leaving.said.or(inferred)
+    }
+
+    /// Returns whether to ask an endpoint now: it has not said when it exits, and was not asked
     /// shortly before.
-    pub fn begin_question(&mut self, now: Instant, key: EndpointKey) -> bool {
-        let age = |question: &Question| now.saturating_duration_since(question.asked_at);
-        let is_due = |question: &Question| {
-            question.departure.is_none() && age(question) >= QUESTION_INTERVAL
+    pub fn begin_question(&mut self, now: Instant, start: &Start) -> bool {
+        let Some(leaving) = self.starts.get_mut(start) else {
+            return false;
         };
-        if !self.endpoints.get(&key).is_none_or(is_due) {
+        let is_due = leaving
+            .asked_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= QUESTION_INTERVAL);
+        if leaving.said.is_some() || !is_due {
             return false;
         }
-        self.endpoints
-            .retain(|_, question| age(question) < QUESTION_LIFETIME);
-        let question = Question {
-            asked_at: now,
-            departure: None,
-        };
-        self.endpoints.insert(key, question);
+        leaving.asked_at = Some(now);
         true
     }
 
     /// Records what an endpoint says of its exit.
-    pub fn record(&mut self, now: Instant, key: EndpointKey, departure: Departure) {
-        let question = Question {
-            asked_at: now,
-            departure: Some(departure),
-        };
-        self.endpoints.insert(key, question);
+    pub fn record(&mut self, now: Instant, start: Start, departure: Departure) {
+        self.entry(now, start).said = Some(departure);
     }
 }
--- a/crates/policy/src/gateway/pool.rs
+++ b/crates/policy/src/gateway/pool.rs
@@ -171,8 +171,8 @@
     }
 
     /// Replaces the list of endpoints. The state of listed endpoints is kept,
-    /// except for those that have restarted.
-    pub fn update(&mut self, endpoints: Vec<Endpoint>) {
+    /// except for those that have restarted. Returns those that are listed no more.
+    pub fn update(&mut self, endpoints: Vec<Endpoint>) -> Vec<Endpoint> {
         for service in self.services.values_mut() {
             service.endpoints.clear();
         }
@@ -197,8 +197,29 @@
         }
         self.keys_by_id = ids;
         let ids = &self.keys_by_id;
-        self.states
-            .retain(|key, state| ids.get(&state.endpoint.id) == Some(&key));
+        let mut removed = Vec::new();
+        self.states.retain(|key, state| {
+            let is_listed = ids.get(&state.endpoint.id) == Some(&key);
+            if !is_listed {
+                removed.push(state.endpoint.clone());
+            }
+            is_listed
+        });
+        removed
+    }
+
+    /// Returns the endpoints that are listed and leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &Endpoint> {
+        let leaving = self.states.values().filter(|state| state.is_leaving());
+        leaving.map(|state| &state.endpoint)
+    }
+
+    /// Returns whether one start of an endpoint leaves or is listed no more.
+    pub fn is_start_leaving(&self, id: &str, started_ms: u64) -> bool {
+        let state = self
+            .key_of_start(id, started_ms)
+            .map(|key| &self.states[key]);
+        state.is_none_or(State::is_leaving)
     }
 
     /// Returns the key of a service, and adds the service if it is new.
