gateway: let neither old data nor a late list tell that an engine served on

A part of a stream could pass as whole: an engine that is listed as draining and has said nothing ends it as it stops, its host is silent, and its entry is removed while it is looked at.

What was inferred of the exit was computed anew at each look, with the list of that time and the departure of the draining entry. Besides, data that had arrived before this host began to wait counted as a sign of work, so a host that stood still, or a caller that reads slowly, made an engine that was gone serve on. A start that came back as draining kept the time at which it had lapsed, and the list dropped endpoints that answers had named as leaving.

Change: what is inferred is fixed at the end; the time counts anew when a start is listed or is not any more; only a wait of 10 ms or more shows that its endpoint was at work when it began; endpoints that say that they leave are marked before the departures are updated.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -587,10 +587,10 @@
         // The origins are told before a request goes to an endpoint of a new version.
         self.update_versions(&endpoints);
         let removed = self.pool().update(endpoints.clone());
-        self.update_departures(&removed);
         for (id, started_ms) in &*self.leaving_endpoints.borrow() {
             self.mark_leaving(id, *started_ms);
         }
+        self.update_departures(&removed);
         self.current_endpoints.send_replace(Some(endpoints));
         self.capacity_freed.notify_waiters();
     }
--- a/crates/lib/src/gateway/generate/relay.rs
+++ b/crates/lib/src/gateway/generate/relay.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout_at;
 
 use cranberryridge_policy::answer::deadline::{Overrun, Pace};
-use cranberryridge_policy::answer::survival::Departure;
+use cranberryridge_policy::answer::survival::{Departure, Sighting};
 use cranberryridge_policy::answer::{Conclusion, Disorder, Framing, Sequence};
 use cranberryridge_policy::gateway::memory::Purpose;
 use cranberryridge_policy::gateway::part::PROBATION;
@@ -250,6 +250,7 @@
     let mut last_events_at = call.shared.clock.now();
     let mut pace = Pace::default();
     let mut overrun = Overrun::default();
+    let mut sighting = Sighting::new(run.sent_at);
     // Until the first event, the request's deadline holds.
     let mut event_deadline = if call.record.event_count > 0 {
         last_events_at + idle_timeout
@@ -324,20 +325,19 @@
             () = reply.closed() => return Outcome::CallerGone,
             () = exit.as_mut() => return Outcome::Stopped,
         };
+        let waited = [waiting_since, shared.clock.moment()];
+        sighting.record(waited.map(|moment| moment.now));
         if !matches!(next, Ok(Chunk::Data(_))) {
             call.record.partial_bytes = splitter.partial_bytes();
         }
         match next {
             Ok(Chunk::Data(bytes)) => {
-                let waited = [waiting_since, shared.clock.moment()];
                 overrun.record(run.timing.deadline, waited);
                 chunk = Some(bytes);
             }
             Ok(Chunk::End) => {
-                // The process was at work when this host began to wait, also if it reads late.
-                let served_at = waiting_since.now;
                 let endpoint = &run.reservation.endpoint;
-                let departure = shared.departure(endpoint, served_at);
+                let departure = shared.departure(endpoint, sighting.at());
                 let departure = departure.map_or("unsaid", Departure::name);
                 call.record.departure = shared.is_leaving(endpoint).then_some(departure);
                 let end = sequence.conclude(run.timing.framing, splitter.is_inside_event());
@@ -356,7 +356,7 @@
                             endpoint: &run.reservation.endpoint,
                             connection: &run.connection,
                             wait_until: call.end_deadline(),
-                            served_at,
+                            served_at: sighting.at(),
                             event_time,
                         };
                         // A caller that has disconnected after the last event needs no end, but
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -41,8 +41,11 @@
         departures.retain(now, |start| {
             pool.is_start_leaving(&start.id, start.started_ms)
         });
-        for endpoint in pool.leaving().chain(removed) {
-            departures.begin(now, endpoint.into());
+        for endpoint in pool.leaving() {
+            departures.begin(now, endpoint.into(), true);
+        }
+        for endpoint in removed {
+            departures.begin(now, endpoint.into(), false);
         }
     }
 }
@@ -54,12 +57,15 @@
         let Ending { key, endpoint, .. } = ending;
         let mut watch = Watch::default();
         let ended_at = self.clock.now();
+        // A list that is read behind the end tells nothing of the run.
+        let inferred = self.departure(endpoint, ending.served_at);
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
         loop {
             let may_be_stopping = self.is_leaving(endpoint) || ending.connection.is_closed();
             let now = self.clock.now();
-            let departure = self.departure(endpoint, ending.served_at);
+            let said = lock(&self.departures).said(&endpoint.into());
+            let departure = said.or(inferred);
             if departure.is_some_and(|it| !it.may_end_run(ended_at, ending.event_time)) {
                 watch.expect_completion();
             }
@@ -114,8 +120,12 @@
             return;
         }
         let (now, start) = (self.clock.now(), Start::from(endpoint));
+        let is_listed = self
+            .pool()
+            .key_of_start(&start.id, start.started_ms)
+            .is_some();
         let mut departures = lock(&self.departures);
-        departures.begin(now, start.clone());
+        departures.begin(now, start.clone(), is_listed);
         if departures.begin_question(now, &start) {
             let (shared, endpoint) = (self.clone(), endpoint.clone());
             tokio::spawn(async move { shared.ask_departure(key, &endpoint).await });
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -92,6 +92,50 @@
     }
 }
 
+/// Shortest wait for data that was not there already.
+const MIN_WAIT: Duration = Duration::from_millis(10);
+
+/// Last time at which the endpoint of a run is known to have been at work, from waits for its data.
+/// Data that is there at once may be old, as this host may have stood still or its caller may read
+/// slowly.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use cranberryridge_policy::answer::survival::Sighting;
+/// let sent_at = Instant::now();
+/// let after = |time| sent_at + Duration::from_millis(time);
+/// let mut sighting = Sighting::new(sent_at);
+/// sighting.record([after(100), after(3000)]);
+/// sighting.record([after(3000), after(3001)]);
+/// assert_eq!(sighting.at(), after(100));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    at: Instant,
+}
+
+impl Sighting {
+    /// Creates the sighting of an endpoint that was sent a request.
+    pub fn new(sent_at: Instant) -> Self {
+        Self { at: sent_at }
+    }
+
+    /// Records the beginning and the end of a wait for data, which was sent after the beginning
+    /// unless it was there already.
+    pub fn record(&mut self, [begun, ended]: [Instant; 2]) {
+        if ended.saturating_duration_since(begun) >= MIN_WAIT {
+            self.at = begun;
+        }
+    }
+
+    /// Returns the time.
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+}
+
 /// What an endpoint shows when it is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -34,7 +34,7 @@
 /// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
 /// let (mut table, now) = (Table::default(), Instant::now());
 /// let start = Start { id: "d-1".into(), started_ms: 7 };
-/// table.begin(now, start.clone());
+/// table.begin(now, start.clone(), true);
 /// assert!(table.begin_question(now, &start));
 /// assert!(!table.begin_question(now, &start));
 /// assert!(table.begin_question(now + Duration::from_millis(300), &start));
@@ -68,7 +68,9 @@
 /// An endpoint that leaves.
 #[derive(Debug)]
 struct Leaving {
-    /// Time since which this host knows that it leaves.
+    /// Whether it is listed.
+    is_listed: bool,
+    /// Time since which this host knows that it leaves, and lists it or not.
     since: Instant,
     /// Time of the last question.
     asked_at: Option<Instant>,
@@ -77,8 +79,9 @@
 }
 
 impl Leaving {
-    fn new(now: Instant) -> Self {
+    fn new(now: Instant, is_listed: bool) -> Self {
         Self {
+            is_listed,
             since: now,
             asked_at: None,
             said: None,
@@ -87,16 +90,18 @@
 }
 
 impl Table {
-    /// Records that an endpoint leaves or is listed no more. The first time counts.
-    pub fn begin(&mut self, now: Instant, start: Start) {
-        self.entry(now, start);
-    }
-
-    /// Returns an endpoint's entry, and inserts one if it is missing.
-    fn entry(&mut self, now: Instant, start: Start) -> &mut Leaving {
-        self.starts
-            .entry(start)
-            .or_insert_with(|| Leaving::new(now))
+    /// Records that an endpoint leaves, listed or not. The first time counts, unless it was listed
+    /// before and is not any more, or the other way round.
+    pub fn begin(&mut self, now: Instant, start: Start, is_listed: bool) {
+        let new = || Leaving::new(now, is_listed);
+        let leaving = self.starts.entry(start).or_insert_with(new);
+        if leaving.is_listed != is_listed {
+            *leaving = Leaving {
+                said: leaving.said,
+                asked_at: leaving.asked_at,
+                ..new()
+            };
+        }
     }
 
     /// Forgets endpoints that do not leave after all, as they are listed again, and those that left
@@ -109,7 +114,7 @@
     /// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
     /// let (mut table, now) = (Table::default(), Instant::now());
     /// let start = Start { id: "d-1".into(), started_ms: 7 };
-    /// table.begin(now, start.clone());
+    /// table.begin(now, start.clone(), false);
     /// table.retain(now, |start| start.id != "d-1");
     /// let found = table.find(&start, Voice::Mute, now + Duration::from_secs(9), Duration::ZERO);
     /// assert_eq!(found, None);
@@ -132,7 +137,7 @@
     /// use cranberryridge_policy::gateway::departure::{Start, Table, Voice};
     /// let (mut table, now, second) = (Table::default(), Instant::now(), Duration::from_secs(1));
     /// let start = Start { id: "d-1".into(), started_ms: 7 };
-    /// table.begin(now, start.clone());
+    /// table.begin(now, start.clone(), false);
     /// let find = |voice, served_at| table.find(&start, voice, served_at, second);
     /// assert_eq!(find(Voice::Mute, now + second / 2), None);
     /// assert_eq!(find(Voice::Mute, now + second), Some(Departure::AfterRuns));
@@ -151,6 +156,11 @@
         leaving.said.or(inferred)
     }
 
+    /// Returns what an endpoint has said of its exit.
+    pub fn said(&self, start: &Start) -> Option<Departure> {
+        self.starts.get(start)?.said
+    }
+
     /// Returns whether to ask an endpoint now: it has not said when it exits, and was not asked
     /// shortly before.
     pub fn begin_question(&mut self, now: Instant, start: &Start) -> bool {
@@ -169,6 +179,7 @@
 
     /// Records what an endpoint says of its exit.
     pub fn record(&mut self, now: Instant, start: Start, departure: Departure) {
-        self.entry(now, start).said = Some(departure);
+        let new = || Leaving::new(now, true);
+        self.starts.entry(start).or_insert_with(new).said = Some(departure);
     }
 }
