daemon: play engines that leave without a word beside planned stops of hosts

Change: `scale_in` with `unlisted` takes engines off the list, and stops each once it has served on and has no open runs; another comes later. The ledger tells which runs stated their end.

--- a/crates/daemon/tests/day/player.rs
+++ b/crates/daemon/tests/day/player.rs
@@ -27,6 +27,9 @@
 /// Time for which an engine goes on after it was listed as draining.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time between two looks at the open runs of an engine that leaves behind them.
+const RUNS_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after which others come for engines that were taken away at short notice.
 const SPOT_TIME: Duration = Duration::from_secs(4);
 
@@ -157,6 +160,19 @@
     TakeAway {
         engine: usize,
     },
+    /// Removes an engine that leaves behind its runs from the list.
+    Unlist {
+        engine: usize,
+    },
+    /// Stops an engine once it has no open runs. Another comes some time later.
+    StopBehindRuns {
+        engine: usize,
+        back_after: Duration,
+    },
+    /// Starts an engine that had left.
+    ReturnEngine {
+        engine: usize,
+    },
     Replace {
         engine: usize,
         version: String,
@@ -208,7 +224,7 @@
     moods: Vec<(Instant, Event)>,
     releases: u32,
     stops: Stops,
-    /// Engines that have left for good.
+    /// Engines that have left for good, or are leaving behind their runs.
     left_engines: BTreeSet<usize>,
 }
 
@@ -440,6 +456,20 @@
                 self.site.unlist(engine);
                 self.site.engines[engine].stop(self.stops.of_drain()).await;
             }
+            Step::Unlist { engine } => self.site.unlist(engine),
+            Step::StopBehindRuns { engine, back_after } => {
+                let now = Instant::now();
+                if self.site.engines[engine].open_runs() > 0 {
+                    self.after(now, RUNS_INTERVAL, step);
+                } else {
+                    self.site.engines[engine].stop(Stop::Close).await;
+                    self.after(now, back_after, Step::ReturnEngine { engine });
+                }
+            }
+            Step::ReturnEngine { engine } => {
+                self.left_engines.remove(&engine);
+                self.site.restart_engine(engine).await;
+            }
             Step::Replace { engine, version } => {
                 self.site.unlist(engine);
                 self.site.engines[engine].stop(self.stops.of_drain()).await;
@@ -545,6 +575,7 @@
                     _ => (DRAIN_TIME.as_secs_f64(), None),
                 };
                 let delay = Duration::from_secs_f64(delay);
+                let is_unlisted = event.is("unlisted");
                 let mut engines = self.draw_engines(event);
                 if back.is_none() {
                     // Some engine has to remain.
@@ -555,6 +586,13 @@
                     self.left_engines.extend(&engines);
                 }
                 for engine in engines {
+                    if is_unlisted {
+                        let back_after = lasts;
+                        let stop = Step::StopBehindRuns { engine, back_after };
+                        self.after(at, Duration::ZERO, Step::Unlist { engine });
+                        self.after(at, delay, stop);
+                        continue;
+                    }
                     self.after(at, Duration::ZERO, Step::Drain { engine });
                     self.after(at, delay, Step::TakeAway { engine });
                     if let Some(back) = back {
--- a/crates/daemon/tests/days.rs
+++ b/crates/daemon/tests/days.rs
@@ -9,10 +9,12 @@
 //! engines. Without `DAYS_SITE`, a short day of this repository is played. Kinds that
 //! are not played are printed.
 //!
-//! Beside the kinds of site files, days may have `lossy` with `how` as `store` or `engines` (links
-//! that delay, stall and reset), `host_cut` (hosts whose schedulers are not reached), and
-//! `platform_rewind` (a store from an older copy, in which engines are listed again only later).
-//! `replace_core` may have `leader`, `race` and `frozen`.
+//! Beside the kinds of site files, days may have `scale_in` with `how` as `unlisted` (engines that
+//! leave the list without a word, serve on, complete their runs and exit, and come back `for_s`
+//! later), `lossy` with `how` as `store` or `engines` (links that delay, stall and reset),
+//! `host_cut` (hosts whose schedulers are not reached), and `platform_rewind` (a store from an older
+//! copy, in which engines are listed again only later). `replace_core` may have `leader`, `race` and
+//! `frozen`.
 
 #[allow(dead_code)]
 mod shapes {
@@ -38,7 +40,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use cranberryridge_standin::stream::{Form, Ledger};
+use cranberryridge_standin::stream::{Form, Ledger, Run};
 
 use day::plan::{Day, Plan};
 use day::player::{Mood, Player, Stops};
@@ -79,7 +81,7 @@
     };
     let names = std::env::var("DAYS_NAMES").unwrap_or_else(|_| "all".into());
     assert_eq!(
-        play(&text, &names, 21),
+        play(&text, &names, 21).wrong,
         0,
         "streams are wrong, see the lines of the days"
     );
@@ -90,7 +92,7 @@
 #[test]
 fn streams_of_hosts_without_the_store_have_one_version() {
     if std::env::var("DAYS_SITE").is_err() {
-        let wrong = play(include_str!("day/stale.toml"), "all", 61);
+        let wrong = play(include_str!("day/stale.toml"), "all", 61).wrong;
         assert_eq!(wrong, 0, "streams are wrong, see the line of the day");
     }
 }
@@ -100,7 +102,7 @@
 #[test]
 fn streams_of_moved_routes_have_one_version() {
     if std::env::var("DAYS_SITE").is_err() {
-        let wrong = play(include_str!("day/moved.toml"), "all", 81);
+        let wrong = play(include_str!("day/moved.toml"), "all", 81).wrong;
         assert_eq!(wrong, 0, "streams are wrong, see the line of the day");
     }
 }
@@ -110,7 +112,7 @@
 #[test]
 fn streams_over_losses_of_power_hold_the_pieces_that_engines_made() {
     if std::env::var("DAYS_SITE").is_err() {
-        let wrong = play(include_str!("day/power.toml"), "all", 101);
+        let wrong = play(include_str!("day/power.toml"), "all", 101).wrong;
         assert_eq!(wrong, 0, "streams are wrong, see the line of the day");
     }
 }
@@ -120,7 +122,7 @@
 #[test]
 fn streams_over_lossy_links_have_one_version() {
     if std::env::var("DAYS_SITE").is_err() {
-        let wrong = play(include_str!("day/links.toml"), "all", 91);
+        let wrong = play(include_str!("day/links.toml"), "all", 91).wrong;
         assert_eq!(wrong, 0, "streams are wrong, see the line of the day");
     }
 }
@@ -130,29 +132,49 @@
 #[test]
 fn streams_of_stores_from_older_copies_have_one_version() {
     if std::env::var("DAYS_SITE").is_err() {
-        let wrong = play(include_str!("day/rewind.toml"), "all", 111);
+        let wrong = play(include_str!("day/rewind.toml"), "all", 111).wrong;
         assert_eq!(wrong, 0, "streams are wrong, see the line of the day");
     }
 }
 
-/// Plays the days with some names of a site file. Returns the number of wrong streams.
-fn play(text: &str, names: &str, first_subnet: u8) -> usize {
+// Guards against withheld ends of engines that leave without a word, beside planned stops of hosts.
+#[test]
+fn whole_streams_of_engines_that_leave_reach_their_callers() {
+    if std::env::var("DAYS_SITE").is_err() {
+        let tally = play(include_str!("day/planned.toml"), "all", 121);
+        assert_eq!(tally.wrong, 0, "streams are wrong, see the line of the day");
+        assert_eq!(tally.cut_whole_runs, 0, "callers of whole runs were cut");
+    }
+}
+
+/// Numbers of streams that days are held against.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    wrong: usize,
+    /// Streams whose last run was whole, and whose callers were cut behind the last piece.
+    cut_whole_runs: usize,
+}
+
+/// Plays the days with some names of a site file.
+fn play(text: &str, names: &str, first_subnet: u8) -> Tally {
     let seed = std::env::var("DAYS_SEED").map_or(1, |seed| seed.parse().unwrap());
     let plan = Plan::parse(text);
     let is_named = |day: &&Day| names == "all" || names.split(',').any(|name| name == day.name);
-    let (mut wrong, mut played) = (0, 0);
+    let (mut tally, mut played) = (Tally::default(), 0);
     for (subnet, day) in (first_subnet..).zip(plan.days.iter().filter(is_named)) {
         let runtime = tokio::runtime::Builder::new_multi_thread();
         let runtime = { runtime }.worker_threads(2).enable_all().build().unwrap();
-        wrong += runtime.block_on(run(subnet, &plan, day, seed));
+        let of_day = runtime.block_on(run(subnet, &plan, day, seed));
+        tally.wrong += of_day.wrong;
+        tally.cut_whole_runs += of_day.cut_whole_runs;
         played += 1;
     }
     assert!(played > 0, "no day has one of the names {names}");
-    wrong
+    tally
 }
 
-/// Plays a day. Returns the number of wrong streams.
-async fn run(subnet: u8, plan: &Plan, day: &Day, seed: u64) -> usize {
+/// Plays a day.
+async fn run(subnet: u8, plan: &Plan, day: &Day, seed: u64) -> Tally {
     let ledger = Ledger::new(FILLER_BYTES);
     let deployment = Deployment {
         name: plan.name.clone().leak(),
@@ -300,17 +322,17 @@
     }
 }
 
-/// Prints what became of streams. Returns the number of wrong ones.
+/// Prints what became of streams.
 fn report(
     plan: &Plan,
     day: &Day,
     begun_at: Instant,
     outcomes: &[Outcome],
     ledger: &Ledger,
-) -> usize {
+) -> Tally {
     let mut forms = BTreeMap::<(Form, bool), usize>::new();
     let closing_at = begun_at + plan.length;
-    let mut wrong_at_closing = 0;
+    let [mut wrong_at_closing, mut cut_whole_runs] = [0; 2];
     let [mut whole, mut tried_again, mut joined, mut cut, mut refused, mut followed] = [0; 6];
     for Outcome { stream, ended_at } in outcomes {
         tried_again += usize::from(stream.ends.len() > 1);
@@ -322,6 +344,7 @@
             Some(End::Refused(_) | End::NoAnswer) => refused += 1,
             _ => cut += 1,
         }
+        cut_whole_runs += usize::from(is_cut_behind_whole_run(stream, ledger));
         let Some(form) = stream.check(ledger) else {
             continue;
         };
@@ -354,14 +377,30 @@
     println!(
         "days: {} {}: {} streams, {whole} whole, {tried_again} tried again, \
          {joined} of several runs, {cut} cut, {refused} refused, {wrong} wrong {forms:?}, \
-         {wrong_at_closing} of them open at the closing, {followed} with bytes behind the end",
+         {wrong_at_closing} of them open at the closing, {followed} with bytes behind the end, \
+         {cut_whole_runs} cut behind whole runs",
         plan.name,
         day.name,
         outcomes.len(),
     );
     let share = whole as f64 / outcomes.len().max(1) as f64;
     assert!(share >= MIN_WHOLE_SHARE, "{share:.2} whole");
-    wrong
+    Tally {
+        wrong,
+        cut_whole_runs,
+    }
+}
+
+/// Returns whether the caller of a stream holds all pieces and was cut, though its last run made
+/// them up to the last one and stated the end.
+fn is_cut_behind_whole_run(stream: &Stream, ledger: &Ledger) -> bool {
+    let holds_all = stream.events.len() == stream.total as usize;
+    if stream.ends.last() != Some(&End::Cut) || !holds_all {
+        return false;
+    }
+    let runs = ledger.runs_of(&[&stream.name]);
+    let is_whole = |(_, run): &(u64, Run)| run.has_ended && run.last_id == stream.total;
+    runs.last().is_some_and(is_whole)
 }
 
 /// Returns the number of the run that an event names.
--- a/crates/daemon/tests/shapes/engine.rs
+++ b/crates/daemon/tests/shapes/engine.rs
@@ -197,6 +197,8 @@
     version: Mutex<String>,
     room: Mutex<Option<Room>>,
     connections: AtomicUsize,
+    /// Number of the runs that are queued or make pieces.
+    open_runs: AtomicUsize,
     /// What is done with connections that are dropped.
     stop: Mutex<Stop>,
     /// Drops the open connections.
@@ -217,6 +219,22 @@
     }
 }
 
+/// A run that an engine counts as open until this is dropped.
+struct OpenRun(Arc<State>);
+
+impl OpenRun {
+    fn begin(state: &Arc<State>) -> Self {
+        state.open_runs.fetch_add(1, Ordering::SeqCst);
+        Self(state.clone())
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        self.0.open_runs.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// An engine, which may be stopped like a process and started again.
 #[derive(Debug)]
 pub struct Engine {
@@ -243,6 +261,7 @@
             version: Mutex::new("v1".into()),
             room: Mutex::new(None),
             connections: AtomicUsize::new(0),
+            open_runs: AtomicUsize::new(0),
             stop: Mutex::default(),
             drop_connections: Notify::new(),
             is_dark: AtomicBool::new(false),
@@ -289,6 +308,11 @@
         self.process.is_some()
     }
 
+    /// Returns the number of the runs that are queued or make pieces.
+    pub fn open_runs(&self) -> usize {
+        self.state.open_runs.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of the current start.
     pub fn born(&self) -> u64 {
         self.state.born.load(Ordering::SeqCst)
@@ -499,6 +523,7 @@
     ) -> std::io::Result<()> {
         let fault = self.fault();
         let state = self.state.clone();
+        let _open_run = OpenRun::begin(&state);
         let first_asked = if fault == Some(Fault::Anew) {
             0
         } else {
@@ -628,7 +653,13 @@
                 let again = format!("0\r\n\r\n{head}");
                 self.send(again.as_bytes()).await
             }
-            _ => self.end(is_unframed).await,
+            _ => {
+                self.end(is_unframed).await?;
+                if !is_unframed {
+                    state.ledger.end(run);
+                }
+                Ok(())
+            }
         }
     }
 
--- a/crates/standin/src/stream.rs
+++ b/crates/standin/src/stream.rs
@@ -25,6 +25,8 @@
     pub begun_at: Instant,
     /// Whether the engine is still at work on it, of a run that [`Ledger::watch`] follows.
     pub is_open: bool,
+    /// Whether the engine has stated the end of its answer, of a run that [`Ledger::end`] names.
+    pub has_ended: bool,
 }
 
 /// All runs, by number. Clones share them.
@@ -73,6 +75,7 @@
             attempt: String::new(),
             begun_at: Instant::now(),
             is_open: false,
+            has_ended: false,
         };
         runs.insert(number, run);
         number
@@ -94,6 +97,17 @@
         }
     }
 
+    /// Records that the engine of a run has stated the end of its answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no run has this number.
+    pub fn end(&self, number: u64) {
+        let mut runs = self.lock();
+        let run = runs.get_mut(&number).expect("begin the run first");
+        run.has_ended = true;
+    }
+
     /// Returns all runs.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().values().cloned().collect()
