gateway: say in comments what the departures of endpoints count

Change: comments alone.

Result: a comparison of the sources without comments shows no place where code differs from the commit before; formatted.

--- a/crates/lib/src/gateway.rs
+++ b/crates/lib/src/gateway.rs
@@ -96,7 +96,8 @@
     /// Time between two reads of the endpoint list. A draining endpoint gets no
     /// new work after this plus the duration of one call.
     pub list_interval: Duration,
-    /// Time for which an endpoint serves on after it has left the list, or is listed as draining.
+    /// Time for which an endpoint serves on at least after it has left the list, or is listed as
+    /// draining.
     pub drain_period: Duration,
     /// Timeout of a long poll for a new configuration. A connection that went
     /// silent is detected after this plus [`Settings::call_timeout`].
@@ -185,7 +186,7 @@
     parts: parts::Registry,
     /// Software versions that began streams.
     origins: Mutex<Registry>,
-    /// What endpoints that leave say of their exit.
+    /// What is known of the exits of endpoints that leave.
     departures: Mutex<departure::Table>,
     /// How engines number events.
     numberings: numberings::Registry,
--- a/crates/lib/src/gateway/record.rs
+++ b/crates/lib/src/gateway/record.rs
@@ -49,8 +49,8 @@
     pub end: Option<Proof>,
     /// What the endpoint showed after it stated the end of the last run, if it was looked at.
     pub sign: Option<Sign>,
-    /// What was known of the exit of the last run's endpoint when the run ended, or `None` if it
-    /// was not leaving.
+    /// What was known of the exit of the endpoint whose run came to an end last, or `None` if it was
+    /// not leaving.
     pub departure: Option<&'static str>,
     /// Bytes that arrived after the last complete event when the last stream
     /// ended.
--- a/crates/lib/src/gateway/survival.rs
+++ b/crates/lib/src/gateway/survival.rs
@@ -57,7 +57,7 @@
         let Ending { key, endpoint, .. } = ending;
         let mut watch = Watch::default();
         let ended_at = self.clock.now();
-        // A list that is read behind the end tells nothing of the run.
+        // What a list that is read later tells says nothing of the run.
         let inferred = self.departure(endpoint, ending.served_at);
         // A report is a request, for which there is no permit.
         let is_limited = self.pool().is_limited(key);
@@ -105,7 +105,8 @@
             }
         };
         let settings = &self.settings;
-        // This host may have noticed the departure one reading of the list late.
+        // An endpoint that leaves as planned is at work for this long at least after this host has
+        // noticed it, which may be one reading of the list late.
         let notice_time = settings.list_interval + settings.call_timeout;
         let min_service_time = settings.drain_period.saturating_sub(notice_time);
         lock(&self.departures).find(&endpoint.into(), voice, served_at, min_service_time)
--- a/crates/policy/src/answer/survival.rs
+++ b/crates/policy/src/answer/survival.rs
@@ -97,7 +97,7 @@
 
 /// Last time at which the endpoint of a run is known to have been at work, from waits for its data.
 /// Data that is there at once may be old, as this host may have stood still or its caller may read
-/// slowly.
+/// slowly. A link that holds data back passes for work.
 ///
 /// # Examples
 ///
@@ -122,7 +122,7 @@
         Self { at: sent_at }
     }
 
-    /// Records the beginning and the end of a wait for data, which was sent after the beginning
+    /// Records the beginning and the end of a wait for data, which arrived after the beginning
     /// unless it was there already.
     pub fn record(&mut self, [begun, ended]: [Instant; 2]) {
         if ended.saturating_duration_since(begun) >= MIN_WAIT {
--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -12,7 +12,7 @@
 /// Time between two questions to an endpoint, whose reports lag behind.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which an endpoint that leaves is remembered, also if it is listed no more.
+/// Time for which an endpoint that leaves is remembered at least, also if it is listed no more.
 const LIFETIME: Duration = Duration::from_secs(60);
 
 /// Whether an endpoint that leaves can be expected to say so itself.
@@ -20,7 +20,7 @@
 pub enum Voice {
     /// It is listed, and its report tells of its exit.
     Reporting,
-    /// It is listed no more, has no report or is not asked for it.
+    /// It is listed no more, has no report or must not be asked for it.
     Mute,
 }
 
@@ -68,9 +68,9 @@
 /// An endpoint that leaves.
 #[derive(Debug)]
 struct Leaving {
-    /// Whether it is listed.
+    /// Whether the list still holds it.
     is_listed: bool,
-    /// Time since which this host knows that it leaves, and lists it or not.
+    /// Time since which this host has known that it leaves, and `is_listed` has been as it is.
     since: Instant,
     /// Time of the last question.
     asked_at: Option<Instant>,
@@ -90,8 +90,8 @@
 }
 
 impl Table {
-    /// Records that an endpoint leaves, listed or not. The first time counts, unless it was listed
-    /// before and is not any more, or the other way round.
+    /// Records that an endpoint leaves. The time counts from the first call, and anew when the
+    /// endpoint drops out of the list or returns.
     pub fn begin(&mut self, now: Instant, start: Start, is_listed: bool) {
         let new = || Leaving::new(now, is_listed);
         let leaving = self.starts.entry(start).or_insert_with(new);
@@ -177,7 +177,7 @@
         true
     }
 
-    /// Records what an endpoint says of its exit.
+    /// Records what an endpoint says of its exit. One that was not known to leave counts as listed.
     pub fn record(&mut self, now: Instant, start: Start, departure: Departure) {
         let new = || Leaving::new(now, true);
         self.starts.entry(start).or_insert_with(new).said = Some(departure);
