--- a/crates/policy/src/gateway/departure.rs
+++ b/crates/policy/src/gateway/departure.rs
@@ -13,7 +13,7 @@
 const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for which an endpoint that leaves is remembered at least, also if it is listed no more.
-const LIFETIME: Duration = Duration::from_secs(60);
+const ENTRY_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Whether an endpoint that leaves can be expected to say so itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,11 +96,7 @@
         let new = || Leaving::new(now, is_listed);
         let leaving = self.starts.entry(start).or_insert_with(new);
         if leaving.is_listed != is_listed {
-            *leaving = Leaving {
-                said: leaving.said,
-                asked_at: leaving.asked_at,
-                ..new()
-            };
+            (leaving.is_listed, leaving.since) = (is_listed, now);
         }
     }
 
@@ -121,7 +117,7 @@
     /// ```
     pub fn retain(&mut self, now: Instant, is_leaving: impl Fn(&Start) -> bool) {
         self.starts.retain(|start, leaving| {
-            is_leaving(start) && now.saturating_duration_since(leaving.since) < LIFETIME
+            is_leaving(start) && now.saturating_duration_since(leaving.since) < ENTRY_LIFETIME
         });
     }
 
